--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's list of instances over HTTP. */
+package org.cottontack.adapters.fleet;
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/http/package-info.java
@@ -0,0 +1,2 @@
+/** A small HTTP server and client on Netty's codec. */
+package org.cottontack.adapters.http;
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/json/Json.java
@@ -0,0 +1,180 @@
+package org.cottontack.adapters.json;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.KeyDeserializer;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import java.io.IOException;
+import java.util.function.Function;
+import org.cottontack.adapters.AdapterException;
+import org.cottontack.core.id.AttemptId;
+import org.cottontack.core.id.CallerId;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.EndpointId;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TaskId;
+import org.cottontack.core.id.TeamId;
+import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.core.store.StoreKey;
+
+/** The one JSON mapper: identifiers are plain text, payloads base64, unknown fields are refused. */
+public final class Json {
+
+  private static final ObjectMapper MAPPER = configure(JsonMapper.builder());
+
+  private Json() {}
+
+  /** Returns the shared mapper. */
+  public static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /** Applies the project's conventions to a builder of any format. */
+  public static <M extends ObjectMapper> M configure(
+      com.fasterxml.jackson.databind.cfg.MapperBuilder<M, ?> builder) {
+    return builder
+        .addModule(module())
+        .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+        .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+        .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+        .defaultPropertyInclusion(
+            JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.ALWAYS))
+        .build();
+  }
+
+  /** Returns JSON text. */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("cannot write " + value.getClass().getSimpleName(), e);
+    }
+  }
+
+  /** Returns JSON text as a payload. */
+  public static Payload payload(Object value) {
+    return Payload.of(write(value));
+  }
+
+  /**
+   * Reads JSON text.
+   *
+   * @throws AdapterException with {@link AdapterException.Code#MALFORMED} when it is not of the
+   *     type
+   */
+  public static <T> T read(String text, Class<T> type) {
+    try {
+      return MAPPER.readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new AdapterException(AdapterException.Code.MALFORMED, oneLine(e), e);
+    }
+  }
+
+  /**
+   * Reads JSON text as a tree.
+   *
+   * @throws AdapterException with {@link AdapterException.Code#MALFORMED} when it is no JSON
+   */
+  public static JsonNode tree(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new AdapterException(AdapterException.Code.MALFORMED, oneLine(e), e);
+    }
+  }
+
+  /** Returns a fault of the parser as one line with its place. */
+  public static String oneLine(JsonProcessingException fault) {
+    String place =
+        fault.getLocation() == null
+            ? ""
+            : "line %d, column %d: "
+                .formatted(fault.getLocation().getLineNr(), fault.getLocation().getColumnNr());
+    return place + fault.getOriginalMessage().lines().findFirst().orElse("not readable");
+  }
+
+  private static SimpleModule module() {
+    SimpleModule module = new SimpleModule("cottontack");
+    id(module, AttemptId.class, AttemptId::new);
+    id(module, CallerId.class, CallerId::new);
+    id(module, DataCentreId.class, DataCentreId::new);
+    id(module, EndpointId.class, EndpointId::new);
+    id(module, InstanceId.class, InstanceId::new);
+    id(module, RowName.class, RowName::new);
+    id(module, TaskId.class, TaskId::new);
+    id(module, TeamId.class, TeamId::new);
+    id(module, WorkerId.class, WorkerId::new);
+    id(module, StoreKey.class, StoreKey::new);
+    module.addSerializer(Payload.class, new PayloadWriter());
+    module.addDeserializer(Payload.class, new PayloadReader());
+    return module;
+  }
+
+  private static <T> void id(SimpleModule module, Class<T> type, Function<String, T> create) {
+    module.addSerializer(type, ToStringSerializer.instance);
+    module.addDeserializer(type, new TextReader<>(create));
+    module.addKeyDeserializer(type, new KeyReader<>(create));
+  }
+
+  private static final class TextReader<T> extends JsonDeserializer<T> {
+
+    private final Function<String, T> create;
+
+    TextReader(Function<String, T> create) {
+      this.create = create;
+    }
+
+    @Override
+    public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+      try {
+        return create.apply(parser.getText());
+      } catch (IllegalArgumentException e) {
+        throw context.weirdStringException(parser.getText(), handledType(), e.getMessage());
+      }
+    }
+  }
+
+  private static final class KeyReader<T> extends KeyDeserializer {
+
+    private final Function<String, T> create;
+
+    KeyReader(Function<String, T> create) {
+      this.create = create;
+    }
+
+    @Override
+    public Object deserializeKey(String key, DeserializationContext context) {
+      return create.apply(key);
+    }
+  }
+
+  private static final class PayloadWriter extends JsonSerializer<Payload> {
+    @Override
+    public void serialize(Payload value, JsonGenerator generator, SerializerProvider provider)
+        throws IOException {
+      generator.writeBinary(value.bytes());
+    }
+  }
+
+  private static final class PayloadReader extends JsonDeserializer<Payload> {
+    @Override
+    public Payload deserialize(JsonParser parser, DeserializationContext context)
+        throws IOException {
+      return Payload.of(parser.getBinaryValue());
+    }
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/json/ValueKind.java
@@ -0,0 +1,64 @@
+package org.cottontack.adapters.json;
+
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.cottontack.adapters.AdapterException;
+import org.cottontack.core.ownership.AssignmentRecord;
+import org.cottontack.core.ownership.LeaseRecord;
+import org.cottontack.core.request.ClaimRecord;
+import org.cottontack.core.store.StoredValue;
+import org.cottontack.core.table.TableRecord;
+import org.cottontack.core.task.TaskRecord;
+
+/** The kinds of content a row can have, each with its type. */
+public enum ValueKind {
+  /** A lease of an entry instance. */
+  LEASE(LeaseRecord.class),
+  /** Members of a data centre. */
+  ASSIGNMENT(AssignmentRecord.class),
+  /** A claim on a request. */
+  CLAIM(ClaimRecord.class),
+  /** The operators' table. */
+  TABLE(TableRecord.class),
+  /** A task. */
+  TASK(TaskRecord.class);
+
+  private final Class<? extends StoredValue> type;
+
+  ValueKind(Class<? extends StoredValue> type) {
+    this.type = type;
+  }
+
+  /** Returns the type of the content. */
+  public Class<? extends StoredValue> type() {
+    return type;
+  }
+
+  /** Returns the word stored beside the content. */
+  public String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the kind of some content. */
+  public static ValueKind of(StoredValue value) {
+    return Stream.of(values())
+        .filter(kind -> kind.type.isInstance(value))
+        .findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("no kind for " + value.getClass()));
+  }
+
+  /**
+   * Returns the kind for a stored word.
+   *
+   * @throws AdapterException with {@link AdapterException.Code#MALFORMED} for an unknown word
+   */
+  public static ValueKind forWord(String word) {
+    return Stream.of(values())
+        .filter(kind -> kind.word().equals(word))
+        .findFirst()
+        .orElseThrow(
+            () ->
+                new AdapterException(
+                    AdapterException.Code.MALFORMED, "unknown kind of row '" + word + "'", null));
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Other entry instances over TCP with protobuf. */
+package org.cottontack.adapters.peer;
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/request/package-info.java
@@ -0,0 +1,2 @@
+/** Endpoints over HTTP. */
+package org.cottontack.adapters.request;
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/store/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's table service over HTTP. */
+package org.cottontack.adapters.store;
--- /dev/null
+++ b/adapters/src/main/java/org/cottontack/adapters/task/package-info.java
@@ -0,0 +1,2 @@
+/** Workers over HTTP. */
+package org.cottontack.adapters.task;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/Scheduler.java
@@ -0,0 +1,61 @@
+package org.cottontack.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.cottontack.core.fleet.FleetReducer;
+import org.cottontack.core.ownership.OwnershipReducer;
+import org.cottontack.core.request.RequestReducer;
+import org.cottontack.core.store.StoreReducer;
+import org.cottontack.core.table.TableReducer;
+import org.cottontack.core.task.TaskReducer;
+
+/**
+ * The one reducer over all events. It is a pure function: it reads no clock, draws no random number
+ * and does no input or output, so that any run can be replayed from its events.
+ */
+public final class Scheduler {
+
+  private static final List<Handlers> PARTS =
+      List.of(
+          StoreReducer.handlers(),
+          OwnershipReducer.handlers(),
+          TableReducer.handlers(),
+          FleetReducer.handlers(),
+          RequestReducer.handlers(),
+          TaskReducer.handlers());
+
+  private Scheduler() {}
+
+  /**
+   * Reduces one event, and the events it raises inside the core, in order.
+   *
+   * @param before the state before
+   * @param now the time of the event
+   * @param event what happened
+   * @return the state after and the effects that leave the core
+   */
+  public static Step reduce(State before, Moment now, Event event) {
+    State state = before.at(now);
+    Deque<Event> inbox = new ArrayDeque<>(List.of(event));
+    List<Effect> out = new ArrayList<>();
+    while (!inbox.isEmpty()) {
+      Event next = inbox.removeFirst();
+      for (Handlers part : PARTS) {
+        Step step = part.apply(state, next);
+        state = step.state();
+        step.effects().forEach(effect -> route(effect, inbox, out));
+      }
+    }
+    return new Step(state, out);
+  }
+
+  private static void route(Effect effect, Deque<Event> inbox, List<Effect> out) {
+    if (effect instanceof Effect.Raise raise) {
+      inbox.addLast(raise.event());
+    } else {
+      out.add(effect);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/fleet/MemberKind.java
@@ -0,0 +1,9 @@
+package org.cottontack.core.fleet;
+
+/** The kinds of instance that run work. */
+public enum MemberKind {
+  /** Runs tasks. */
+  WORKER,
+  /** Runs requests. */
+  ENDPOINT
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Workers and endpoints as the platform lists them and as they report themselves. */
+package org.cottontack.core.fleet;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/AttemptId.java
@@ -0,0 +1,24 @@
+package org.cottontack.core.id;
+
+/**
+ * One dispatch of a request to an endpoint; unique over all processes.
+ *
+ * @param value the text, never blank
+ */
+public record AttemptId(String value) implements Comparable<AttemptId> {
+
+  /** Rejects a blank identifier. */
+  public AttemptId {
+    Ids.requireText(value, "AttemptId");
+  }
+
+  @Override
+  public int compareTo(AttemptId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/DataCentreId.java
@@ -0,0 +1,24 @@
+package org.cottontack.core.id;
+
+/**
+ * A data centre.
+ *
+ * @param value the text, never blank
+ */
+public record DataCentreId(String value) implements Comparable<DataCentreId> {
+
+  /** Rejects a blank identifier. */
+  public DataCentreId {
+    Ids.requireText(value, "DataCentreId");
+  }
+
+  @Override
+  public int compareTo(DataCentreId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/EndpointId.java
@@ -0,0 +1,24 @@
+package org.cottontack.core.id;
+
+/**
+ * An endpoint, which runs requests in slots.
+ *
+ * @param value the text, never blank
+ */
+public record EndpointId(String value) implements Comparable<EndpointId> {
+
+  /** Rejects a blank identifier. */
+  public EndpointId {
+    Ids.requireText(value, "EndpointId");
+  }
+
+  @Override
+  public int compareTo(EndpointId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/Ids.java
@@ -0,0 +1,13 @@
+package org.cottontack.core.id;
+
+/** Checks shared by the value types. */
+final class Ids {
+
+  private Ids() {}
+
+  static void requireText(String value, String type) {
+    if (value == null || value.isBlank()) {
+      throw new IllegalArgumentException(type + " must not be blank");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/WorkerId.java
@@ -0,0 +1,24 @@
+package org.cottontack.core.id;
+
+/**
+ * A worker, which runs tasks under leases.
+ *
+ * @param value the text, never blank
+ */
+public record WorkerId(String value) implements Comparable<WorkerId> {
+
+  /** Rejects a blank identifier. */
+  public WorkerId {
+    Ids.requireText(value, "WorkerId");
+  }
+
+  @Override
+  public int compareTo(WorkerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.cottontack.core.id;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/ownership/OwnershipReducer.java
@@ -0,0 +1,288 @@
+package org.cottontack.core.ownership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.cottontack.core.Effect;
+import org.cottontack.core.Handlers;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.store.Mutation;
+import org.cottontack.core.store.StoreEffect;
+import org.cottontack.core.store.StoreEvent;
+import org.cottontack.core.store.StoreKey;
+import org.cottontack.core.store.StoreRow;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Keeps this incarnation's lease, follows the epochs of its data centre and removes members whose
+ * lease has provably ended. See {@code docs/design/1-ownership.md}.
+ */
+public final class OwnershipReducer {
+
+  /** Renewals and looks at the others in one lease time. */
+  private static final int BEATS_PER_LEASE = 5;
+
+  private static final long DRAIN_MILLIS = 50;
+
+  private OwnershipReducer() {}
+
+  /** Returns the handlers of this part. */
+  public static Handlers handlers() {
+    return new Handlers()
+        .on(OwnershipEvent.Start.class, OwnershipReducer::start)
+        .on(OwnershipEvent.Beat.class, OwnershipReducer::beat)
+        .on(OwnershipEvent.StopAsked.class, OwnershipReducer::stopAsked)
+        .on(OwnershipEvent.DrainCheck.class, OwnershipReducer::drainCheck)
+        .on(OwnershipEvent.Drained.class, OwnershipReducer::drained)
+        .on(StoreEvent.Settled.class, OwnershipReducer::settled)
+        .on(StoreEvent.Scanned.class, OwnershipReducer::scanned)
+        .on(PeerEvent.Received.class, Promises::received);
+  }
+
+  private static Step start(State state, OwnershipEvent.Start event) {
+    OwnershipState own = state.ownership().copy().self(state.settings().self()).build();
+    return beat(state.with(own), new OwnershipEvent.Beat());
+  }
+
+  private static Step beat(State state, OwnershipEvent.Beat event) {
+    if (!state.ownership().phase().renews()) {
+      return Step.of(state);
+    }
+    long wait = state.settings().leaseMillis() / BEATS_PER_LEASE;
+    return renew(state)
+        .then(Promises::askWhenStoreIsAway)
+        .then(OwnershipReducer::observe)
+        .with(new Effect.After(wait, event));
+  }
+
+  private static Step renew(State state) {
+    OwnershipState own = state.ownership();
+    if (own.renewalSent() >= 0) {
+      return Step.of(state);
+    }
+    LeaseRecord record =
+        new LeaseRecord(own.self(), state.settings().address(), own.assignment().epoch());
+    OwnershipPurpose purpose =
+        new OwnershipPurpose.Renewal(own.self(), own.leaseVersion() + 1, state.mono());
+    StoreKey key = StoreKey.lease(state.settings().dataCentre(), own.self());
+    return Step.of(
+        state.with(own.copy().renewing(state.mono()).build()),
+        new Effect.Raise(StoreEvent.Submit.of(key, own.leaseVersion(), record, purpose)));
+  }
+
+  private static Step observe(State state) {
+    String prefix = StoreKey.ownershipPrefix(state.settings().dataCentre());
+    return Step.of(state, new StoreEffect.Scan(prefix, new OwnershipPurpose.Observe()));
+  }
+
+  private static Step settled(State state, StoreEvent.Settled event) {
+    if (event.purpose() instanceof OwnershipPurpose.Renewal renewal) {
+      return renewal.self().equals(state.ownership().self())
+          ? renewed(state, renewal, event.applied())
+          : Step.of(state);
+    }
+    if (event.purpose() instanceof OwnershipPurpose.Reassign) {
+      State next = state.with(state.ownership().copy().reassigning(false).build());
+      return observe(next);
+    }
+    if (event.purpose() instanceof OwnershipPurpose.Leave) {
+      return left(state, event.applied());
+    }
+    return Step.of(state);
+  }
+
+  private static Step renewed(State state, OwnershipPurpose.Renewal renewal, boolean applied) {
+    if (!applied) {
+      return rejoin(state);
+    }
+    // The lease counts from before the write was sent: an observer first sees the new version later
+    // than that, so the observer's wait always ends after this process has stopped acting.
+    long until = renewal.sentAt() + state.settings().leaseMillis();
+    OwnershipState own =
+        state.ownership().copy().renewed(renewal.version(), renewal.sentAt(), until).build();
+    return Step.of(state.with(own)).then(OwnershipReducer::observe);
+  }
+
+  /**
+   * Another process revoked the lease, for instance while this one was paused. Everything held is
+   * released before the process joins again under a new name, so that it can never act on the old
+   * share.
+   */
+  private static Step rejoin(State state) {
+    OwnershipState old = state.ownership();
+    if (old.phase() == OwnershipPhase.LEAVING) {
+      return left(state, true);
+    }
+    InstanceId fresh = successor(old.self());
+    OwnershipState own = OwnershipState.EMPTY.copy().self(fresh).build();
+    return Step.of(
+            state.with(own),
+            new Effect.Note("ownership.lost", old.self().value(), "joins again as " + fresh),
+            new Effect.Raise(new OwnershipEvent.EpochSeen()))
+        .then(OwnershipReducer::renew);
+  }
+
+  private static InstanceId successor(InstanceId old) {
+    int mark = old.value().lastIndexOf('~');
+    int generation = mark < 0 ? 1 : Integer.parseInt(old.value().substring(mark + 1));
+    String stem = mark < 0 ? old.value() : old.value().substring(0, mark);
+    return new InstanceId(stem + "~" + (generation + 1));
+  }
+
+  private static Step scanned(State state, StoreEvent.Scanned event) {
+    if (!(event.purpose() instanceof OwnershipPurpose.Observe)) {
+      return Step.of(state);
+    }
+    return look(state, event.rows())
+        .then(OwnershipReducer::passBarrier)
+        .then(OwnershipReducer::propose);
+  }
+
+  private static Step look(State state, List<StoreRow> rows) {
+    OwnershipState before = state.ownership();
+    StoreKey key = StoreKey.assignment(state.settings().dataCentre());
+    StoreRow row =
+        rows.stream().filter(r -> r.key().equals(key)).findFirst().orElse(StoreRow.absent(key));
+    if (row.version() < before.assignmentVersion()) {
+      return Step.of(state); // a late answer of an older read
+    }
+    AssignmentRecord seen =
+        row.value() instanceof AssignmentRecord record ? record : AssignmentRecord.NONE;
+    OwnershipStateBuilder next =
+        before.copy().assignment(seen, row.version()).peers(observations(state, rows, seen));
+    if (before.phase() == OwnershipPhase.JOINING && seen.members().containsKey(before.self())) {
+      next.phase(OwnershipPhase.MEMBER);
+    }
+    State changed = state.with(next.build());
+    return seen.epoch() == before.assignment().epoch()
+        ? Step.of(changed)
+        : Step.of(
+                changed,
+                new Effect.Note("ownership.epoch", "" + seen.epoch(), "members " + seen.members()),
+                new Effect.Raise(new OwnershipEvent.EpochSeen()))
+            .then(OwnershipReducer::renew);
+  }
+
+  private static PMap<InstanceId, ObservedLease> observations(
+      State state, List<StoreRow> rows, AssignmentRecord seen) {
+    OwnershipState own = state.ownership();
+    Map<InstanceId, StoreRow> leases =
+        rows.stream()
+            .filter(row -> row.value() instanceof LeaseRecord)
+            .collect(Collectors.toMap(r -> ((LeaseRecord) r.value()).instance(), r -> r));
+    PMap<InstanceId, ObservedLease> peers = HashTreePMap.empty();
+    for (InstanceId member : seen.members().keySet()) {
+      StoreRow row = leases.get(member);
+      LeaseRecord record = row == null ? null : (LeaseRecord) row.value();
+      long version = row == null ? 0 : row.version();
+      peers =
+          peers.plus(
+              member, ObservedLease.next(own.peers().get(member), record, version, state.mono()));
+    }
+    return peers;
+  }
+
+  /**
+   * Resources gained in an epoch may be used once every member has acknowledged it: each has then
+   * stopped acting under older epochs, and orders still on the wire expire within their lifetime.
+   * Acknowledgements and assignment come from one snapshot, so none can belong to a newer epoch.
+   */
+  private static Step passBarrier(State state) {
+    OwnershipState own = state.ownership();
+    long epoch = own.assignment().epoch();
+    boolean passed =
+        own.others().stream().allMatch(member -> own.peers().get(member).ackedEpoch() >= epoch);
+    if (!passed || own.barrierEpoch() >= epoch || own.joinEpoch() == 0) {
+      return Step.of(state);
+    }
+    long wait = state.settings().orderLifetime() + state.settings().driftMargin();
+    return Step.of(
+        state.with(own.copy().barrier(epoch, state.mono() + wait).build()),
+        new Effect.After(wait, new OwnershipEvent.GainsOpen()));
+  }
+
+  private static Step propose(State state) {
+    OwnershipState own = state.ownership();
+    if (own.reassigning() || state.mono() >= own.leaseUntil() || !own.phase().renews()) {
+      return Step.of(state);
+    }
+    if (own.phase() == OwnershipPhase.JOINING) {
+      return reassign(state, own.assignment().joinedBy(own.self()), List.of());
+    }
+    List<InstanceId> ended =
+        own.others().stream().filter(member -> Revocation.allowed(state, member)).toList();
+    return ended.isEmpty()
+        ? Step.of(state)
+        : reassign(state, own.assignment().without(ended), ended);
+  }
+
+  private static Step reassign(State state, AssignmentRecord next, List<InstanceId> ended) {
+    OwnershipState own = state.ownership();
+    StoreKey key = StoreKey.assignment(state.settings().dataCentre());
+    List<Mutation> mutations =
+        new java.util.ArrayList<>(List.of(Mutation.put(key, own.assignmentVersion(), next)));
+    ended.forEach(member -> mutations.add(revocation(state, member)));
+    return Step.of(
+        state.with(own.copy().reassigning(true).build()),
+        new Effect.Note("ownership.propose", "" + next.epoch(), "removes " + ended),
+        new Effect.Raise(new StoreEvent.Submit(mutations, new OwnershipPurpose.Reassign())));
+  }
+
+  /** Removing the row at the version that lapsed makes the old holder's next renewal fail. */
+  private static Mutation revocation(State state, InstanceId member) {
+    StoreKey key = StoreKey.lease(state.settings().dataCentre(), member);
+    long version = state.ownership().peers().get(member).version();
+    return version == 0 ? Mutation.check(key, 0) : Mutation.delete(key, version);
+  }
+
+  private static Step stopAsked(State state, OwnershipEvent.StopAsked event) {
+    return Step.of(
+        state.with(state.ownership().withPhase(OwnershipPhase.LEAVING)),
+        new Effect.Note("instance.leaving", state.ownership().self().value(), "takes nothing new"),
+        new Effect.Raise(new OwnershipEvent.DrainCheck()));
+  }
+
+  /** Work in flight is finished before the share is given back. */
+  private static Step drainCheck(State state, OwnershipEvent.DrainCheck event) {
+    boolean idle = state.requests().open().isEmpty() && state.store().idle();
+    return idle
+        ? drained(state, new OwnershipEvent.Drained())
+        : Step.of(state, new Effect.After(DRAIN_MILLIS, event));
+  }
+
+  private static Step drained(State state, OwnershipEvent.Drained event) {
+    OwnershipState own = state.ownership();
+    if (own.phase() != OwnershipPhase.LEAVING || own.reassigning() || own.renewalSent() >= 0) {
+      return Step.of(state, new Effect.After(DRAIN_MILLIS, event));
+    }
+    if (own.joinEpoch() == 0) {
+      return left(state, true);
+    }
+    StoreKey lease = StoreKey.lease(state.settings().dataCentre(), own.self());
+    StoreKey assignment = StoreKey.assignment(state.settings().dataCentre());
+    List<Mutation> mutations =
+        List.of(
+            Mutation.put(
+                assignment, own.assignmentVersion(), own.assignment().without(List.of(own.self()))),
+            Mutation.delete(lease, own.leaseVersion()));
+    return Step.of(
+        state.with(own.copy().reassigning(true).build()),
+        new Effect.Raise(new StoreEvent.Submit(mutations, new OwnershipPurpose.Leave())));
+  }
+
+  private static Step left(State state, boolean applied) {
+    OwnershipState own = state.ownership().copy().reassigning(false).build();
+    if (!applied) {
+      return observe(state.with(own))
+          .with(new Effect.After(DRAIN_MILLIS, new OwnershipEvent.Drained()));
+    }
+    return Step.of(
+        state.with(own.withPhase(OwnershipPhase.LEFT)),
+        new Effect.Note("instance.left", own.self().value(), "share given back"),
+        new Effect.Halt("left"));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/ownership/OwnershipStateBuilder.java
@@ -0,0 +1,135 @@
+package org.cottontack.core.ownership;
+
+import org.cottontack.core.id.InstanceId;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+
+/** Copies an {@link OwnershipState} with some parts changed. */
+final class OwnershipStateBuilder {
+
+  private OwnershipPhase phase;
+  private InstanceId self;
+  private long leaseVersion;
+  private long renewalSent;
+  private long renewedAt;
+  private long leaseUntil;
+  private long coverUntil;
+  private AssignmentRecord assignment;
+  private long assignmentVersion;
+  private PMap<InstanceId, ObservedLease> peers;
+  private long barrierEpoch;
+  private long usableFrom;
+  private PMap<InstanceId, Long> given;
+  private boolean reassigning;
+  private long round;
+  private long roundSent;
+  private PSet<InstanceId> roundOpen;
+
+  OwnershipStateBuilder(OwnershipState from) {
+    phase = from.phase();
+    self = from.self();
+    leaseVersion = from.leaseVersion();
+    renewalSent = from.renewalSent();
+    renewedAt = from.renewedAt();
+    leaseUntil = from.leaseUntil();
+    coverUntil = from.coverUntil();
+    assignment = from.assignment();
+    assignmentVersion = from.assignmentVersion();
+    peers = from.peers();
+    barrierEpoch = from.barrierEpoch();
+    usableFrom = from.usableFrom();
+    given = from.given();
+    reassigning = from.reassigning();
+    round = from.round();
+    roundSent = from.roundSent();
+    roundOpen = from.roundOpen();
+  }
+
+  OwnershipStateBuilder phase(OwnershipPhase value) {
+    phase = value;
+    return this;
+  }
+
+  OwnershipStateBuilder self(InstanceId value) {
+    self = value;
+    return this;
+  }
+
+  OwnershipStateBuilder renewing(long sentAt) {
+    renewalSent = sentAt;
+    return this;
+  }
+
+  OwnershipStateBuilder renewed(long version, long sentAt, long until) {
+    leaseVersion = version;
+    renewalSent = -1;
+    renewedAt = sentAt;
+    leaseUntil = until;
+    return this;
+  }
+
+  OwnershipStateBuilder cover(long until) {
+    coverUntil = until;
+    return this;
+  }
+
+  OwnershipStateBuilder assignment(AssignmentRecord value, long version) {
+    assignment = value;
+    assignmentVersion = version;
+    return this;
+  }
+
+  OwnershipStateBuilder peers(PMap<InstanceId, ObservedLease> value) {
+    peers = value;
+    return this;
+  }
+
+  OwnershipStateBuilder barrier(long epoch, long from) {
+    barrierEpoch = epoch;
+    usableFrom = from;
+    return this;
+  }
+
+  OwnershipStateBuilder given(PMap<InstanceId, Long> value) {
+    given = value;
+    return this;
+  }
+
+  OwnershipStateBuilder reassigning(boolean value) {
+    reassigning = value;
+    return this;
+  }
+
+  OwnershipStateBuilder round(long number, long sentAt, PSet<InstanceId> open) {
+    round = number;
+    roundSent = sentAt;
+    roundOpen = open;
+    return this;
+  }
+
+  OwnershipStateBuilder roundOpen(PSet<InstanceId> open) {
+    roundOpen = open;
+    return this;
+  }
+
+  OwnershipState build() {
+    return new OwnershipState(
+        phase,
+        self,
+        leaseVersion,
+        renewalSent,
+        renewedAt,
+        leaseUntil,
+        coverUntil,
+        assignment,
+        assignmentVersion,
+        peers,
+        barrierEpoch,
+        usableFrom,
+        given,
+        reassigning,
+        round,
+        roundSent,
+        roundOpen);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/ownership/Promises.java
@@ -0,0 +1,90 @@
+package org.cottontack.core.ownership;
+
+import java.util.stream.Stream;
+import org.cottontack.core.Effect;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.peer.PeerEffect;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.peer.PeerMessage;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+/**
+ * Cover by unanimous promises while the store is away: all other members of the epoch promise not
+ * to revoke, so nobody can take the share over although the lease is not renewed.
+ */
+final class Promises {
+
+  private Promises() {}
+
+  static Step askWhenStoreIsAway(State state) {
+    OwnershipState own = state.ownership();
+    boolean away = state.store().unavailable() && own.renewalSent() >= 0;
+    if (!away || own.others().isEmpty() || own.joinEpoch() == 0) {
+      return Step.of(state);
+    }
+    PSet<InstanceId> open = HashTreePSet.from(own.others());
+    OwnershipState next = own.copy().round(own.round() + 1, state.mono(), open).build();
+    PeerMessage ask = new PeerMessage.PromiseAsk(own.assignment().epoch(), next.round());
+    Effect[] sends =
+        open.stream()
+            .flatMap(member -> own.addressOf(member).stream())
+            .map(address -> new PeerEffect.Send(address, ask))
+            .toArray(Effect[]::new);
+    return Step.of(state.with(next), sends);
+  }
+
+  static Step received(State state, PeerEvent.Received event) {
+    if (event.message() instanceof PeerMessage.PromiseAsk ask) {
+      return asked(state, event, ask);
+    }
+    if (event.message() instanceof PeerMessage.PromiseGiven given) {
+      return granted(state, event.from(), given);
+    }
+    return Step.of(state);
+  }
+
+  private static Step asked(State state, PeerEvent.Received event, PeerMessage.PromiseAsk ask) {
+    OwnershipState own = state.ownership();
+    boolean sameEpoch =
+        ask.epoch() == own.assignment().epoch()
+            && own.joinEpoch() > 0
+            && own.assignment().members().containsKey(event.from());
+    // A change of members by this process may still take effect: it may remove the asker.
+    if (!sameEpoch || own.reassigning()) {
+      return Step.of(state);
+    }
+    long until = state.mono() + state.settings().leaseMillis() + state.settings().driftMargin();
+    OwnershipState next = own.copy().given(own.given().plus(event.from(), until)).build();
+    return Step.of(
+        state.with(next),
+        new PeerEffect.Send(
+            event.address(), new PeerMessage.PromiseGiven(ask.epoch(), ask.round())));
+  }
+
+  private static Step granted(State state, InstanceId from, PeerMessage.PromiseGiven given) {
+    OwnershipState own = state.ownership();
+    boolean current = given.round() == own.round() && given.epoch() == own.assignment().epoch();
+    if (!current || !own.roundOpen().contains(from)) {
+      return Step.of(state);
+    }
+    PSet<InstanceId> open = own.roundOpen().minus(from);
+    OwnershipStateBuilder next = own.copy().roundOpen(open);
+    if (open.isEmpty()) {
+      next.cover(coverUntil(state));
+    }
+    return Step.of(state.with(next.build()));
+  }
+
+  /** Bounded by the horizon, which is what a process outside the epoch waits out. */
+  private static long coverUntil(State state) {
+    OwnershipState own = state.ownership();
+    return Stream.of(
+            own.roundSent() + state.settings().leaseMillis(),
+            own.renewedAt() + state.settings().cutHorizon())
+        .min(Long::compare)
+        .orElseThrow();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between entry instances. */
+package org.cottontack.core.peer;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/request/Claiming.java
@@ -0,0 +1,129 @@
+package org.cottontack.core.request;
+
+import java.util.function.Predicate;
+import org.cottontack.core.Effect;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.id.RequestId;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.core.store.Purpose;
+import org.cottontack.core.store.StoreEvent;
+import org.cottontack.core.store.StoreRow;
+
+/**
+ * Claims: one conditional write before a non-idempotent request may be sent, so that of all copies
+ * of it, in all processes, at most one is sent.
+ */
+final class Claiming {
+
+  /** Larger answers are not kept; a repeated request then learns only that it ran. */
+  static final int MAX_KEPT_ANSWER = 8_192;
+
+  private static final long IN_DOUBT_RETRY_MILLIS = 1_000;
+
+  private Claiming() {}
+
+  private record Claim(RequestId request, long version) implements Purpose {}
+
+  private record Closing(RequestId request) implements Purpose {}
+
+  static Step claim(State state, Request request) {
+    return write(state, request.at(Phase.CLAIMING), 0);
+  }
+
+  private static Step write(State state, Request request, long expectedVersion) {
+    ClaimRecord record = claimOf(state, request);
+    Purpose purpose = new Claim(request.id(), expectedVersion + 1);
+    return Step.of(
+        state.with(state.requests().put(request)),
+        new Effect.Raise(
+            StoreEvent.Submit.of(request.claimKey(), expectedVersion, record, purpose)));
+  }
+
+  private static ClaimRecord claimOf(State state, Request request) {
+    return new ClaimRecord(
+        ClaimRecord.Phase.CLAIMED, state.settings().self(), request.bodyHash(), 0, null);
+  }
+
+  static Step settled(State state, StoreEvent.Settled event) {
+    if (!(event.purpose() instanceof Claim claim)) {
+      return Step.of(state);
+    }
+    Request request = state.requests().open().get(claim.request());
+    if (request == null) {
+      return settledLate(state, claim, event.applied());
+    }
+    return event.applied()
+        ? Dispatching.enqueue(state, request.claimed(claim.version()))
+        : conflict(state, request, event.conflicts().get(0));
+  }
+
+  private static Step settledLate(State state, Claim claim, boolean applied) {
+    Request request = state.requests().abandoned().get(claim.request());
+    if (request == null) {
+      return Step.of(state);
+    }
+    State next = state.with(state.requests().resolved(claim.request()));
+    return applied ? release(next, request.claimed(claim.version())) : Step.of(next);
+  }
+
+  private static Step conflict(State state, Request request, StoreRow row) {
+    if (!(row.value() instanceof ClaimRecord found)) {
+      return write(state, request, row.version());
+    }
+    if (!found.bodyHash().equals(request.bodyHash())) {
+      return RequestReducer.finish(state, request, Answer.of(Code.KEY_REUSED, 0));
+    }
+    return switch (found.phase()) {
+      case RELEASED -> write(state, request, row.version());
+      case CLAIMED ->
+          RequestReducer.finish(state, request, Answer.of(Code.IN_DOUBT, IN_DOUBT_RETRY_MILLIS));
+      case ANSWERED -> RequestReducer.finish(state, request, replay(found));
+    };
+  }
+
+  private static Answer replay(ClaimRecord found) {
+    return found.answer() == null
+        ? Answer.of(Code.ANSWER_NOT_KEPT, 0)
+        : Answer.ran(found.endpointStatus(), found.answer());
+  }
+
+  /**
+   * The deadline came while the claim was being written. The request itself was never sent, so it
+   * did not run. If its claim takes effect all the same, it is released so that a retry can run.
+   */
+  static Step giveUp(State state, Request request) {
+    Predicate<Purpose> mine =
+        purpose -> purpose instanceof Claim claim && claim.request().equals(request.id());
+    Step step =
+        RequestReducer.finish(state, request, Answer.of(Code.STORE_AWAY, IN_DOUBT_RETRY_MILLIS));
+    return state.store().waits(mine)
+        ? step.then(s -> Step.of(s.with(s.store().withdraw(mine))))
+        : step.then(s -> Step.of(s.with(s.requests().abandon(request))));
+  }
+
+  /** Gives a claim back for a request that was never sent. */
+  static Step release(State state, Request request) {
+    return request.claimVersion() == 0
+        ? Step.of(state)
+        : close(state, request, claimOf(state, request).released());
+  }
+
+  /** Records the answer, so that a repeated request gets it instead of running again. */
+  static Step record(State state, Request request, Answer answer) {
+    if (request.claimVersion() == 0) {
+      return Step.of(state);
+    }
+    Payload kept = answer.body().size() > MAX_KEPT_ANSWER ? null : answer.body();
+    ClaimRecord record = claimOf(state, request).answered(answer.endpointStatus(), kept);
+    return close(state, request, record);
+  }
+
+  private static Step close(State state, Request request, ClaimRecord record) {
+    return Step.of(
+        state,
+        new Effect.Raise(
+            StoreEvent.Submit.of(
+                request.claimKey(), request.claimVersion(), record, new Closing(request.id()))));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/request/Forwarding.java
@@ -0,0 +1,175 @@
+package org.cottontack.core.request;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cottontack.core.Effect;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.id.AttemptId;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.id.RequestId;
+import org.cottontack.core.peer.PeerEffect;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.peer.PeerMessage;
+import org.pcollections.PMap;
+
+/** Hands a request to another entry instance of the data centre that has a free slot. */
+final class Forwarding {
+
+  private static final long REPORT_MILLIS = 100;
+
+  /** Numbers of forwarded requests stand apart from those of this process's own callers. */
+  private static final long FORWARDED_BASE = 1L << 62;
+
+  private Forwarding() {}
+
+  static Step reportDue(State state) {
+    PeerMessage report =
+        new PeerMessage.Report(
+            state.ownership().mayAct(state.mono()) ? state.fleet().freeSlots(state.mono()) : 0,
+            state.table().version());
+    Effect[] sends =
+        state.ownership().others().stream()
+            .flatMap(peer -> state.ownership().addressOf(peer).stream())
+            .map(address -> new PeerEffect.Send(address, report))
+            .toArray(Effect[]::new);
+    return Step.of(state, sends)
+        .with(new Effect.After(REPORT_MILLIS, new RequestEvent.ReportDue()));
+  }
+
+  /** A forwarded request is never forwarded again, so it cannot travel in circles. */
+  static Optional<Step> forward(State state, Request request) {
+    return request.origin() != null
+        ? Optional.empty()
+        : freest(state).map(entry -> forwardTo(state, request, entry));
+  }
+
+  private static Optional<Map.Entry<InstanceId, PeerLoad>> freest(State state) {
+    return state.requests().peers().entrySet().stream()
+        .filter(entry -> entry.getValue().usable(state.mono()))
+        .filter(entry -> state.ownership().others().contains(entry.getKey()))
+        .max(
+            Comparator.<Map.Entry<InstanceId, PeerLoad>>comparingInt(
+                    entry -> entry.getValue().freeSlots())
+                .thenComparing(Map.Entry::getKey));
+  }
+
+  private static Step forwardTo(
+      State state, Request request, Map.Entry<InstanceId, PeerLoad> peer) {
+    AttemptId attempt = Dispatching.nextAttempt(state);
+    String address = peer.getValue().address();
+    Request sent =
+        request.sentBy(Phase.AT_PEER, new Request.Sent(attempt, null, address, state.mono()));
+    PMap<InstanceId, PeerLoad> peers =
+        state.requests().peers().plus(peer.getKey(), peer.getValue().taken());
+    PeerMessage message =
+        new PeerMessage.Forward(
+            attempt,
+            request.caller(),
+            request.row().name(),
+            request.key(),
+            request.deadline() - state.mono(),
+            request.body());
+    return Step.of(
+        state.with(Dispatching.taken(state, request).sent(sent).with(peers)),
+        new PeerEffect.Send(address, message));
+  }
+
+  static Step received(State state, PeerEvent.Received event) {
+    if (event.message() instanceof PeerMessage.Report report) {
+      return reported(state, event, report);
+    }
+    if (event.message() instanceof PeerMessage.Forward forward) {
+      return take(state, event.address(), forward);
+    }
+    if (event.message() instanceof PeerMessage.Forwarded answer) {
+      return answered(state, answer);
+    }
+    return Step.of(state);
+  }
+
+  private static Step reported(State state, PeerEvent.Received event, PeerMessage.Report report) {
+    PeerLoad load = new PeerLoad(event.address(), report.freeSlots(), state.mono());
+    PMap<InstanceId, PeerLoad> peers = state.requests().peers().plus(event.from(), load);
+    return Dispatching.dispatchWaiting(state.with(state.requests().with(peers)));
+  }
+
+  private static Step take(State state, String from, PeerMessage.Forward forward) {
+    RequestId id = new RequestId(FORWARDED_BASE + state.requests().nextAttempt());
+    Request.Origin origin = new Request.Origin(from, forward.attempt());
+    RequestEvent.Arrived arrived =
+        new RequestEvent.Arrived(
+            id,
+            forward.caller(),
+            forward.row(),
+            forward.key(),
+            "",
+            forward.millisLeft() > 0 ? forward.millisLeft() : -1,
+            forward.body());
+    State next = state.with(state.requests().numbered());
+    return Admission.refusal(next, arrived)
+        .map(answer -> Step.of(next, reply(origin, answer)))
+        .orElseGet(() -> RequestReducer.admit(next, Admission.open(next, arrived, origin)));
+  }
+
+  /** Returns the message that gives a forwarded request's final answer to where it came from. */
+  static Effect reply(Request.Origin origin, Answer answer) {
+    return new PeerEffect.Send(
+        origin.address(),
+        new PeerMessage.Forwarded(
+            origin.attempt(),
+            answer.code().word(),
+            answer.retryAfterMillis(),
+            answer.endpointStatus(),
+            answer.body()));
+  }
+
+  private static Step answered(State state, PeerMessage.Forwarded message) {
+    Optional<Request> request = state.requests().of(message.attempt());
+    Optional<Code> code = Code.forWord(message.code());
+    if (request.isEmpty() || code.isEmpty()) {
+      return Step.of(state);
+    }
+    Answer answer =
+        new Answer(
+            code.get(), message.retryAfterMillis(), message.endpointStatus(), message.body());
+    return settle(state, request.get(), answer);
+  }
+
+  private static Step settle(State state, Request request, Answer answer) {
+    return switch (answer.code().ran()) {
+      case RAN ->
+          RequestReducer.finish(state, request, answer)
+              .then(s -> Claiming.record(s, request, answer));
+      case UNKNOWN -> RequestReducer.finish(state, request, answer);
+      case NOT_RUN -> Dispatching.afterFailure(forget(state, request), request, false);
+    };
+  }
+
+  private static State forget(State state, Request request) {
+    return state.with(state.requests().forget(request.sent().attempt()));
+  }
+
+  /** Nothing of the message left this process, so the request can go elsewhere. */
+  static Step undelivered(State state, PeerEvent.Undelivered event) {
+    return event.message() instanceof PeerMessage.Forward forward
+        ? state
+            .requests()
+            .of(forward.attempt())
+            .map(r -> Dispatching.afterFailure(forget(state, r), r, false))
+            .orElseGet(() -> Step.of(state))
+        : Step.of(state);
+  }
+
+  /** Whatever was handed to that instance and has no answer yet may have run. */
+  static Step lost(State state, PeerEvent.Lost event) {
+    List<Request> there =
+        state.requests().open().values().stream()
+            .filter(request -> request.phase() == Phase.AT_PEER)
+            .filter(request -> event.address().equals(request.sent().peer()))
+            .toList();
+    return Step.fold(state, there, (s, r) -> Dispatching.afterFailure(forget(s, r), r, true));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/request/RequestState.java
@@ -0,0 +1,188 @@
+package org.cottontack.core.request;
+
+import java.util.Comparator;
+import java.util.Optional;
+import org.cottontack.core.id.AttemptId;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.id.RequestId;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TeamId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Requests in this process.
+ *
+ * @param open requests without a final answer
+ * @param byAttempt which request a dispatch belongs to
+ * @param shares waiting requests and service received, by row
+ * @param teamOpen open requests by team
+ * @param abandoned requests that have their answer while the write of their claim has no outcome
+ * @param peers what other entry instances can take
+ * @param nextAttempt number of the next dispatch
+ * @param retryTokens retries that may still be made
+ */
+public record RequestState(
+    PMap<RequestId, Request> open,
+    PMap<AttemptId, RequestId> byAttempt,
+    PMap<RowName, RowShare> shares,
+    PMap<TeamId, Integer> teamOpen,
+    PMap<RequestId, Request> abandoned,
+    PMap<InstanceId, PeerLoad> peers,
+    long nextAttempt,
+    double retryTokens) {
+
+  /** Retries are bounded by a share of requests, so that they cannot feed an overload. */
+  static final double RETRY_RATIO = 0.1;
+
+  private static final double MAX_RETRY_TOKENS = 10;
+
+  /** Nothing open. */
+  public static final RequestState EMPTY =
+      new RequestState(
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          1,
+          MAX_RETRY_TOKENS);
+
+  /** Returns whether an answer to this dispatch is still awaited. */
+  public boolean awaits(AttemptId attempt) {
+    return byAttempt.containsKey(attempt);
+  }
+
+  /** Returns the request a dispatch belongs to. */
+  Optional<Request> of(AttemptId attempt) {
+    return Optional.ofNullable(byAttempt.get(attempt)).map(open::get);
+  }
+
+  RowShare share(RowName row) {
+    return shares.getOrDefault(row, RowShare.EMPTY);
+  }
+
+  int teamOpen(TeamId team) {
+    return teamOpen.getOrDefault(team, 0);
+  }
+
+  /** Returns waiting requests of all rows. */
+  public int waiting() {
+    return shares.values().stream().mapToInt(share -> share.waiting().size()).sum();
+  }
+
+  /** Returns the row that is furthest behind its weight among those with waiting requests. */
+  Optional<RowName> nextRow() {
+    return shares.entrySet().stream()
+        .filter(entry -> !entry.getValue().waiting().isEmpty())
+        .min(
+            Comparator.<java.util.Map.Entry<RowName, RowShare>>comparingDouble(
+                    entry -> entry.getValue().served())
+                .thenComparing(java.util.Map.Entry::getKey))
+        .map(java.util.Map.Entry::getKey);
+  }
+
+  RequestState admit(Request request) {
+    RowShare share = share(request.row().name()).opened();
+    double tokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_RATIO);
+    return new RequestState(
+        open.plus(request.id(), request),
+        byAttempt,
+        shares.plus(request.row().name(), share),
+        teamOpen.plus(request.row().team(), teamOpen(request.row().team()) + 1),
+        abandoned,
+        peers,
+        nextAttempt,
+        tokens);
+  }
+
+  RequestState put(Request request) {
+    return new RequestState(
+        open.plus(request.id(), request),
+        byAttempt,
+        shares,
+        teamOpen,
+        abandoned,
+        peers,
+        nextAttempt,
+        retryTokens);
+  }
+
+  RequestState close(Request request) {
+    RowShare share = share(request.row().name()).dequeue(request.id()).closed();
+    return new RequestState(
+        open.minus(request.id()),
+        request.sent() == null ? byAttempt : byAttempt.minus(request.sent().attempt()),
+        shares.plus(request.row().name(), share),
+        teamOpen.plus(request.row().team(), teamOpen(request.row().team()) - 1),
+        abandoned,
+        peers,
+        nextAttempt,
+        retryTokens);
+  }
+
+  RequestState with(RowName row, RowShare share) {
+    return new RequestState(
+        open,
+        byAttempt,
+        shares.plus(row, share),
+        teamOpen,
+        abandoned,
+        peers,
+        nextAttempt,
+        retryTokens);
+  }
+
+  RequestState abandon(Request request) {
+    return withAbandoned(abandoned.plus(request.id(), request));
+  }
+
+  RequestState resolved(RequestId id) {
+    return withAbandoned(abandoned.minus(id));
+  }
+
+  private RequestState withAbandoned(PMap<RequestId, Request> value) {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, value, peers, nextAttempt, retryTokens);
+  }
+
+  RequestState with(PMap<InstanceId, PeerLoad> loads) {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, abandoned, loads, nextAttempt, retryTokens);
+  }
+
+  RequestState sent(Request request) {
+    return new RequestState(
+        open.plus(request.id(), request),
+        byAttempt.plus(request.sent().attempt(), request.id()),
+        shares,
+        teamOpen,
+        abandoned,
+        peers,
+        nextAttempt + 1,
+        retryTokens);
+  }
+
+  RequestState forget(AttemptId attempt) {
+    return new RequestState(
+        open,
+        byAttempt.minus(attempt),
+        shares,
+        teamOpen,
+        abandoned,
+        peers,
+        nextAttempt,
+        retryTokens);
+  }
+
+  RequestState numbered() {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, abandoned, peers, nextAttempt + 1, retryTokens);
+  }
+
+  RequestState spendRetry() {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, abandoned, peers, nextAttempt, retryTokens - 1);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests: admission, claims, routing, and the three outcomes. */
+package org.cottontack.core.request;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/store/StoreState.java
@@ -0,0 +1,111 @@
+package org.cottontack.core.store;
+
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * Writes that wait and the one transaction that is under way.
+ *
+ * @param urgent waiting writes that go first
+ * @param ordinary other waiting writes, oldest first
+ * @param sent the transaction under way, empty when there is none
+ * @param batch number of the last transaction
+ * @param nextWrite number of the next write
+ * @param failures transactions without an answer in a row
+ * @param notBefore monotonic time before which no transaction is sent
+ * @param flushPending whether a flush is already on its way
+ */
+public record StoreState(
+    PVector<Write> urgent,
+    PVector<Write> ordinary,
+    List<Write> sent,
+    long batch,
+    long nextWrite,
+    int failures,
+    long notBefore,
+    boolean flushPending) {
+
+  /** Nothing waits. */
+  public static final StoreState EMPTY =
+      new StoreState(TreePVector.empty(), TreePVector.empty(), List.of(), 0, 1, 0, 0, false);
+
+  /** Returns whether the last transactions went unanswered. */
+  public boolean unavailable() {
+    return failures > 0;
+  }
+
+  /** Returns whether nothing waits and nothing is under way. */
+  public boolean idle() {
+    return urgent.isEmpty() && ordinary.isEmpty() && sent.isEmpty();
+  }
+
+  /** Returns whether a write for such a purpose waits and has never been sent. */
+  public boolean waits(Predicate<Purpose> wanted) {
+    return Stream.concat(urgent.stream(), ordinary.stream()).map(Write::purpose).anyMatch(wanted);
+  }
+
+  /** Returns this state without the waiting writes for such a purpose. */
+  public StoreState withdraw(Predicate<Purpose> unwanted) {
+    Predicate<Write> same = write -> unwanted.test(write.purpose());
+    return new StoreState(
+        without(urgent, same),
+        without(ordinary, same),
+        sent,
+        batch,
+        nextWrite,
+        failures,
+        notBefore,
+        flushPending);
+  }
+
+  StoreState enqueue(Write write) {
+    boolean first = write.purpose().urgent();
+    return new StoreState(
+        first ? urgent.plus(write) : urgent,
+        first ? ordinary : ordinary.plus(write),
+        sent,
+        batch,
+        nextWrite + 1,
+        failures,
+        notBefore,
+        flushPending);
+  }
+
+  StoreState sending(List<Write> writes, PVector<Write> urgentLeft, PVector<Write> ordinaryLeft) {
+    return new StoreState(
+        urgentLeft, ordinaryLeft, writes, batch + 1, nextWrite, failures, notBefore, false);
+  }
+
+  StoreState flushing(boolean pending) {
+    return new StoreState(urgent, ordinary, sent, batch, nextWrite, failures, notBefore, pending);
+  }
+
+  StoreState answered(long nextAllowed) {
+    return new StoreState(
+        urgent, ordinary, List.of(), batch, nextWrite, 0, nextAllowed, flushPending);
+  }
+
+  StoreState unanswered() {
+    return new StoreState(
+        urgent, ordinary, sent, batch, nextWrite, failures + 1, notBefore, flushPending);
+  }
+
+  StoreState requeueFirst(List<Write> writes) {
+    return new StoreState(
+        TreePVector.from(writes).plusAll(urgent),
+        ordinary,
+        sent,
+        batch,
+        nextWrite,
+        failures,
+        notBefore,
+        flushPending);
+  }
+
+  private static PVector<Write> without(PVector<Write> writes, Predicate<Write> unwanted) {
+    return writes.minusAll(writes.stream().filter(unwanted).toList());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/table/TableContent.java
@@ -0,0 +1,66 @@
+package org.cottontack.core.table;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TeamId;
+
+/**
+ * What operators write: all rows and teams, and when night begins and ends.
+ *
+ * @param nightFromHour hour of the day in UTC at which night weights begin, 0 to 23
+ * @param nightToHour hour of the day in UTC at which they end, 0 to 23; equal to the start for none
+ * @param teams all teams
+ * @param rows all rows
+ */
+public record TableContent(
+    int nightFromHour, int nightToHour, List<TeamSpec> teams, List<RowSpec> rows) {
+
+  /** Keeps the lists immutable. */
+  public TableContent {
+    teams = List.copyOf(teams);
+    rows = List.copyOf(rows);
+  }
+
+  /** Returns the row of that name. */
+  public Optional<RowSpec> row(RowName name) {
+    return rows.stream().filter(row -> row.name().equals(name)).findFirst();
+  }
+
+  /** Returns the team of that name. */
+  public Optional<TeamSpec> team(TeamId name) {
+    return teams.stream().filter(team -> team.name().equals(name)).findFirst();
+  }
+
+  /** Returns the weight of a row at a wall-clock time in milliseconds since 1970. */
+  public int weightAt(RowSpec row, long wallMillis) {
+    int hour = Instant.ofEpochMilli(wallMillis).atZone(ZoneOffset.UTC).getHour();
+    return isNight(hour) ? row.nightWeight() : row.weight();
+  }
+
+  private boolean isNight(int hour) {
+    return nightFromHour <= nightToHour
+        ? hour >= nightFromHour && hour < nightToHour
+        : hour >= nightFromHour || hour < nightToHour;
+  }
+
+  /** Returns the names of rows that differ between this content and another, sorted. */
+  public List<RowName> changedRows(TableContent other) {
+    Map<RowName, RowSpec> mine = byName();
+    Map<RowName, RowSpec> theirs = other.byName();
+    return java.util.stream.Stream.concat(mine.keySet().stream(), theirs.keySet().stream())
+        .distinct()
+        .filter(name -> !java.util.Objects.equals(mine.get(name), theirs.get(name)))
+        .sorted()
+        .toList();
+  }
+
+  private Map<RowName, RowSpec> byName() {
+    return rows.stream().collect(Collectors.toMap(RowSpec::name, Function.identity()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/table/TableReducer.java
@@ -0,0 +1,143 @@
+package org.cottontack.core.table;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.cottontack.core.Effect;
+import org.cottontack.core.Handlers;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.ownership.OwnershipEvent;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.peer.PeerMessage;
+import org.cottontack.core.store.Mutation;
+import org.cottontack.core.store.Purpose;
+import org.cottontack.core.store.StoreEffect;
+import org.cottontack.core.store.StoreEvent;
+import org.cottontack.core.store.StoreKey;
+import org.cottontack.core.store.StoreRow;
+
+/** Accepts edits by one conditional write each and follows the newest version, never an older. */
+public final class TableReducer {
+
+  /** Keeps the spread well inside the ten seconds promised, with one answer lost on the way. */
+  private static final long POLL_MILLIS = 2_000;
+
+  private TableReducer() {}
+
+  private record Read() implements Purpose {}
+
+  private record Edit(long ticket, TableRecord record) implements Purpose {}
+
+  /** Returns the handlers of this part. */
+  public static Handlers handlers() {
+    return new Handlers()
+        .on(OwnershipEvent.Start.class, (state, event) -> poll(state, new TableEvent.Poll()))
+        .on(TableEvent.Poll.class, TableReducer::poll)
+        .on(TableEvent.NewerKnown.class, TableReducer::newerKnown)
+        .on(TableEvent.EditAsked.class, TableReducer::editAsked)
+        .on(StoreEvent.Settled.class, TableReducer::settled)
+        .on(StoreEvent.Scanned.class, TableReducer::scanned)
+        .on(PeerEvent.Received.class, TableReducer::received);
+  }
+
+  private static Step poll(State state, TableEvent.Poll event) {
+    return read(state).with(new Effect.After(POLL_MILLIS, event));
+  }
+
+  private static Step read(State state) {
+    return Step.of(state, new StoreEffect.Scan(StoreKey.table().value(), new Read()));
+  }
+
+  private static Step received(State state, PeerEvent.Received event) {
+    return event.message() instanceof PeerMessage.Report report
+        ? newerKnown(state, new TableEvent.NewerKnown(report.tableVersion()))
+        : Step.of(state);
+  }
+
+  private static Step newerKnown(State state, TableEvent.NewerKnown event) {
+    return event.version() > state.table().version() ? read(state) : Step.of(state);
+  }
+
+  private static Step editAsked(State state, TableEvent.EditAsked event) {
+    List<TableFault> faults = TableCheck.faults(event.content());
+    if (!faults.isEmpty()) {
+      List<String> lines = faults.stream().map(TableFault::toString).toList();
+      return answer(state, event.ticket(), TableEffect.Verdict.INVALID, lines);
+    }
+    long version = event.expectedVersion() + 1;
+    TableRecord record =
+        new TableRecord(version, event.editor(), state.now().wall(), event.content());
+    List<Mutation> mutations =
+        List.of(
+            Mutation.put(StoreKey.table(), event.expectedVersion(), record),
+            Mutation.put(StoreKey.tableHistory(version), 0, record));
+    return Step.of(
+        state,
+        new Effect.Raise(new StoreEvent.Submit(mutations, new Edit(event.ticket(), record))));
+  }
+
+  private static Step settled(State state, StoreEvent.Settled event) {
+    if (!(event.purpose() instanceof Edit edit)) {
+      return Step.of(state);
+    }
+    if (event.applied()) {
+      return adopt(state, edit.record())
+          .then(s -> answer(s, edit.ticket(), TableEffect.Verdict.ACCEPTED, List.of()));
+    }
+    TableRecord winner =
+        event.conflicts().stream()
+            .map(StoreRow::value)
+            .flatMap(TableReducer::record)
+            .findFirst()
+            .orElse(null);
+    return adopt(state, winner)
+        .then(s -> answer(s, edit.ticket(), TableEffect.Verdict.STALE, conflict(edit, winner)));
+  }
+
+  private static Stream<TableRecord> record(Object value) {
+    return value instanceof TableRecord record ? Stream.of(record) : Stream.empty();
+  }
+
+  private static List<String> conflict(Edit edit, TableRecord winner) {
+    if (winner == null) {
+      return List.of("there is no version %d".formatted(edit.record().version() - 1));
+    }
+    String rows = winner.content().changedRows(edit.record().content()).toString();
+    return List.of(
+        "version %d by %s came first; rows that differ from yours: %s"
+            .formatted(winner.version(), winner.editor(), rows));
+  }
+
+  private static Step answer(
+      State state, long ticket, TableEffect.Verdict verdict, List<String> messages) {
+    return Step.of(
+        state, new TableEffect.EditAnswered(ticket, verdict, state.table().version(), messages));
+  }
+
+  private static Step scanned(State state, StoreEvent.Scanned event) {
+    if (!(event.purpose() instanceof Read)) {
+      return Step.of(state);
+    }
+    TableRecord seen =
+        event.rows().stream()
+            .map(StoreRow::value)
+            .flatMap(TableReducer::record)
+            .findFirst()
+            .orElse(null);
+    return adopt(state, seen);
+  }
+
+  /** A late answer may carry an older version; it is dropped, so an accepted edit never reverts. */
+  private static Step adopt(State state, TableRecord seen) {
+    if (seen == null || seen.version() < state.table().version()) {
+      return Step.of(state);
+    }
+    State next = state.with(new TableState(seen, state.mono()));
+    return seen.version() == state.table().version()
+        ? Step.of(next)
+        : Step.of(
+            next,
+            new Effect.Note("table.adopted", "" + seen.version(), "edited by " + seen.editor()),
+            new Effect.Raise(new TableEvent.Adopted()));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/table/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' table, its checks and its spread. */
+package org.cottontack.core.table;
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/task/Loading.java
@@ -0,0 +1,251 @@
+package org.cottontack.core.task;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cottontack.core.Effect;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.fleet.FleetEvent;
+import org.cottontack.core.fleet.WorkerView;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.id.TaskId;
+import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.ownership.OwnershipState;
+import org.cottontack.core.ownership.Rendezvous;
+import org.cottontack.core.peer.PeerEffect;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.peer.PeerMessage;
+import org.cottontack.core.store.Purpose;
+import org.cottontack.core.store.StoreEffect;
+import org.cottontack.core.store.StoreEvent;
+import org.cottontack.core.store.StoreKey;
+import org.cottontack.core.store.StoreRow;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+/** Reads task records: all of them when workers are gained, then bucket by bucket and on notice. */
+final class Loading {
+
+  private static final long SWEEP_MILLIS = 500;
+  private static final long KEEP_NOTICED_MILLIS = 5_000;
+
+  private Loading() {}
+
+  /**
+   * All live tasks of the data centre.
+   *
+   * @param owned workers owned when the read was asked for
+   */
+  private record All(PSet<WorkerId> owned) implements Purpose {}
+
+  private record Bucket() implements Purpose {}
+
+  private record One(TaskId task) implements Purpose {}
+
+  private record Stray(WorkerId worker, RunReport report) implements Purpose {}
+
+  static Step loadAll(State state) {
+    PSet<WorkerId> owned =
+        HashTreePSet.from(
+            state.fleet().ownedWorkers().map(WorkerView::id).collect(Collectors.toSet()));
+    return Step.of(
+        state,
+        new StoreEffect.Scan(StoreKey.tasksPrefix(state.settings().dataCentre()), new All(owned)));
+  }
+
+  /** Reads one of this instance's buckets; finds tasks whose notice was lost. */
+  static Step sweepDue(State state, TaskEvent.SweepDue event) {
+    State dropped = state.with(dropOthers(state));
+    return Step.of(dropped, new Effect.After(SWEEP_MILLIS, event)).then(Loading::sweep);
+  }
+
+  private static Step sweep(State state) {
+    List<WorkerId> missing =
+        state
+            .fleet()
+            .ownedWorkers()
+            .map(WorkerView::id)
+            .filter(id -> !state.tasks().loaded().contains(id))
+            .toList();
+    if (!missing.isEmpty()) {
+      return loadAll(state);
+    }
+    int from = state.tasks().nextBucket();
+    return IntStream.range(0, StoreKey.BUCKETS)
+        .map(step -> (from + step) % StoreKey.BUCKETS)
+        .filter(bucket -> state.ownership().owns(bucketName(bucket)))
+        .boxed()
+        .findFirst()
+        .map(bucket -> sweepBucket(state, bucket))
+        .orElseGet(() -> Step.of(state));
+  }
+
+  private static Step sweepBucket(State state, int bucket) {
+    String prefix = StoreKey.bucketPrefix(state.settings().dataCentre(), bucket);
+    State next = state.with(state.tasks().withNextBucket((bucket + 1) % StoreKey.BUCKETS));
+    return Step.of(next, new StoreEffect.Scan(prefix, new Bucket()));
+  }
+
+  private static String bucketName(int bucket) {
+    return "bucket/" + bucket;
+  }
+
+  private static TaskState dropOthers(State state) {
+    TaskState tasks = state.tasks();
+    for (TaskView view : state.tasks().tasks().values()) {
+      boolean idle = view.doing() != TaskView.Doing.WRITING;
+      tasks = idle && !concerns(state, view) ? tasks.remove(view.record().id()) : tasks;
+    }
+    return tasks;
+  }
+
+  private static boolean concerns(State state, TaskView view) {
+    return state.mono() < view.keepUntil() || concerns(state, view.record());
+  }
+
+  private static boolean concerns(State state, TaskRecord record) {
+    if (record.phase() == TaskPhase.PLACED) {
+      WorkerView worker = state.fleet().workers().get(record.worker());
+      return worker != null && worker.owned();
+    }
+    return state.ownership().owns(bucketName(StoreKey.bucketOf(record.id())));
+  }
+
+  static Step workerReleased(State state, FleetEvent.WorkerReleased event) {
+    TaskState tasks = state.tasks();
+    for (TaskView view : state.tasks().on(event.worker()).toList()) {
+      tasks = tasks.remove(view.record().id());
+    }
+    return Step.of(
+        state.with(
+            tasks
+                .withLoaded(tasks.loaded().minus(event.worker()))
+                .forgetting(event.worker(), HashTreePSet.empty())
+                .withStrays(event.worker(), HashTreePSet.empty())));
+  }
+
+  /** Tells the instance that looks after a waiting task's bucket about it. */
+  static Step tell(State state, TaskId task) {
+    OwnershipState own = state.ownership();
+    String bucket = bucketName(StoreKey.bucketOf(task));
+    return own.owns(bucket)
+        ? read(state, task)
+        : Rendezvous.owner(bucket, own.assignment().members().keySet())
+            .map(owner -> notice(state, owner, task))
+            .orElseGet(() -> Step.of(state));
+  }
+
+  static Step tellOthers(State state, TaskId task) {
+    return Step.fold(state, state.ownership().others(), (s, other) -> notice(s, other, task));
+  }
+
+  static Step notice(State state, InstanceId to, TaskId task) {
+    StoreKey key = StoreKey.task(state.settings().dataCentre(), task);
+    return state
+        .ownership()
+        .addressOf(to)
+        .map(
+            address ->
+                Step.of(state, new PeerEffect.Send(address, new PeerMessage.TaskNotice(key))))
+        .orElseGet(() -> Step.of(state));
+  }
+
+  static Step noticed(State state, PeerEvent.Received event) {
+    if (!(event.message() instanceof PeerMessage.TaskNotice notice)) {
+      return Step.of(state);
+    }
+    String key = notice.key().value();
+    return read(state, new TaskId(key.substring(key.lastIndexOf('/') + 1)));
+  }
+
+  /** Reads the record of one live task. */
+  static Step read(State state, TaskId task) {
+    StoreKey key = StoreKey.task(state.settings().dataCentre(), task);
+    return Step.of(state, new StoreEffect.Scan(key.value(), new One(task)));
+  }
+
+  /** Looks up an attempt that a worker has and no known record explains. */
+  static Step readStray(State state, WorkerId worker, RunReport report) {
+    StoreKey key = StoreKey.task(state.settings().dataCentre(), report.run().task());
+    PSet<Run> strays = state.tasks().strays(worker).plus(report.run());
+    return Step.of(
+        state.with(state.tasks().withStrays(worker, strays)),
+        new StoreEffect.Scan(key.value(), new Stray(worker, report)));
+  }
+
+  static Step scanned(State state, StoreEvent.Scanned event) {
+    if (event.purpose() instanceof All all) {
+      return loadedAll(state, all, event.rows());
+    }
+    if (event.purpose() instanceof Bucket) {
+      return Step.of(merge(state, event.rows(), 0));
+    }
+    if (event.purpose() instanceof One one) {
+      State merged = merge(state, exactly(state, one.task(), event.rows()), keepUntil(state));
+      return Step.of(merged);
+    }
+    if (event.purpose() instanceof Stray stray) {
+      return resolveStray(state, stray, event.rows());
+    }
+    return Step.of(state);
+  }
+
+  private static long keepUntil(State state) {
+    return state.mono() + KEEP_NOTICED_MILLIS;
+  }
+
+  private static List<StoreRow> exactly(State state, TaskId task, List<StoreRow> rows) {
+    StoreKey key = StoreKey.task(state.settings().dataCentre(), task);
+    return rows.stream().filter(row -> row.key().equals(key)).toList();
+  }
+
+  private static Step loadedAll(State state, All all, List<StoreRow> rows) {
+    State merged = merge(state, rows, 0);
+    PSet<WorkerId> loaded = merged.tasks().loaded();
+    List<WorkerId> stillOwned =
+        merged.fleet().ownedWorkers().map(WorkerView::id).filter(all.owned()::contains).toList();
+    return Step.of(merged.with(merged.tasks().withLoaded(loaded.plusAll(stillOwned))));
+  }
+
+  private static State merge(State state, List<StoreRow> rows, long keepUntil) {
+    TaskState tasks = state.tasks();
+    for (StoreRow row : rows) {
+      TaskRecord record = (TaskRecord) row.value();
+      TaskView known = tasks.tasks().get(record.id());
+      boolean wanted = state.mono() < keepUntil || concerns(state, record);
+      boolean newer =
+          known == null
+              || (known.doing() != TaskView.Doing.WRITING && row.version() > known.version());
+      if (wanted && newer) {
+        tasks = tasks.put(TaskView.loaded(record, row.version(), keepUntil));
+      }
+    }
+    return state.with(tasks);
+  }
+
+  private static Step resolveStray(State state, Stray stray, List<StoreRow> rows) {
+    Run run = stray.report().run();
+    WorkerView worker = state.fleet().workers().get(stray.worker());
+    State next = removeStray(state, stray.worker(), run);
+    if (worker == null || !worker.owned()) {
+      return Step.of(next);
+    }
+    List<StoreRow> live = exactly(state, run.task(), rows);
+    boolean allowed =
+        live.stream()
+            .map(row -> (TaskRecord) row.value())
+            .anyMatch(r -> r.placedOn(worker.id()) && r.run().equals(run));
+    if (allowed) {
+      return Step.of(merge(next, live, 0));
+    }
+    // The record allows another attempt or none: this one must not go on.
+    return stray.report().status() == RunReport.Status.RUNNING
+        ? Watching.stop(next, worker, run)
+        : Step.of(Transition.forget(next, worker.id(), run));
+  }
+
+  private static State removeStray(State state, WorkerId worker, Run run) {
+    return state.with(state.tasks().withStrays(worker, state.tasks().strays(worker).minus(run)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/task/TaskReducer.java
@@ -0,0 +1,57 @@
+package org.cottontack.core.task;
+
+import org.cottontack.core.Effect;
+import org.cottontack.core.Handlers;
+import org.cottontack.core.State;
+import org.cottontack.core.Step;
+import org.cottontack.core.fleet.FleetEvent;
+import org.cottontack.core.ownership.OwnershipEvent;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.store.StoreEvent;
+
+/**
+ * The way of a task: recorded, placed, started, watched, ended; every change is one conditional
+ * write made before the order it allows. See {@code docs/design/2-tasks.md}.
+ */
+public final class TaskReducer {
+
+  private TaskReducer() {}
+
+  /** Returns the handlers of this part. */
+  public static Handlers handlers() {
+    return new Handlers()
+        .on(OwnershipEvent.Start.class, (state, event) -> start(state))
+        .on(TaskEvent.SubmitAsked.class, Tickets::submit)
+        .on(TaskEvent.StatusAsked.class, Tickets::status)
+        .on(TaskEvent.CancelAsked.class, Tickets::cancel)
+        .on(TaskEvent.TicketExpired.class, Tickets::expired)
+        .on(TaskEvent.PlaceDue.class, Placing::placeDue)
+        .on(TaskEvent.PollDue.class, Watching::pollDue)
+        .on(TaskEvent.SweepDue.class, Loading::sweepDue)
+        .on(OwnershipEvent.GainsOpen.class, (state, event) -> Loading.loadAll(state))
+        .on(FleetEvent.WorkerGained.class, (state, event) -> Loading.loadAll(state))
+        .on(FleetEvent.WorkerReleased.class, Loading::workerReleased)
+        .on(WorkerEvent.Reported.class, Watching::reported)
+        .on(WorkerEvent.StartAnswered.class, Placing::startAnswered)
+        .on(PeerEvent.Received.class, Loading::noticed)
+        .on(StoreEvent.Settled.class, TaskReducer::settled)
+        .on(StoreEvent.Scanned.class, TaskReducer::scanned)
+        .on(StoreEvent.ScanFailed.class, Tickets::scanFailed);
+  }
+
+  private static Step start(State state) {
+    return Step.of(
+        state,
+        new Effect.Raise(new TaskEvent.PlaceDue()),
+        new Effect.Raise(new TaskEvent.PollDue()),
+        new Effect.Raise(new TaskEvent.SweepDue()));
+  }
+
+  private static Step settled(State state, StoreEvent.Settled event) {
+    return Tickets.settled(state, event).then(s -> Transition.settled(s, event));
+  }
+
+  private static Step scanned(State state, StoreEvent.Scanned event) {
+    return Tickets.scanned(state, event).then(s -> Loading.scanned(s, event));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/task/package-info.java
@@ -0,0 +1,2 @@
+/** Batch tasks: lifecycle, placement, leases and fencing. */
+package org.cottontack.core.task;
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/http/Routes.java
@@ -0,0 +1,59 @@
+package org.cottontack.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.cottontack.adapters.AdapterException;
+import org.cottontack.adapters.http.HttpCall;
+import org.cottontack.adapters.json.Json;
+
+/** Picks the handler of an HTTP request by method and path; at most one part of a path varies. */
+public final class Routes implements Consumer<HttpCall> {
+
+  private record Route(String method, Pattern path, BiConsumer<HttpCall, String> handler) {}
+
+  private final List<Route> routes = new ArrayList<>();
+
+  /**
+   * Adds a route.
+   *
+   * @param method such as {@code GET}
+   * @param path with <code>{}</code> for the part that varies
+   * @param handler gets the call and that part, or empty text
+   */
+  public Routes on(String method, String path, BiConsumer<HttpCall, String> handler) {
+    String regex = path.replace("{}", "(?<part>[^/]+)");
+    routes.add(new Route(method, Pattern.compile(regex), handler));
+    return this;
+  }
+
+  @Override
+  public void accept(HttpCall call) {
+    List<Route> samePath =
+        routes.stream().filter(r -> r.path().matcher(call.path()).matches()).toList();
+    samePath.stream()
+        .filter(route -> route.method().equals(call.method()))
+        .findFirst()
+        .ifPresentOrElse(
+            route -> handle(route, call),
+            () -> call.json(samePath.isEmpty() ? 404 : 405, noRoute(call)));
+  }
+
+  private static void handle(Route route, HttpCall call) {
+    Matcher matcher = route.path().matcher(call.path());
+    String part = matcher.matches() && matcher.groupCount() > 0 ? matcher.group("part") : "";
+    try {
+      route.handler().accept(call, part);
+    } catch (AdapterException e) {
+      call.json(400, Json.write(new Refusal("bad_request", "not_run", e.getMessage(), 0)));
+    }
+  }
+
+  private static String noRoute(HttpCall call) {
+    String message = "no route " + call.method() + " " + call.path() + "; see docs/INTERFACE.md";
+    return Json.write(new Refusal("no_route", "not_run", message, 0));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/http/TaskRoutes.java
@@ -0,0 +1,133 @@
+package org.cottontack.daemon.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.cottontack.adapters.AdapterException;
+import org.cottontack.adapters.http.HttpCall;
+import org.cottontack.adapters.json.Json;
+import org.cottontack.core.Event;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TaskId;
+import org.cottontack.core.task.Demand;
+import org.cottontack.core.task.TaskEffect;
+import org.cottontack.core.task.TaskEvent;
+
+/** Callers' tasks: submit, status, cancel. */
+public final class TaskRoutes {
+
+  private static final long TICKET_MILLIS = 5_000;
+  private static final long RETRY_MILLIS = 1_000;
+
+  private final Consumer<Event> events;
+  private final BiConsumer<Long, Event> later;
+  private final AtomicLong tickets = new AtomicLong();
+  private final Map<Long, HttpCall> pending = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the routes.
+   *
+   * @param events takes an event now
+   * @param later takes an event after some milliseconds
+   */
+  public TaskRoutes(Consumer<Event> events, BiConsumer<Long, Event> later) {
+    this.events = events;
+    this.later = later;
+  }
+
+  /**
+   * The body of a submission.
+   *
+   * @param id chosen by the caller so that it can safely submit again, or null for a minted one
+   * @param row a batch row
+   * @param input what the task works on
+   * @param demand what it needs, or null for what its row declares
+   */
+  record Submission(TaskId id, RowName row, JsonNode input, Demand demand) {}
+
+  /** Adds the routes. */
+  public void addTo(Routes routes) {
+    routes
+        .on("POST", "/v1/tasks", (call, none) -> submit(call))
+        .on(
+            "GET",
+            "/v1/tasks/{}",
+            (call, id) -> ask(call, t -> new TaskEvent.StatusAsked(t, id(id))))
+        .on(
+            "DELETE",
+            "/v1/tasks/{}",
+            (call, id) -> ask(call, t -> new TaskEvent.CancelAsked(t, id(id))));
+  }
+
+  private void submit(HttpCall call) {
+    Submission body = Json.read(call.text(), Submission.class);
+    if (body == null || body.row() == null || body.input() == null) {
+      throw new AdapterException(
+          AdapterException.Code.MALFORMED, "a task needs the fields row and input", null);
+    }
+    TaskId id = body.id() == null ? new TaskId(UUID.randomUUID().toString()) : body.id();
+    ask(
+        call,
+        ticket ->
+            new TaskEvent.SubmitAsked(
+                ticket, id(id.value()), body.row(), body.input().toString(), body.demand()));
+  }
+
+  private static TaskId id(String text) {
+    if (!text.matches("[A-Za-z0-9._:~-]{1,100}")) {
+      throw new AdapterException(
+          AdapterException.Code.MALFORMED,
+          "a task's id must be 1 to 100 of A-Z a-z 0-9 . _ : ~ -",
+          null);
+    }
+    return new TaskId(text);
+  }
+
+  private void ask(HttpCall call, java.util.function.LongFunction<Event> event) {
+    long ticket = tickets.incrementAndGet();
+    pending.put(ticket, call);
+    events.accept(event.apply(ticket));
+    later.accept(TICKET_MILLIS, new TaskEvent.TicketExpired(ticket));
+  }
+
+  /** Gives a caller the final answer. */
+  public void answered(TaskEffect.Answered answer) {
+    HttpCall call = pending.remove(answer.ticket());
+    if (call == null) {
+      return;
+    }
+    switch (answer.verdict()) {
+      case DONE -> call.json(200, Json.write(answer.record()));
+      case NO_SUCH_TASK -> refuse(call, 404, "no_such_task", "not_run", "no such task", 0);
+      case UNKNOWN_ROW ->
+          refuse(call, 404, "unknown_row", "not_run", "the table has no such batch row", 0);
+      case ID_TAKEN -> refuse(call, 409, "id_taken", "not_run", "another task has this id", 0);
+      case NOT_READY ->
+          refuse(call, 503, "not_ready", "not_run", "this instance is starting or stopping", 1);
+      case STORE_AWAY -> refuse(call, 503, "store_away", "not_run", "the store does not answer", 1);
+      case IN_DOUBT ->
+          refuse(
+              call,
+              504,
+              "in_doubt",
+              "unknown",
+              "the store did not answer; the change may take effect, asking again is safe",
+              1);
+    }
+  }
+
+  private static void refuse(
+      HttpCall call, int status, String code, String ran, String message, int retries) {
+    Refusal body = new Refusal(code, ran, message, retries * RETRY_MILLIS);
+    Map<String, String> headers =
+        retries == 0
+            ? Map.of("content-type", "application/json")
+            : Map.of("content-type", "application/json", "retry-after", "1");
+    call.respond(
+        status, headers, Json.write(body).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** What callers and operators reach over HTTP. */
+package org.cottontack.daemon.http;
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of this process. */
+package org.cottontack.daemon.metrics;
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Events of this process in causal order, kept in memory. */
+package org.cottontack.daemon.timeline;
