Serve a request and run a task over separate processes

Change: stand-ins of platform, workers and endpoints with an independent ledger; cottontackctl; quickstart. Before: nothing ran.

--- a/adapters/src/main/java/org/cottontack/adapters/json/Json.java
+++ b/adapters/src/main/java/org/cottontack/adapters/json/Json.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.cfg.EnumFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
@@ -51,6 +52,7 @@
         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
         .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
         .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+        .enable(EnumFeature.WRITE_ENUMS_TO_LOWERCASE)
         .defaultPropertyInclusion(
             JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.ALWAYS))
         .build();
--- /dev/null
+++ b/ctl/src/main/java/org/cottontack/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators command {@code cottontackctl}. */
+package org.cottontack.ctl;
--- /dev/null
+++ b/standin/src/main/java/org/cottontack/standin/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of endpoints. */
+package org.cottontack.standin.endpoint;
--- /dev/null
+++ b/standin/src/main/java/org/cottontack/standin/ledger/package-info.java
@@ -0,0 +1,2 @@
+/** What really ran, counted by someone other than the scheduler. */
+package org.cottontack.standin.ledger;
--- /dev/null
+++ b/standin/src/main/java/org/cottontack/standin/platform/Rows.java
@@ -0,0 +1,67 @@
+package org.cottontack.standin.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.cottontack.adapters.store.StoreMessages.Change;
+import org.cottontack.adapters.store.StoreMessages.StoredRow;
+
+/** Rows with versions, changed by transactions that take effect whole or not at all. */
+final class Rows {
+
+  private final SortedMap<String, StoredRow> rows = new TreeMap<>();
+  private long commits;
+  private long scans;
+
+  /** Returns the rows that stand in the way, empty when the changes took effect. */
+  synchronized List<StoredRow> commit(List<Change> changes) {
+    List<StoredRow> conflicts = new ArrayList<>();
+    for (Change change : changes) {
+      StoredRow row = rows.getOrDefault(change.key(), absent(change.key()));
+      if (row.version() != change.expectedVersion()) {
+        conflicts.add(row);
+      }
+    }
+    if (conflicts.isEmpty()) {
+      changes.forEach(this::apply);
+      commits++;
+    }
+    return conflicts;
+  }
+
+  private void apply(Change change) {
+    switch (change.action()) {
+      case PUT ->
+          rows.put(
+              change.key(),
+              new StoredRow(
+                  change.key(),
+                  change.expectedVersion() + 1,
+                  change.writeId(),
+                  change.kind(),
+                  change.value()));
+      case DELETE -> rows.remove(change.key());
+      case CHECK -> {
+        // only the condition counts
+      }
+    }
+  }
+
+  synchronized List<StoredRow> scan(String prefix) {
+    scans++;
+    return rows.tailMap(prefix).entrySet().stream()
+        .takeWhile(entry -> entry.getKey().startsWith(prefix))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  synchronized Map<String, Long> counts() {
+    return Map.of("commits", commits, "scans", scans, "rows", (long) rows.size());
+  }
+
+  private static StoredRow absent(String key) {
+    return new StoredRow(key, 0, "", null, null);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cottontack/standin/worker/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in of workers. */
+package org.cottontack.standin.worker;
