Test the core's promises under kills, pauses, cuts and lost answers

Found: a task given up after its third failing worker did not name that worker in its record (2 of 3 listed); the ended record now derives from the one that counts the failure.

--- a/core/src/main/java/org/cottontack/core/request/RequestState.java
+++ b/core/src/main/java/org/cottontack/core/request/RequestState.java
@@ -134,6 +134,11 @@
         retryTokens);
   }
 
+  RequestState with(PMap<InstanceId, PeerLoad> loads) {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, abandoned, loads, nextAttempt, retryTokens);
+  }
+
   RequestState abandon(Request request) {
     return withAbandoned(abandoned.plus(request.id(), request));
   }
@@ -147,11 +152,6 @@
         open, byAttempt, shares, teamOpen, value, peers, nextAttempt, retryTokens);
   }
 
-  RequestState with(PMap<InstanceId, PeerLoad> loads) {
-    return new RequestState(
-        open, byAttempt, shares, teamOpen, abandoned, loads, nextAttempt, retryTokens);
-  }
-
   RequestState sent(Request request) {
     return new RequestState(
         open.plus(request.id(), request),
--- a/core/src/main/java/org/cottontack/core/task/TaskEffect.java
+++ b/core/src/main/java/org/cottontack/core/task/TaskEffect.java
@@ -1,9 +1,11 @@
 package org.cottontack.core.task;
 
 import java.util.List;
+import java.util.Locale;
 import org.cottontack.core.Effect;
 import org.cottontack.core.id.RowName;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.request.Ran;
 
 /** What the task part does outside. */
 public interface TaskEffect extends Effect {
@@ -20,19 +22,60 @@
   /** What became of a submission, query or cancellation. */
   enum Verdict {
     /** It was done, or had been done before. */
-    DONE,
+    DONE(200, Ran.RAN, "done", 0),
     /** There is no such task. */
-    NO_SUCH_TASK,
+    NO_SUCH_TASK(404, Ran.NOT_RUN, "there is no such task", 0),
     /** The row is not in the table or is no batch row. */
-    UNKNOWN_ROW,
+    UNKNOWN_ROW(404, Ran.NOT_RUN, "the table has no such batch row", 0),
     /** Another task has this identifier. */
-    ID_TAKEN,
+    ID_TAKEN(409, Ran.NOT_RUN, "another task has this id", 0),
     /** This instance is stopping or has no table. */
-    NOT_READY,
+    NOT_READY(503, Ran.NOT_RUN, "this instance is starting or stopping", 1_000),
     /** The store did not answer, and nothing was written. */
-    STORE_AWAY,
+    STORE_AWAY(503, Ran.NOT_RUN, "the store does not answer, nothing was written", 1_000),
     /** The store did not answer; the change may take effect. Asking again is safe. */
-    IN_DOUBT
+    IN_DOUBT(
+        504,
+        Ran.UNKNOWN,
+        "the store did not answer; the change may take effect, asking again is safe",
+        1_000);
+
+    private final int status;
+    private final Ran ran;
+    private final String sentence;
+    private final long retryAfterMillis;
+
+    Verdict(int status, Ran ran, String sentence, long retryAfterMillis) {
+      this.status = status;
+      this.ran = ran;
+      this.sentence = sentence;
+      this.retryAfterMillis = retryAfterMillis;
+    }
+
+    /** Returns the HTTP status. */
+    public int status() {
+      return status;
+    }
+
+    /** Returns whether what was asked took effect. */
+    public Ran ran() {
+      return ran;
+    }
+
+    /** Returns one sentence for a person. */
+    public String sentence() {
+      return sentence;
+    }
+
+    /** Returns when to come back, 0 when coming back makes no sense. */
+    public long retryAfterMillis() {
+      return retryAfterMillis;
+    }
+
+    /** Returns the stable word callers see. */
+    public String word() {
+      return name().toLowerCase(Locale.ROOT);
+    }
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/task/Watching.java
+++ b/core/src/main/java/org/cottontack/core/task/Watching.java
@@ -164,7 +164,7 @@
       return end(state, view, TaskPhase.CANCELLED, reason);
     }
     return next.failedOn().size() >= MAX_FAILED_WORKERS
-        ? end(state, view, TaskPhase.FAILED, reason)
+        ? Transition.write(state, view, next.ended(TaskPhase.FAILED, reason))
         : Transition.write(state, view, next);
   }
 
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/lab/Lab.java
@@ -0,0 +1,388 @@
+package org.cottontack.core.lab;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.cottontack.core.Effect;
+import org.cottontack.core.Event;
+import org.cottontack.core.Settings;
+import org.cottontack.core.fleet.FleetEffect;
+import org.cottontack.core.fleet.FleetEvent;
+import org.cottontack.core.fleet.MemberInfo;
+import org.cottontack.core.fleet.MemberKind;
+import org.cottontack.core.id.CallerId;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.InstanceId;
+import org.cottontack.core.id.RequestId;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TaskId;
+import org.cottontack.core.ownership.OwnershipEvent;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.core.peer.PeerEffect;
+import org.cottontack.core.peer.PeerEvent;
+import org.cottontack.core.request.RequestEffect;
+import org.cottontack.core.request.RequestEvent;
+import org.cottontack.core.store.StoreEffect;
+import org.cottontack.core.store.StoreEvent;
+import org.cottontack.core.store.StoreKey;
+import org.cottontack.core.store.StoreRow;
+import org.cottontack.core.table.TableEffect;
+import org.cottontack.core.table.TableRecord;
+import org.cottontack.core.task.Demand;
+import org.cottontack.core.task.TaskEffect;
+import org.cottontack.core.task.TaskEvent;
+import org.cottontack.core.task.TaskPhase;
+import org.cottontack.core.task.TaskRecord;
+import org.cottontack.core.task.WorkerEvent;
+
+/** Entry instances, a store, workers and endpoints under one virtual clock. */
+public final class Lab {
+
+  /** Wall time at which the virtual clock reads 0. */
+  public static final long WALL_START = 1_800_000_000_000L;
+
+  /** Ownership lease of the entry instances. */
+  public static final long LEASE = 3_000;
+
+  /** Lease of tasks at workers. */
+  public static final long TASK_LEASE = 8_000;
+
+  /** Longest cover by promises. */
+  public static final long HORIZON = 60_000;
+
+  private static final long LATENCY = 2;
+  private static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
+
+  private record Due(long at, long order, Runnable action) {}
+
+  private final PriorityQueue<Due> queue =
+      new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+  private final List<Node> nodes = new ArrayList<>();
+  private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  private final Map<String, FakeEndpoint> endpoints = new LinkedHashMap<>();
+  private final Map<String, Boolean> leaving = new TreeMap<>();
+  private final Map<String, Integer> requestRuns = new TreeMap<>();
+  private final List<String> violations = new ArrayList<>();
+  private final List<Runnable> heldOrders = new ArrayList<>();
+  private final FakeStore store = new FakeStore();
+  private long now;
+  private long order;
+  private long numbers;
+
+  /** Creates a data centre whose table is already in force. */
+  public Lab() {
+    TableRecord table = new TableRecord(1, "lab", WALL_START, LabTable.content());
+    store.commit(
+        List.of(
+            new org.cottontack.core.store.Write(
+                "lab",
+                List.of(org.cottontack.core.store.Mutation.put(StoreKey.table(), 0, table)),
+                null)));
+  }
+
+  /** Adds a worker. */
+  public FakeWorker worker(String name, int cores) {
+    FakeWorker worker = new FakeWorker(name, new Demand(cores * 1_000, 64_000, 1), this);
+    workers.put(name, worker);
+    return worker;
+  }
+
+  /** Adds an endpoint. */
+  public FakeEndpoint endpoint(String name, int slots) {
+    FakeEndpoint endpoint = new FakeEndpoint(name, slots, this);
+    endpoints.put(name, endpoint);
+    return endpoint;
+  }
+
+  /** Starts an entry instance at an address. */
+  public Node start(String address) {
+    InstanceId self = new InstanceId(address + "-" + ++numbers);
+    Settings settings =
+        new Settings(self, DATA_CENTRE, address, LEASE, 300, HORIZON, 500, TASK_LEASE, 10, 1_000);
+    Node node = new Node(this, settings);
+    nodes.add(node);
+    node.accept(new OwnershipEvent.Start());
+    return node;
+  }
+
+  /** Marks a worker or an endpoint as leaving. */
+  public void leaving(String name) {
+    leaving.put(name, true);
+  }
+
+  /** Returns the store. */
+  public FakeStore store() {
+    return store;
+  }
+
+  /** Returns broken promises, seen by the workers and endpoints themselves. */
+  public List<String> violations() {
+    return violations;
+  }
+
+  /** Returns how often a request ran. */
+  public int runs(String body) {
+    return requestRuns.getOrDefault(body, 0);
+  }
+
+  /** Returns how many requests ran. */
+  public int runs() {
+    return requestRuns.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  long now() {
+    return now;
+  }
+
+  void violation(String what) {
+    violations.add(now + ": " + what);
+  }
+
+  void requestRan(String body) {
+    int runs = requestRuns.merge(body, 1, Integer::sum);
+    if (runs > 1 && body.startsWith("once")) {
+      violation("request " + body + " ran " + runs + " times");
+    }
+  }
+
+  void taskStarted(String task, String worker) {
+    long others = workers.values().stream().filter(w -> w.running(task)).count();
+    if (others > 1) {
+      violation("task " + task + " runs in " + others + " places, last on " + worker);
+    }
+  }
+
+  /** Lets virtual time pass. */
+  public void run(long millis) {
+    long end = now + millis;
+    while (!queue.isEmpty() && queue.peek().at() <= end) {
+      step();
+    }
+    now = end;
+    workers.values().forEach(worker -> worker.tick(now));
+  }
+
+  /** Lets time pass until something holds; fails after a minute of virtual time. */
+  public void until(String what, BooleanSupplier condition) {
+    long end = now + 60_000;
+    while (!condition.getAsBoolean()) {
+      if (queue.isEmpty() || queue.peek().at() > end) {
+        throw new AssertionError("did not happen within a minute: " + what);
+      }
+      step();
+    }
+  }
+
+  private void step() {
+    Due due = queue.remove();
+    now = due.at();
+    workers.values().forEach(worker -> worker.tick(now));
+    due.action().run();
+  }
+
+  /** Does something after a while. */
+  public void after(long millis, Runnable action) {
+    queue.add(new Due(now + millis, order++, action));
+  }
+
+  /** Lets orders that were held up go on to workers and endpoints. */
+  public void releaseOrders() {
+    List<Runnable> orders = List.copyOf(heldOrders);
+    heldOrders.clear();
+    orders.forEach(Runnable::run);
+  }
+
+  /** Sends a request; its answer shows in the node's answers. */
+  public RequestId request(Node node, String row, String key, String body, long millis) {
+    RequestId id = new RequestId(++numbers);
+    node.accept(
+        new RequestEvent.Arrived(
+            id,
+            new CallerId("caller"),
+            new RowName(row),
+            key,
+            "hash of " + body,
+            millis,
+            Payload.of(body)));
+    return id;
+  }
+
+  /** Submits a task; its answer shows in the node's tickets. */
+  public long submit(Node node, String task, String row) {
+    long ticket = ++numbers;
+    node.accept(
+        new TaskEvent.SubmitAsked(ticket, new TaskId(task), new RowName(row), "input", null));
+    return ticket;
+  }
+
+  /** Cancels a task. */
+  public long cancel(Node node, String task) {
+    long ticket = ++numbers;
+    node.accept(new TaskEvent.CancelAsked(ticket, new TaskId(task)));
+    return ticket;
+  }
+
+  /** Returns the record of a task, live or ended. */
+  public TaskRecord task(String name) {
+    TaskId id = new TaskId(name);
+    return store
+        .value(StoreKey.task(DATA_CENTRE, id), TaskRecord.class)
+        .or(() -> store.value(StoreKey.endedTask(DATA_CENTRE, id), TaskRecord.class))
+        .orElseThrow(() -> new AssertionError("no record of task " + name));
+  }
+
+  /** Returns whether a task has a record in this phase. */
+  public boolean taskIs(String name, TaskPhase phase) {
+    TaskId id = new TaskId(name);
+    return Stream.of(StoreKey.task(DATA_CENTRE, id), StoreKey.endedTask(DATA_CENTRE, id))
+        .flatMap(key -> store.value(key, TaskRecord.class).stream())
+        .anyMatch(record -> record.phase() == phase);
+  }
+
+  /** Returns whether some worker runs a task. */
+  public boolean taskRuns(String name) {
+    return workers.values().stream().anyMatch(worker -> worker.running(name));
+  }
+
+  void carryOut(Node node, Effect effect) {
+    if (effect instanceof Effect.After after) {
+      after(after.millis(), () -> node.accept(after.event()));
+    } else if (effect instanceof StoreEffect.Commit commit) {
+      commit(node, commit);
+    } else if (effect instanceof StoreEffect.Scan scan) {
+      scan(node, scan);
+    } else if (effect instanceof PeerEffect.Send send) {
+      send(node, send);
+    } else if (effect instanceof FleetEffect.FetchList) {
+      reply(node, () -> node.storeUp, () -> new FleetEvent.Listed(members()));
+    } else if (effect instanceof RequestEffect.Reply reply) {
+      if (node.answers.put(reply.id(), reply.answer()) != null) {
+        violation("two answers to " + reply.id());
+      }
+    } else if (effect instanceof TaskEffect.Answered answered) {
+      node.tickets.putIfAbsent(answered.ticket(), answered);
+    } else if (effect instanceof TableEffect.EditAnswered edited) {
+      node.edits.put(edited.ticket(), edited);
+    } else if (effect instanceof Effect.Halt) {
+      node.halted();
+    } else {
+      LabOrders.carryOut(this, node, effect);
+    }
+  }
+
+  /** Sends an order on its way; it may be held up there, and arrives even if the sender is gone. */
+  void order(Node node, Runnable arrival) {
+    if (node.ordersHeld) {
+      heldOrders.add(arrival);
+    } else {
+      after(LATENCY, arrival);
+    }
+  }
+
+  void reply(Node node, BooleanSupplier up, java.util.function.Supplier<Event> event) {
+    after(
+        LATENCY,
+        () -> {
+          if (up.getAsBoolean()) {
+            node.accept(event.get());
+          }
+        });
+  }
+
+  private void commit(Node node, StoreEffect.Commit commit) {
+    after(
+        LATENCY,
+        () -> {
+          if (!node.storeUp) {
+            after(LATENCY, () -> node.accept(new StoreEvent.Unanswered(commit.batch())));
+            return;
+          }
+          List<StoreRow> conflicts = store.commit(commit.writes());
+          Event answer =
+              conflicts.isEmpty()
+                  ? new StoreEvent.Committed(commit.batch())
+                  : new StoreEvent.Conflicted(commit.batch(), conflicts);
+          boolean heard = node.storeAnswers && !loses(node, commit);
+          after(
+              LATENCY,
+              () -> node.accept(heard ? answer : new StoreEvent.Unanswered(commit.batch())));
+        });
+  }
+
+  private static boolean loses(Node node, StoreEffect.Commit commit) {
+    boolean matches =
+        !node.loseNextAnswerAbout.isEmpty()
+            && commit.writes().toString().contains(node.loseNextAnswerAbout);
+    node.loseNextAnswerAbout = matches ? "" : node.loseNextAnswerAbout;
+    return matches;
+  }
+
+  private void scan(Node node, StoreEffect.Scan scan) {
+    after(
+        LATENCY,
+        () -> {
+          Event answer =
+              node.storeUp && node.storeAnswers
+                  ? new StoreEvent.Scanned(scan.purpose(), store.scan(scan.prefix()))
+                  : new StoreEvent.ScanFailed(scan.purpose());
+          after(LATENCY, () -> node.accept(answer));
+        });
+  }
+
+  private void send(Node from, PeerEffect.Send send) {
+    InstanceId self = from.state().ownership().self();
+    after(
+        LATENCY,
+        () ->
+            nodes.stream()
+                .filter(node -> node.address().equals(send.address()))
+                .filter(Node::connected)
+                .findFirst()
+                .filter(node -> from.networkUp)
+                .ifPresentOrElse(
+                    node ->
+                        node.accept(new PeerEvent.Received(self, from.address(), send.message())),
+                    () -> from.accept(new PeerEvent.Undelivered(send.address(), send.message()))));
+  }
+
+  /** Tells an instance that its connection to another one broke. */
+  public void breakConnection(Node node, Node other) {
+    node.accept(new PeerEvent.Lost(other.address()));
+  }
+
+  FakeWorker workerNamed(String name) {
+    return workers.get(name);
+  }
+
+  FakeEndpoint endpointNamed(String name) {
+    return endpoints.get(name);
+  }
+
+  private List<MemberInfo> members() {
+    return Stream.concat(
+            workers.entrySet().stream()
+                .map(e -> member(MemberKind.WORKER, e.getKey(), 0, e.getValue().capacity())),
+            endpoints.entrySet().stream()
+                .map(
+                    e ->
+                        member(MemberKind.ENDPOINT, e.getKey(), e.getValue().slots(), Demand.NONE)))
+        .toList();
+  }
+
+  private MemberInfo member(MemberKind kind, String name, int slots, Demand capacity) {
+    return new MemberInfo(
+        kind, name, DATA_CENTRE, name, leaving.containsKey(name), slots, capacity, "rack");
+  }
+
+  /** Returns the event of a worker's report, as it stands now. */
+  static Event report(FakeWorker worker, TaskEffect.PollWorker poll, long now) {
+    return new WorkerEvent.Reported(
+        poll.worker(), poll.askedAt(), worker.boot(), now, worker.reports());
+  }
+}
--- a/daemon/src/main/java/org/cottontack/daemon/http/OperatorRoutes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/OperatorRoutes.java
@@ -97,7 +97,7 @@
 
   private void table(HttpCall call) {
     if (state.get().table().version() == 0) {
-      call.json(404, Json.write(new Refusal("no_table", "not_run", "no table yet", 0)));
+      Refusal.notRun("no_table", "there is no table yet").answer(call, 404);
       return;
     }
     call.respond(
--- a/daemon/src/main/java/org/cottontack/daemon/http/Refusal.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/Refusal.java
@@ -1,5 +1,13 @@
 package org.cottontack.daemon.http;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.cottontack.adapters.http.HttpCall;
+import org.cottontack.adapters.json.Json;
+import org.cottontack.core.request.Answer;
+import org.cottontack.core.task.TaskEffect;
+
 /**
  * The body of every answer that is not the work's own.
  *
@@ -8,4 +16,40 @@
  * @param message one sentence
  * @param retryAfterMillis when to come back, 0 when coming back makes no sense
  */
-public record Refusal(String code, String ran, String message, long retryAfterMillis) {}
+public record Refusal(String code, String ran, String message, long retryAfterMillis) {
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  static Refusal of(Answer answer) {
+    return new Refusal(
+        answer.code().word(),
+        answer.code().ran().word(),
+        answer.code().sentence(),
+        answer.retryAfterMillis());
+  }
+
+  static Refusal of(TaskEffect.Verdict verdict) {
+    return new Refusal(
+        verdict.word(), verdict.ran().word(), verdict.sentence(), verdict.retryAfterMillis());
+  }
+
+  static Refusal notRun(String code, String message) {
+    return new Refusal(code, "not_run", message, 0);
+  }
+
+  /** Answers a call with this body and the headers that go with it. */
+  void answer(HttpCall call, int status) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("content-type", "application/json");
+    headers.put("cottontack-ran", ran);
+    headers.put("cottontack-code", code);
+    if (retryAfterMillis > 0) {
+      headers.put("retry-after", "" + seconds(retryAfterMillis));
+    }
+    call.respond(status, headers, Json.write(this).getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static long seconds(long millis) {
+    return (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+  }
+}
--- a/daemon/src/main/java/org/cottontack/daemon/http/RequestRoutes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/RequestRoutes.java
@@ -1,9 +1,7 @@
 package org.cottontack.daemon.http;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,13 +9,13 @@
 import java.util.function.Consumer;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.http.HttpCall;
-import org.cottontack.adapters.json.Json;
 import org.cottontack.core.Event;
 import org.cottontack.core.id.CallerId;
 import org.cottontack.core.id.RequestId;
 import org.cottontack.core.id.RowName;
 import org.cottontack.core.peer.Payload;
 import org.cottontack.core.request.Answer;
+import org.cottontack.core.request.Code;
 import org.cottontack.core.request.Ran;
 import org.cottontack.core.request.RequestEffect;
 import org.cottontack.core.request.RequestEvent;
@@ -27,7 +25,11 @@
 public final class RequestRoutes {
 
   private static final int MAX_KEY_LENGTH = 200;
-  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final Map<String, String> WHOLE_HEADERS =
+      Map.of(
+          "content-type", "application/json",
+          "cottontack-ran", Ran.RAN.word(),
+          "cottontack-code", Code.OK.word());
 
   private final Consumer<Event> events;
   private final DaemonMetrics metrics;
@@ -116,33 +118,11 @@
     }
     Answer answer = reply.answer();
     metrics.answered(answer.code().ran(), System.nanoTime() - waiting.startedNanos());
-    Map<String, String> headers = new HashMap<>();
-    headers.put("content-type", "application/json");
-    headers.put("cottontack-ran", answer.code().ran().word());
-    headers.put("cottontack-code", answer.code().word());
-    if (answer.retryAfterMillis() > 0) {
-      headers.put("retry-after", "" + seconds(answer.retryAfterMillis()));
-    }
     boolean whole = answer.code().ran() == Ran.RAN && answer.endpointStatus() > 0;
-    waiting
-        .call()
-        .respond(
-            whole ? answer.endpointStatus() : answer.code().status(),
-            headers,
-            whole ? answer.body().bytes() : refusal(answer));
-  }
-
-  private static long seconds(long millis) {
-    return (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-  }
-
-  private static byte[] refusal(Answer answer) {
-    Refusal body =
-        new Refusal(
-            answer.code().word(),
-            answer.code().ran().word(),
-            answer.code().sentence(),
-            answer.retryAfterMillis());
-    return Json.write(body).getBytes(StandardCharsets.UTF_8);
+    if (whole) {
+      waiting.call().respond(answer.endpointStatus(), WHOLE_HEADERS, answer.body().bytes());
+    } else {
+      Refusal.of(answer).answer(waiting.call(), answer.code().status());
+    }
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/http/Routes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/Routes.java
@@ -8,7 +8,6 @@
 import java.util.regex.Pattern;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.http.HttpCall;
-import org.cottontack.adapters.json.Json;
 
 /** Picks the handler of an HTTP request by method and path; at most one part of a path varies. */
 public final class Routes implements Consumer<HttpCall> {
@@ -39,7 +38,7 @@
         .findFirst()
         .ifPresentOrElse(
             route -> handle(route, call),
-            () -> call.json(samePath.isEmpty() ? 404 : 405, noRoute(call)));
+            () -> noRoute(call).answer(call, samePath.isEmpty() ? 404 : 405));
   }
 
   private static void handle(Route route, HttpCall call) {
@@ -48,12 +47,12 @@
     try {
       route.handler().accept(call, part);
     } catch (AdapterException e) {
-      call.json(400, Json.write(new Refusal("bad_request", "not_run", e.getMessage(), 0)));
+      Refusal.notRun("bad_request", e.getMessage()).answer(call, 400);
     }
   }
 
-  private static String noRoute(HttpCall call) {
+  private static Refusal noRoute(HttpCall call) {
     String message = "no route " + call.method() + " " + call.path() + "; see docs/INTERFACE.md";
-    return Json.write(new Refusal("no_route", "not_run", message, 0));
+    return Refusal.notRun("no_route", message);
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/http/StoreReader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/StoreReader.java
@@ -16,6 +16,7 @@
 import org.cottontack.core.store.StoreKey;
 import org.cottontack.core.store.StoreRow;
 import org.cottontack.core.table.TableRecord;
+import org.cottontack.core.task.TaskEffect;
 
 /** Answers operators' questions from what the store holds, without going through the engine. */
 public final class StoreReader {
@@ -100,9 +101,7 @@
     if (event instanceof StoreEvent.Scanned scanned) {
       call.json(200, Json.write(view.apply(scanned.rows())));
     } else {
-      call.json(
-          503,
-          Json.write(new Refusal("store_away", "not_run", "the store does not answer", 1_000)));
+      Refusal.of(TaskEffect.Verdict.STORE_AWAY).answer(call, 503);
     }
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/http/TaskRoutes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/TaskRoutes.java
@@ -21,7 +21,6 @@
 public final class TaskRoutes {
 
   private static final long TICKET_MILLIS = 5_000;
-  private static final long RETRY_MILLIS = 1_000;
 
   private final Consumer<Event> events;
   private final BiConsumer<Long, Event> later;
@@ -100,34 +99,10 @@
     if (call == null) {
       return;
     }
-    switch (answer.verdict()) {
-      case DONE -> call.json(200, Json.write(answer.record()));
-      case NO_SUCH_TASK -> refuse(call, 404, "no_such_task", "not_run", "no such task", 0);
-      case UNKNOWN_ROW ->
-          refuse(call, 404, "unknown_row", "not_run", "the table has no such batch row", 0);
-      case ID_TAKEN -> refuse(call, 409, "id_taken", "not_run", "another task has this id", 0);
-      case NOT_READY ->
-          refuse(call, 503, "not_ready", "not_run", "this instance is starting or stopping", 1);
-      case STORE_AWAY -> refuse(call, 503, "store_away", "not_run", "the store does not answer", 1);
-      case IN_DOUBT ->
-          refuse(
-              call,
-              504,
-              "in_doubt",
-              "unknown",
-              "the store did not answer; the change may take effect, asking again is safe",
-              1);
+    if (answer.verdict() == TaskEffect.Verdict.DONE) {
+      call.json(200, Json.write(answer.record()));
+    } else {
+      Refusal.of(answer.verdict()).answer(call, answer.verdict().status());
     }
   }
-
-  private static void refuse(
-      HttpCall call, int status, String code, String ran, String message, int retries) {
-    Refusal body = new Refusal(code, ran, message, retries * RETRY_MILLIS);
-    Map<String, String> headers =
-        retries == 0
-            ? Map.of("content-type", "application/json")
-            : Map.of("content-type", "application/json", "retry-after", "1");
-    call.respond(
-        status, headers, Json.write(body).getBytes(java.nio.charset.StandardCharsets.UTF_8));
-  }
 }
--- a/standin/src/main/java/org/cottontack/standin/platform/Rows.java
+++ b/standin/src/main/java/org/cottontack/standin/platform/Rows.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import org.cottontack.adapters.store.StoreMessages.Change;
 import org.cottontack.adapters.store.StoreMessages.StoredRow;
+import org.cottontack.core.store.Mutation;
 
 /** Rows with versions, changed by transactions that take effect whole or not at all. */
 final class Rows {
@@ -32,20 +33,13 @@
   }
 
   private void apply(Change change) {
-    switch (change.action()) {
-      case PUT ->
-          rows.put(
-              change.key(),
-              new StoredRow(
-                  change.key(),
-                  change.expectedVersion() + 1,
-                  change.writeId(),
-                  change.kind(),
-                  change.value()));
-      case DELETE -> rows.remove(change.key());
-      case CHECK -> {
-        // only the condition counts
-      }
+    if (change.action() == Mutation.Action.PUT) {
+      long version = change.expectedVersion() + 1;
+      rows.put(
+          change.key(),
+          new StoredRow(change.key(), version, change.writeId(), change.kind(), change.value()));
+    } else if (change.action() == Mutation.Action.DELETE) {
+      rows.remove(change.key());
     }
   }
 
