Finish handed-over requests before a planned stop; drop cover with its epoch

Cause: rolling replacement of real processes under load left 2 transfers in doubt. A stopping instance ended while a request another instance had handed to it was on its way; the sender could only say unknown. Ruled out: the claim and the endpoint, both settled in the ledger. Change: a stopping instance offers no slots and stays for one order lifetime, refusing what still arrives as not run. The promises model found a second weakness: cover asked for in one epoch counted after the next was acknowledged. Only the order of two clocks readings kept that safe; cover is now dropped with its epoch, and the model needs that to hold.

--- a/core/src/main/java/org/cottontack/core/ownership/OwnershipEvent.java
+++ b/core/src/main/java/org/cottontack/core/ownership/OwnershipEvent.java
@@ -14,8 +14,12 @@
   /** The process was asked to stop gracefully. */
   record StopAsked() implements OwnershipEvent {}
 
-  /** Time to see whether a leaving process has work left. */
-  record DrainCheck() implements OwnershipEvent {}
+  /**
+   * Time to see whether a leaving process has work left.
+   *
+   * @param notBefore monotonic time before which work may still be under way to this process
+   */
+  record DrainCheck(long notBefore) implements OwnershipEvent {}
 
   /** All work of a leaving process is done: give the share back. */
   record Drained() implements OwnershipEvent {}
--- a/core/src/main/java/org/cottontack/core/ownership/OwnershipReducer.java
+++ b/core/src/main/java/org/cottontack/core/ownership/OwnershipReducer.java
@@ -157,14 +157,16 @@
     if (before.phase() == OwnershipPhase.JOINING && seen.members().containsKey(before.self())) {
       next.phase(OwnershipPhase.MEMBER);
     }
-    State changed = state.with(next.build());
-    return seen.epoch() == before.assignment().epoch()
-        ? Step.of(changed)
-        : Step.of(
-                changed,
-                new Effect.Note("ownership.epoch", "" + seen.epoch(), "members " + seen.members()),
-                new Effect.Raise(new OwnershipEvent.EpochSeen()))
-            .then(OwnershipReducer::renew);
+    if (seen.epoch() == before.assignment().epoch()) {
+      return Step.of(state.with(next.build()));
+    }
+    // A promise counts for the epoch it was asked in. A member that joined since was not asked, and
+    // takes the acknowledgement of the new epoch as a sign that it must be.
+    return Step.of(
+            state.with(next.cover(0).build()),
+            new Effect.Note("ownership.epoch", "" + seen.epoch(), "members " + seen.members()),
+            new Effect.Raise(new OwnershipEvent.EpochSeen()))
+        .then(OwnershipReducer::renew);
   }
 
   private static PMap<InstanceId, ObservedLease> observations(
@@ -243,12 +245,21 @@
     return Step.of(
         state.with(state.ownership().withPhase(OwnershipPhase.LEAVING)),
         new Effect.Note("instance.leaving", state.ownership().self().value(), "takes nothing new"),
-        new Effect.Raise(new OwnershipEvent.DrainCheck()));
+        new Effect.Raise(
+            new OwnershipEvent.DrainCheck(state.mono() + state.settings().orderLifetime())));
   }
 
-  /** Work in flight is finished before the share is given back. */
+  /**
+   * Work in flight is finished before the share is given back. Another instance may have handed
+   * over a request that is still on its way; if this process ended before it arrived, its caller
+   * would be left in doubt by a planned stop. Such a request is refused as not run and goes
+   * elsewhere.
+   */
   private static Step drainCheck(State state, OwnershipEvent.DrainCheck event) {
-    boolean idle = state.requests().open().isEmpty() && state.store().idle();
+    boolean idle =
+        state.mono() >= event.notBefore()
+            && state.requests().open().isEmpty()
+            && state.store().idle();
     return idle
         ? drained(state, new OwnershipEvent.Drained())
         : Step.of(state, new Effect.After(DRAIN_MILLIS, event));
--- a/core/src/main/java/org/cottontack/core/request/Forwarding.java
+++ b/core/src/main/java/org/cottontack/core/request/Forwarding.java
@@ -10,6 +10,7 @@
 import org.cottontack.core.id.AttemptId;
 import org.cottontack.core.id.InstanceId;
 import org.cottontack.core.id.RequestId;
+import org.cottontack.core.ownership.OwnershipPhase;
 import org.cottontack.core.peer.PeerEffect;
 import org.cottontack.core.peer.PeerEvent;
 import org.cottontack.core.peer.PeerMessage;
@@ -26,10 +27,7 @@
   private Forwarding() {}
 
   static Step reportDue(State state) {
-    PeerMessage report =
-        new PeerMessage.Report(
-            state.ownership().mayAct(state.mono()) ? state.fleet().freeSlots(state.mono()) : 0,
-            state.table().version());
+    PeerMessage report = new PeerMessage.Report(slotsToOffer(state), state.table().version());
     Effect[] sends =
         state.ownership().others().stream()
             .flatMap(peer -> state.ownership().addressOf(peer).stream())
@@ -39,6 +37,13 @@
         .with(new Effect.After(REPORT_MILLIS, new RequestEvent.ReportDue()));
   }
 
+  private static int slotsToOffer(State state) {
+    boolean takes =
+        state.ownership().phase() == OwnershipPhase.MEMBER
+            && state.ownership().mayAct(state.mono());
+    return takes ? state.fleet().freeSlots(state.mono()) : 0;
+  }
+
   /** A forwarded request is never forwarded again, so it cannot travel in circles. */
   static Optional<Step> forward(State state, Request request) {
     return request.origin() != null
--- a/standin/src/main/java/org/cottontack/standin/World.java
+++ b/standin/src/main/java/org/cottontack/standin/World.java
@@ -1,12 +1,12 @@
 package org.cottontack.standin;
 
 import io.netty.channel.EventLoopGroup;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cottontack.adapters.Address;
@@ -27,7 +27,7 @@
   private final Ledger ledger = new Ledger();
   private final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
   private final Map<String, EndpointStandIn> endpoints = new LinkedHashMap<>();
-  private final List<MemberInfo> members = new ArrayList<>();
+  private final List<MemberInfo> members = new CopyOnWriteArrayList<>();
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
   private final PlatformStandIn platform;
 
@@ -115,6 +115,12 @@
         member.rack());
   }
 
+  /** Lists another world's instances in place of its own, as a wrong platform would. */
+  public void adoptMembersOf(World other) {
+    members.clear();
+    members.addAll(other.members);
+  }
+
   /** Marks a worker or an endpoint as leaving in the platform's list. */
   public void leaving(String name) {
     leaving.add(name);
--- a/standin/src/main/java/org/cottontack/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/org/cottontack/standin/platform/PlatformStandIn.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.cottontack.adapters.Address;
 import org.cottontack.adapters.fleet.HttpMembership;
 import org.cottontack.adapters.http.HttpCall;
@@ -22,7 +23,7 @@
   private final Rows rows = new Rows();
   private final Map<String, StoreFault> faults = new ConcurrentHashMap<>();
   private final Supplier<List<MemberInfo>> members;
-  private final List<HttpServer> servers;
+  private final Map<String, HttpServer> servers;
 
   /**
    * Starts to listen.
@@ -36,8 +37,15 @@
     this.members = members;
     this.servers =
         addresses.entrySet().stream()
-            .map(e -> HttpServer.listen(group, e.getValue(), call -> serve(e.getKey(), call)))
-            .toList();
+            .collect(
+                Collectors.toMap(
+                    Map.Entry::getKey,
+                    e -> HttpServer.listen(group, e.getValue(), c -> serve(e.getKey(), c))));
+  }
+
+  /** Returns where a data centre reaches it. */
+  public Address address(String dataCentre) {
+    return servers.get(dataCentre).address();
   }
 
   /** Makes it misbehave towards one data centre, until told otherwise. */
@@ -84,6 +92,6 @@
 
   @Override
   public void close() {
-    servers.forEach(HttpServer::close);
+    servers.values().forEach(HttpServer::close);
   }
 }
--- /dev/null
+++ b/standin/src/test/java/org/cottontack/standin/Cluster.java
@@ -0,0 +1,134 @@
+package org.cottontack.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.cottontack.adapters.Address;
+import org.cottontack.adapters.http.HttpClient;
+import org.cottontack.adapters.http.HttpResult;
+import org.cottontack.adapters.json.Json;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.core.task.Demand;
+
+/** Stand-ins in this process and real entry instance processes around them. */
+final class Cluster implements AutoCloseable {
+
+  private static final int WAIT_SECONDS = 90;
+  private static final long POLL_NANOS = 50_000_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(4, NioIoHandler.newFactory());
+  private final HttpClient client = new HttpClient(group);
+  private final World world;
+  private final List<EntryProcess> entries = new ArrayList<>();
+
+  /** Starts a cluster whose table has the services check and transfer and the batch row job. */
+  Cluster(List<String> dataCentres, int entriesEach) {
+    Demand capacity = new Demand(8_000, 64_000, 1);
+    world = new World(group, new World.Plan(dataCentres, 0, 2, 2, 4, 5, capacity));
+    dataCentres.forEach(dataCentre -> add(dataCentre, entriesEach));
+    entries.forEach(entry -> until("live", () -> get(entry.operators(), "/health/live").is(200)));
+    until("a table", () -> edit(entries.get(0), 0, 1_000).is(200));
+    until("ready", () -> entries.stream().allMatch(this::serves));
+  }
+
+  private void add(String dataCentre, int count) {
+    for (int i = 0; i < count; i++) {
+      entries.add(new EntryProcess(dataCentre, world.platform().address(dataCentre)));
+    }
+  }
+
+  World world() {
+    return world;
+  }
+
+  EntryProcess entry(int index) {
+    return entries.get(index);
+  }
+
+  List<EntryProcess> entries() {
+    return entries;
+  }
+
+  boolean serves(EntryProcess entry) {
+    return request(entry, "check", "", "{\"probe\":1}").is(200);
+  }
+
+  /** Waits for something to hold; only the outcome counts, not how long it took. */
+  static void until(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("did not happen in " + WAIT_SECONDS + " s: " + what);
+      }
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+  }
+
+  HttpResult get(Address address, String path) {
+    return call(address, "GET", path, Map.of(), "");
+  }
+
+  HttpResult call(
+      Address address, String method, String path, Map<String, String> headers, String body) {
+    CompletableFuture<HttpResult> answer = new CompletableFuture<>();
+    client.call(
+        new HttpClient.Spec(address, method, path, headers, Payload.of(body), 20_000, () -> true),
+        answer::complete);
+    return answer.join();
+  }
+
+  HttpResult request(EntryProcess entry, String row, String key, String body) {
+    Map<String, String> headers = new HashMap<>(Map.of("x-caller", "test"));
+    if (!key.isEmpty()) {
+      headers.put("idempotency-key", key);
+    }
+    return call(entry.callers(), "POST", "/v1/requests/" + row, headers, body);
+  }
+
+  HttpResult submit(EntryProcess entry, String id, long millis) {
+    String body =
+        "{\"id\":\"%s\",\"row\":\"job\",\"input\":{\"left\":[\"a\"],\"right\":[],\"millis\":%d}}"
+            .formatted(id, millis);
+    return call(entry.callers(), "POST", "/v1/tasks", Map.of(), body);
+  }
+
+  String phase(EntryProcess entry, String task) {
+    HttpResult result = get(entry.callers(), "/v1/tasks/" + task);
+    return result.is(200) ? Json.tree(result.text()).path("phase").asText() : "";
+  }
+
+  JsonNode status(EntryProcess entry) {
+    HttpResult result = get(entry.operators(), "/ops/status");
+    return result.is(200) ? Json.tree(result.text()) : Json.tree("{}");
+  }
+
+  HttpResult edit(EntryProcess entry, long expected, int limit) {
+    return call(
+        entry.operators(),
+        "PUT",
+        "/ops/table?expected=" + expected + "&editor=test",
+        Map.of(),
+        table(limit));
+  }
+
+  private static String table(int limit) {
+    return TestFile.read("/table.yaml").formatted(limit);
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(EntryProcess::kill);
+    world.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/cottontack/standin/Load.java
@@ -0,0 +1,85 @@
+package org.cottontack.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cottontack.adapters.http.HttpResult;
+
+/**
+ * Callers that make transfers, each under its own key, one after another. A caller that is refused
+ * or left in doubt sends the same transfer again to the next entry instance, as a real one would.
+ */
+final class Load implements AutoCloseable {
+
+  private static final int MAX_TRIES = 40;
+
+  private final Cluster cluster;
+  private final List<Thread> threads = new ArrayList<>();
+  private final AtomicInteger made = new AtomicInteger();
+  private final Map<String, String> outcomes = new TreeMap<>();
+  private volatile boolean going = true;
+
+  Load(Cluster cluster, int callers) {
+    this.cluster = cluster;
+    for (int i = 0; i < callers; i++) {
+      int caller = i;
+      Thread thread = new Thread(() -> work(caller), "caller-" + i);
+      thread.setDaemon(true);
+      threads.add(thread);
+      thread.start();
+    }
+  }
+
+  private void work(int caller) {
+    for (int number = 0; going; number++) {
+      String key = caller + "-" + number;
+      String outcome = transfer(caller, key);
+      synchronized (outcomes) {
+        outcomes.put(key, outcome);
+      }
+      made.incrementAndGet();
+    }
+  }
+
+  private String transfer(int caller, String key) {
+    String outcome = "none";
+    for (int tries = 0; tries < MAX_TRIES; tries++) {
+      EntryProcess entry = cluster.entry((caller + tries) % cluster.entries().size());
+      HttpResult result = cluster.request(entry, "transfer", key, body(key));
+      outcome = result.headers().getOrDefault("cottontack-ran", "no answer");
+      if ("ran".equals(outcome)) {
+        return outcome;
+      }
+      java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+    }
+    return outcome;
+  }
+
+  static String body(String key) {
+    return "{\"transfer\":\"" + key + "\",\"once\":true}";
+  }
+
+  int made() {
+    return made.get();
+  }
+
+  /** Stops the callers and returns what each transfer came to. */
+  Map<String, String> finish() {
+    going = false;
+    for (Thread thread : threads) {
+      try {
+        thread.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    return outcomes;
+  }
+
+  @Override
+  public void close() {
+    going = false;
+  }
+}
