--- a/adapters/src/main/java/org/cottontack/adapters/json/Json.java
+++ b/adapters/src/main/java/org/cottontack/adapters/json/Json.java
@@ -106,7 +106,8 @@
             ? ""
             : "line %d, column %d: "
                 .formatted(fault.getLocation().getLineNr(), fault.getLocation().getColumnNr());
-    return place + fault.getOriginalMessage().lines().findFirst().orElse("not readable");
+    String problem = fault.getOriginalMessage().lines().findFirst().orElse("not readable");
+    return place + (problem.startsWith("Cannot map `null`") ? "a number is missing" : problem);
   }
 
   private static SimpleModule module() {
--- a/adapters/src/main/java/org/cottontack/adapters/table/TableText.java
+++ b/adapters/src/main/java/org/cottontack/adapters/table/TableText.java
@@ -45,12 +45,12 @@
       RowName name,
       RowKind kind,
       TeamId team,
-      int weight,
+      Integer weight,
       Integer nightWeight,
       Boolean idempotent,
       Long targetMillis,
-      long deadlineMillis,
-      int maxInFlight,
+      Long deadlineMillis,
+      Integer maxInFlight,
       Demand demand,
       Boolean urgent) {
 
@@ -59,12 +59,12 @@
           required(name, "name"),
           required(kind, "kind"),
           required(team, "team"),
-          weight,
+          required(weight, "weight"),
           Optional.ofNullable(nightWeight).orElse(weight),
           Optional.ofNullable(idempotent).orElse(false),
           Optional.ofNullable(targetMillis).orElse(0L),
-          deadlineMillis,
-          maxInFlight,
+          required(deadlineMillis, "deadlineMillis"),
+          required(maxInFlight, "maxInFlight"),
           Optional.ofNullable(demand).orElse(Demand.NONE),
           Optional.ofNullable(urgent).orElse(false));
     }
--- a/core/src/main/java/org/cottontack/core/task/TaskPhase.java
+++ b/core/src/main/java/org/cottontack/core/task/TaskPhase.java
@@ -19,7 +19,9 @@
   /** Was cancelled before it finished. */
   CANCELLED(true),
   /** Fits no worker there is. */
-  NEVER_RUNNABLE(true);
+  NEVER_RUNNABLE(true),
+  /** May have run to its end on a worker that fell silent, and may not run twice. */
+  IN_DOUBT(true);
 
   private final boolean ended;
 
@@ -40,8 +42,8 @@
   private Set<TaskPhase> successors() {
     return switch (this) {
       case QUEUED -> EnumSet.of(PLACED, CANCELLED, NEVER_RUNNABLE);
-      case PLACED -> EnumSet.of(PLACED, QUEUED, FINISHED, FAILED, CANCELLED);
-      case FINISHED, FAILED, CANCELLED, NEVER_RUNNABLE -> EnumSet.noneOf(TaskPhase.class);
+      case PLACED -> EnumSet.of(PLACED, QUEUED, FINISHED, FAILED, CANCELLED, IN_DOUBT);
+      case FINISHED, FAILED, CANCELLED, NEVER_RUNNABLE, IN_DOUBT -> EnumSet.noneOf(TaskPhase.class);
     };
   }
 
--- a/core/src/main/java/org/cottontack/core/task/TaskRecord.java
+++ b/core/src/main/java/org/cottontack/core/task/TaskRecord.java
@@ -15,6 +15,7 @@
  * @param team the team whose quota it counts against
  * @param input what it works on, given to the worker as it is
  * @param demand declared need
+ * @param repeatable whether it may run again when nobody knows whether it ran to its end
  * @param urgent whether it goes before others
  * @param submittedAt wall-clock milliseconds
  * @param deadline wall-clock milliseconds by which it should end
@@ -33,6 +34,7 @@
     TeamId team,
     String input,
     Demand demand,
+    boolean repeatable,
     boolean urgent,
     long submittedAt,
     long deadline,
@@ -106,6 +108,7 @@
         team,
         input,
         demand,
+        repeatable,
         urgent,
         submittedAt,
         deadline,
--- a/core/src/main/java/org/cottontack/core/task/Tickets.java
+++ b/core/src/main/java/org/cottontack/core/task/Tickets.java
@@ -52,6 +52,7 @@
             row.team(),
             event.input(),
             event.demand() == null ? row.demand() : event.demand(),
+            row.idempotent(),
             row.urgent(),
             state.now().wall(),
             state.now().wall() + row.deadlineMillis(),
--- a/core/src/main/java/org/cottontack/core/task/Watching.java
+++ b/core/src/main/java/org/cottontack/core/task/Watching.java
@@ -67,7 +67,7 @@
             .filter(view -> view.doing() != TaskView.Doing.WRITING)
             .filter(view -> state.mono() >= lapseAt(state, worker, view))
             .toList();
-    return Step.fold(state, lapsed, (s, view) -> requeue(s, view, "lease lapsed"));
+    return Step.fold(state, lapsed, (s, view) -> lost(s, view, "lease lapsed"));
   }
 
   private static long lapseAt(State state, WorkerView worker, TaskView view) {
@@ -78,6 +78,17 @@
         + state.settings().driftMargin();
   }
 
+  /**
+   * Nobody knows whether the attempt reached its end before it was lost. Only a task that may
+   * safely run twice goes on; for any other, a second run could repeat what the first one did.
+   */
+  private static Step lost(State state, TaskView view, String why) {
+    TaskRecord record = view.record();
+    return record.repeatable()
+        ? requeue(state, view, why)
+        : Transition.write(state, view, record.ended(TaskPhase.IN_DOUBT, why));
+  }
+
   private static Step requeue(State state, TaskView view, String why) {
     TaskRecord record = view.record();
     TaskRecord next =
@@ -187,6 +198,6 @@
             .filter(view -> !runs.containsKey(view.record().run()))
             .filter(view -> event.askedAt() >= view.orderedAt() + margin)
             .toList();
-    return Step.fold(state, gone, (s, view) -> requeue(s, view, "not on its worker"));
+    return Step.fold(state, gone, (s, view) -> lost(s, view, "not on its worker"));
   }
 }
--- a/core/src/test/java/org/cottontack/core/task/TaskTest.java
+++ b/core/src/test/java/org/cottontack/core/task/TaskTest.java
@@ -206,6 +206,37 @@
       assertNothingBroken();
     }
 
+    /**
+     * A batch of notices goes out twice. Its worker falls silent, and may have sent them all before
+     * its lease ran out. Its row is not idempotent, so the task ends in doubt; it does not run
+     * again.
+     */
+    @Test
+    public void notRepeatableTasksEndInDoubt() {
+      lab.submit(node, "n", "notice");
+      lab.until("it runs", () -> lab.taskRuns("n"));
+      lab.run(1_500);
+      FakeWorker host = hostOf("n");
+      host.hears = false;
+      lab.until("in doubt", () -> lab.taskIs("n", TaskPhase.IN_DOUBT));
+      host.hears = true;
+      lab.run(15_000);
+      assertEquals(starts(), 1);
+      assertNothingBroken();
+    }
+
+    /** What was stopped with a checkpoint is known not to have ended: it resumes all the same. */
+    @Test
+    public void notRepeatableTasksResumeFromCheckpoints() {
+      lab.submit(node, "n", "notice");
+      lab.until("it runs", () -> lab.taskRuns("n"));
+      lab.run(1_500);
+      lab.leaving(hostOf("n") == left ? "left" : "right");
+      lab.until("it runs elsewhere", () -> starts() == 2);
+      lab.run(10_000);
+      assertEquals(starts(), 2);
+    }
+
     /** A restarted worker has lost its tasks; they resume on a worker, once each. */
     @Test
     public void restartedWorkersTasksResumeOnce() {
--- /dev/null
+++ b/standin/src/main/java/org/cottontack/standin/experiment/Main.java
@@ -0,0 +1,66 @@
+package org.cottontack.standin.experiment;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cottontack.adapters.json.Json;
+
+/** Runs one experiment; its last line of output is one JSON object with the figures. */
+public final class Main {
+
+  private static final String NAMES =
+      "path     p99 through an entry instance against p99 straight to the endpoint\n"
+          + "scale    processor, memory, bytes and store operations of control at several sizes\n"
+          + "urgent   time from submission to start at a steady rate\n"
+          + "sharing  how evenly and stably members share resources";
+
+  @Parameter(names = "--help", help = true, description = "Show this help.")
+  private boolean help;
+
+  @Parameter(names = "--seconds", description = "How long each part is measured.")
+  private double seconds = 10;
+
+  @Parameter(description = "list, or the name of an experiment")
+  private List<String> words = new ArrayList<>();
+
+  private Main() {}
+
+  /** Runs the command. */
+  public static void main(String[] args) {
+    Main main = new Main();
+    JCommander commander =
+        JCommander.newBuilder().programName("experiment.sh").addObject(main).build();
+    try {
+      commander.parse(args);
+      Runtime.getRuntime().halt(main.run(commander));
+    } catch (ParameterException e) {
+      System.err.println("experiment.sh: " + e.getMessage());
+      Runtime.getRuntime().halt(2);
+    }
+  }
+
+  private int run(JCommander commander) {
+    if (help || words.isEmpty()) {
+      commander.usage();
+      return help ? 0 : 2;
+    }
+    Path workspace = Path.of("").toAbsolutePath();
+    Map<String, Object> figures =
+        switch (words.get(0)) {
+          case "list" -> Map.of();
+          case "path" -> PathExperiment.run(workspace, seconds);
+          case "scale" -> ScaleExperiment.run(workspace, seconds);
+          case "urgent" -> UrgentExperiment.run(workspace, seconds);
+          case "sharing" -> SharingExperiment.run();
+          default ->
+              throw new ParameterException(
+                  "no experiment is named " + words.get(0) + "; try: experiment.sh list");
+        };
+    System.out.println(figures.isEmpty() ? NAMES : Json.write(figures));
+    return 0;
+  }
+}
--- a/standin/src/main/java/org/cottontack/standin/ledger/Ledger.java
+++ b/standin/src/main/java/org/cottontack/standin/ledger/Ledger.java
@@ -58,15 +58,18 @@
     }
   }
 
-  /** Records that a worker began to run a task. */
-  public synchronized void taskStarted(String task, int attempt, String worker, long now) {
+  /**
+   * Records that a worker began to run a task, which may finish only {@code once} or more often.
+   */
+  public synchronized void taskStarted(
+      String task, int attempt, String worker, boolean once, long now) {
     TaskRun other = running.get(task);
     if (other != null) {
       violations.add("task %s ran on %s and on %s at once".formatted(task, other.worker(), worker));
     }
     boolean finished =
         ended.stream().anyMatch(run -> run.task().equals(task) && "finished".equals(run.end()));
-    if (finished) {
+    if (finished && once) {
       violations.add("task " + task + " ran again after it had finished");
     }
     running.put(task, new TaskRun(task, attempt, worker, now, -1, null));
--- a/standin/src/main/java/org/cottontack/standin/worker/Reconcile.java
+++ b/standin/src/main/java/org/cottontack/standin/worker/Reconcile.java
@@ -34,6 +34,11 @@
     return Json.tree(input).path("fails").asBoolean();
   }
 
+  /** Returns whether the work may be done only once. */
+  static boolean once(String input) {
+    return Json.tree(input).path("once").asBoolean();
+  }
+
   private static List<String> lines(JsonNode node) {
     return StreamSupport.stream(node.spliterator(), false).map(JsonNode::asText).toList();
   }
--- a/standin/src/main/java/org/cottontack/standin/worker/WorkerStandIn.java
+++ b/standin/src/main/java/org/cottontack/standin/worker/WorkerStandIn.java
@@ -115,7 +115,8 @@
     long now = clock();
     StandInRun run = new StandInRun(order, now);
     runs.add(run);
-    ledger.taskStarted(order.task().value(), order.attempt(), name, now);
+    ledger.taskStarted(
+        order.task().value(), order.attempt(), name, Reconcile.once(order.input()), now);
     Demand held =
         runs.stream()
             .filter(StandInRun::running)
