--- a/standin/src/main/java/org/cottontack/standin/experiment/ScaleExperiment.java
+++ b/standin/src/main/java/org/cottontack/standin/experiment/ScaleExperiment.java
@@ -72,14 +72,20 @@
     }
   }
 
+  /** What had been used at one moment, by all entry instances together. */
+  private record Sample(long reads, long writes, long bytes, double cpuSeconds) {
+
+    static Sample of(Bench bench) {
+      Map<String, Long> store = bench.world().platform().counts();
+      return new Sample(
+          store.get("scans"), store.get("commits"), DaemonProcess.loopbackBytes(), cpu(bench));
+    }
+  }
+
   private static Map<String, Object> steady(Bench bench, Size size, double seconds) {
-    Map<String, Long> storeBefore = bench.world().platform().counts();
-    long bytesBefore = DaemonProcess.loopbackBytes();
-    double cpuBefore = cpu(bench);
+    Sample before = Sample.of(bench);
     pause(Math.round(seconds));
-    double cpuAfter = cpu(bench);
-    long bytesAfter = DaemonProcess.loopbackBytes();
-    Map<String, Long> storeAfter = bench.world().platform().counts();
+    Sample after = Sample.of(bench);
     double each = seconds * size.entries();
     Map<String, Object> point = new LinkedHashMap<>();
     point.put("entries", size.entries());
@@ -87,17 +93,13 @@
     point.put("endpoints", size.endpoints());
     point.put("tasks", size.tasks());
     point.put("rows", size.rows());
-    point.put("cpuPercentEach", round(100 * (cpuAfter - cpuBefore) / each));
+    point.put("cpuPercentEach", round(100 * (after.cpuSeconds - before.cpuSeconds) / each));
     point.put(
         "residentMbEach",
         round(bench.daemons().stream().mapToDouble(DaemonProcess::residentMb).average().orElse(0)));
-    point.put("kilobytesPerSecondEach", round((bytesAfter - bytesBefore) / each / 1_000));
-    point.put(
-        "storeReadsPerSecondEach",
-        round((storeAfter.get("scans") - storeBefore.get("scans")) / each));
-    point.put(
-        "storeWritesPerSecondEach",
-        round((storeAfter.get("commits") - storeBefore.get("commits")) / each));
+    point.put("kilobytesPerSecondEach", round((after.bytes - before.bytes) / each / 1_000));
+    point.put("storeReadsPerSecondEach", round((after.reads - before.reads) / each));
+    point.put("storeWritesPerSecondEach", round((after.writes - before.writes) / each));
     return point;
   }
 
