Ask for news, not for everything, when nothing changes

Change: quiet workers are polled every 2 s, those where something may change twice a second as before; free slots are told on change and once a second; the table's content stands apart from a small pointer row; the platform's list is asked for by data centre and with the tag of the last one.

--- a/adapters/src/main/java/org/cottontack/adapters/fleet/HttpMembership.java
+++ b/adapters/src/main/java/org/cottontack/adapters/fleet/HttpMembership.java
@@ -1,6 +1,7 @@
 package org.cottontack.adapters.fleet;
 
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.Address;
@@ -10,20 +11,36 @@
 import org.cottontack.core.Event;
 import org.cottontack.core.fleet.FleetEvent;
 import org.cottontack.core.fleet.MemberInfo;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.peer.Payload;
 
-/** The platform's list of instances over HTTP. A failed read is dropped; the next one follows. */
+/**
+ * The platform's list of instances over HTTP, asked for with the tag of the last one, so that a
+ * list that did not change costs a header. A failed read is dropped; the next one follows.
+ */
 public final class HttpMembership {
 
   private static final long TIMEOUT_MILLIS = 2_000;
 
   private final HttpClient client;
   private final Address address;
+  private final DataCentreId dataCentre;
   private final Consumer<Event> events;
+  private volatile String etag = "none";
 
-  /** Creates the adapter. */
-  public HttpMembership(HttpClient client, Address address, Consumer<Event> events) {
+  /**
+   * Creates the adapter.
+   *
+   * @param client makes the calls
+   * @param address the platform
+   * @param dataCentre whose instances are asked for
+   * @param events gets each list that differs from the one before
+   */
+  public HttpMembership(
+      HttpClient client, Address address, DataCentreId dataCentre, Consumer<Event> events) {
     this.client = client;
     this.address = address;
+    this.dataCentre = dataCentre;
     this.events = events;
   }
 
@@ -36,7 +53,16 @@
 
   /** Asks for the list; it comes as an event. */
   public void fetch() {
-    client.call(HttpClient.Spec.get(address, "/v1/members", TIMEOUT_MILLIS), this::fetched);
+    HttpClient.Spec spec =
+        new HttpClient.Spec(
+            address,
+            "GET",
+            "/v1/members?dataCentre=" + dataCentre,
+            Map.of("if-none-match", etag),
+            Payload.EMPTY,
+            TIMEOUT_MILLIS,
+            () -> true);
+    client.call(spec, this::fetched);
   }
 
   private void fetched(HttpResult result) {
@@ -46,6 +72,7 @@
     try {
       Members members = Json.read(result.text(), Members.class);
       events.accept(new FleetEvent.Listed(members.members()));
+      etag = result.headers().getOrDefault("etag", "none");
     } catch (AdapterException e) {
       // A list that cannot be read is as good as none: the last one stays in force.
       return;
--- a/adapters/src/main/java/org/cottontack/adapters/json/ValueKind.java
+++ b/adapters/src/main/java/org/cottontack/adapters/json/ValueKind.java
@@ -7,6 +7,7 @@
 import org.cottontack.core.ownership.LeaseRecord;
 import org.cottontack.core.request.ClaimRecord;
 import org.cottontack.core.store.StoredValue;
+import org.cottontack.core.table.TablePointer;
 import org.cottontack.core.table.TableRecord;
 import org.cottontack.core.task.TaskRecord;
 
@@ -20,6 +21,8 @@
   CLAIM(ClaimRecord.class),
   /** The operators' table. */
   TABLE(TableRecord.class),
+  /** Which version of the table is in force. */
+  TABLE_POINTER(TablePointer.class),
   /** A task. */
   TASK(TaskRecord.class);
 
--- a/core/src/main/java/org/cottontack/core/fleet/FleetReducer.java
+++ b/core/src/main/java/org/cottontack/core/fleet/FleetReducer.java
@@ -129,13 +129,17 @@
   }
 
   private static Step probeDue(State state, FleetEvent.ProbeDue event) {
+    return gain(state).then(FleetReducer::probe).with(new Effect.After(PROBE_MILLIS, event));
+  }
+
+  private static Step probe(State state) {
     boolean open = state.ownership().gainsOpen(state.mono());
     Effect[] probes =
         state.fleet().endpoints().values().stream()
             .filter(endpoint -> needsProbe(state, endpoint, open))
             .map(e -> new FleetEffect.ProbeEndpoint(e.id(), e.address(), state.mono()))
             .toArray(Effect[]::new);
-    return Step.of(state, probes).with(new Effect.After(PROBE_MILLIS, event));
+    return Step.of(state, probes);
   }
 
   private static boolean needsProbe(State state, EndpointView endpoint, boolean open) {
--- a/core/src/main/java/org/cottontack/core/fleet/WorkerView.java
+++ b/core/src/main/java/org/cottontack/core/fleet/WorkerView.java
@@ -17,6 +17,7 @@
  * @param boot its current boot, empty before the first report
  * @param clockOffset its clock minus this process's clock, as a lower bound
  * @param answeredAt when it last answered
+ * @param polledAt when it was last polled, or -1
  * @param renewSentAt when it was last sent a renewal of its tasks' leases
  * @param failures tasks that failed there in a row
  * @param quarantinedUntil until when it receives no task because everything failed there
@@ -33,6 +34,7 @@
     String boot,
     long clockOffset,
     long answeredAt,
+    long polledAt,
     long renewSentAt,
     int failures,
     long quarantinedUntil) {
@@ -63,6 +65,7 @@
         0,
         -1,
         -1,
+        -1,
         0,
         0);
   }
@@ -96,6 +99,27 @@
         newBoot,
         offset,
         now,
+        polledAt,
+        renewSentAt,
+        failures,
+        quarantinedUntil);
+  }
+
+  /** Returns this view after a poll was sent. */
+  public WorkerView polled(long now) {
+    return new WorkerView(
+        id,
+        address,
+        capacity,
+        rack,
+        leaving,
+        owned,
+        ownedSince,
+        read,
+        boot,
+        clockOffset,
+        answeredAt,
+        now,
         renewSentAt,
         failures,
         quarantinedUntil);
@@ -115,6 +139,7 @@
         boot,
         clockOffset,
         answeredAt,
+        polledAt,
         now,
         failures,
         quarantinedUntil);
@@ -137,6 +162,7 @@
         boot,
         clockOffset,
         answeredAt,
+        polledAt,
         renewSentAt,
         count,
         until);
@@ -155,6 +181,7 @@
         boot,
         clockOffset,
         answeredAt,
+        polledAt,
         renewSentAt,
         failures,
         quarantinedUntil);
@@ -177,6 +204,7 @@
         boot,
         clockOffset,
         -1,
+        -1,
         value ? now : -1,
         failures,
         quarantinedUntil);
@@ -195,6 +223,7 @@
         boot,
         clockOffset,
         answeredAt,
+        polledAt,
         renewSentAt,
         failures,
         quarantinedUntil);
--- a/core/src/main/java/org/cottontack/core/request/Forwarding.java
+++ b/core/src/main/java/org/cottontack/core/request/Forwarding.java
@@ -20,21 +20,31 @@
 final class Forwarding {
 
   private static final long REPORT_MILLIS = 100;
+  private static final long QUIET_REPORT_MILLIS = 1_000;
 
   /** Numbers of forwarded requests stand apart from those of this process's own callers. */
   private static final long FORWARDED_BASE = 1L << 62;
 
   private Forwarding() {}
 
+  /** Told at once when it changed, otherwise now and then, so that rest costs little. */
   static Step reportDue(State state) {
-    PeerMessage report = new PeerMessage.Report(slotsToOffer(state), state.table().version());
+    PeerLoad told = state.requests().reported();
+    int slots = slotsToOffer(state);
+    boolean due = slots != told.freeSlots() || state.mono() - told.at() >= QUIET_REPORT_MILLIS;
+    Step step = due ? report(state, slots) : Step.of(state);
+    return step.with(new Effect.After(REPORT_MILLIS, new RequestEvent.ReportDue()));
+  }
+
+  private static Step report(State state, int slots) {
+    PeerMessage report = new PeerMessage.Report(slots, state.table().version());
     Effect[] sends =
         state.ownership().others().stream()
             .flatMap(peer -> state.ownership().addressOf(peer).stream())
             .map(address -> new PeerEffect.Send(address, report))
             .toArray(Effect[]::new);
-    return Step.of(state, sends)
-        .with(new Effect.After(REPORT_MILLIS, new RequestEvent.ReportDue()));
+    PeerLoad told = new PeerLoad("", slots, state.mono());
+    return Step.of(state.with(state.requests().reporting(told)), sends);
   }
 
   private static int slotsToOffer(State state) {
--- a/core/src/main/java/org/cottontack/core/request/PeerLoad.java
+++ b/core/src/main/java/org/cottontack/core/request/PeerLoad.java
@@ -10,7 +10,7 @@
 record PeerLoad(String address, int freeSlots, long at) {
 
   /** An older report is not acted on. */
-  private static final long MAX_AGE_MILLIS = 1_000;
+  private static final long MAX_AGE_MILLIS = 2_500;
 
   boolean usable(long now) {
     return freeSlots > 0 && now - at <= MAX_AGE_MILLIS;
--- a/core/src/main/java/org/cottontack/core/request/RequestState.java
+++ b/core/src/main/java/org/cottontack/core/request/RequestState.java
@@ -20,6 +20,7 @@
  * @param abandoned requests whose callers have an answer while the outcome of their claim's write
  *     or of their run is still awaited
  * @param peers what other entry instances can take
+ * @param reported what was last told to other entry instances
  * @param nextAttempt number of the next dispatch
  * @param retryTokens retries that may still be made
  */
@@ -30,6 +31,7 @@
     PMap<TeamId, Integer> teamOpen,
     PMap<RequestId, Request> abandoned,
     PMap<InstanceId, PeerLoad> peers,
+    PeerLoad reported,
     long nextAttempt,
     double retryTokens) {
 
@@ -47,6 +49,7 @@
           HashTreePMap.empty(),
           HashTreePMap.empty(),
           HashTreePMap.empty(),
+          new PeerLoad("", -1, 0),
           1,
           MAX_RETRY_TOKENS);
 
@@ -94,6 +97,7 @@
         teamOpen.plus(request.row().team(), teamOpen(request.row().team()) + 1),
         abandoned,
         peers,
+        reported,
         nextAttempt,
         tokens);
   }
@@ -106,6 +110,7 @@
         teamOpen,
         abandoned,
         peers,
+        reported,
         nextAttempt,
         retryTokens);
   }
@@ -119,6 +124,7 @@
         teamOpen.plus(request.row().team(), teamOpen(request.row().team()) - 1),
         abandoned,
         peers,
+        reported,
         nextAttempt,
         retryTokens);
   }
@@ -131,13 +137,19 @@
         teamOpen,
         abandoned,
         peers,
+        reported,
         nextAttempt,
         retryTokens);
   }
 
   RequestState with(PMap<InstanceId, PeerLoad> loads) {
     return new RequestState(
-        open, byAttempt, shares, teamOpen, abandoned, loads, nextAttempt, retryTokens);
+        open, byAttempt, shares, teamOpen, abandoned, loads, reported, nextAttempt, retryTokens);
+  }
+
+  RequestState reporting(PeerLoad told) {
+    return new RequestState(
+        open, byAttempt, shares, teamOpen, abandoned, peers, told, nextAttempt, retryTokens);
   }
 
   RequestState abandon(Request request) {
@@ -154,6 +166,7 @@
         closed.teamOpen,
         abandoned.plus(request.id(), request),
         peers,
+        reported,
         nextAttempt,
         retryTokens);
   }
@@ -179,7 +192,7 @@
 
   private RequestState withAbandoned(PMap<RequestId, Request> value) {
     return new RequestState(
-        open, byAttempt, shares, teamOpen, value, peers, nextAttempt, retryTokens);
+        open, byAttempt, shares, teamOpen, value, peers, reported, nextAttempt, retryTokens);
   }
 
   RequestState sent(Request request) {
@@ -190,6 +203,7 @@
         teamOpen,
         abandoned,
         peers,
+        reported,
         nextAttempt + 1,
         retryTokens);
   }
@@ -202,17 +216,34 @@
         teamOpen,
         abandoned,
         peers,
+        reported,
         nextAttempt,
         retryTokens);
   }
 
   RequestState numbered() {
     return new RequestState(
-        open, byAttempt, shares, teamOpen, abandoned, peers, nextAttempt + 1, retryTokens);
+        open,
+        byAttempt,
+        shares,
+        teamOpen,
+        abandoned,
+        peers,
+        reported,
+        nextAttempt + 1,
+        retryTokens);
   }
 
   RequestState spendRetry() {
     return new RequestState(
-        open, byAttempt, shares, teamOpen, abandoned, peers, nextAttempt, retryTokens - 1);
+        open,
+        byAttempt,
+        shares,
+        teamOpen,
+        abandoned,
+        peers,
+        reported,
+        nextAttempt,
+        retryTokens - 1);
   }
 }
--- a/core/src/main/java/org/cottontack/core/table/TableReducer.java
+++ b/core/src/main/java/org/cottontack/core/table/TableReducer.java
@@ -24,8 +24,12 @@
 
   private TableReducer() {}
 
+  private record Look() implements Purpose {}
+
   private record Read() implements Purpose {}
 
+  private record Compare(Edit edit) implements Purpose {}
+
   private record Edit(long ticket, TableRecord record) implements Purpose {}
 
   /** Returns the handlers of this part. */
@@ -45,7 +49,11 @@
   }
 
   private static Step read(State state) {
-    return Step.of(state, new StoreEffect.Scan(StoreKey.table().value(), new Read()));
+    return Step.of(state, new StoreEffect.Scan(StoreKey.table().value(), new Look()));
+  }
+
+  private static Step readContent(State state, long version, Purpose purpose) {
+    return Step.of(state, new StoreEffect.Scan(StoreKey.tableHistory(version).value(), purpose));
   }
 
   private static Step received(State state, PeerEvent.Received event) {
@@ -69,7 +77,10 @@
         new TableRecord(version, event.editor(), state.now().wall(), event.content());
     List<Mutation> mutations =
         List.of(
-            Mutation.put(StoreKey.table(), event.expectedVersion(), record),
+            Mutation.put(
+                StoreKey.table(),
+                event.expectedVersion(),
+                new TablePointer(version, event.editor())),
             Mutation.put(StoreKey.tableHistory(version), 0, record));
     return Step.of(
         state,
@@ -84,16 +95,23 @@
       return adopt(state, edit.record())
           .then(s -> answer(s, edit.ticket(), TableEffect.Verdict.ACCEPTED, List.of()));
     }
-    TableRecord winner =
-        event.conflicts().stream()
-            .map(StoreRow::value)
-            .flatMap(TableReducer::record)
-            .findFirst()
-            .orElse(null);
+    return event.conflicts().stream()
+        .map(StoreRow::value)
+        .flatMap(TableReducer::pointer)
+        .findFirst()
+        .map(winner -> readContent(state, winner.version(), new Compare(edit)))
+        .orElseGet(() -> stale(state, edit, null));
+  }
+
+  private static Step stale(State state, Edit edit, TableRecord winner) {
     return adopt(state, winner)
         .then(s -> answer(s, edit.ticket(), TableEffect.Verdict.STALE, conflict(edit, winner)));
   }
 
+  private static Stream<TablePointer> pointer(Object value) {
+    return value instanceof TablePointer pointer ? Stream.of(pointer) : Stream.empty();
+  }
+
   private static Stream<TableRecord> record(Object value) {
     return value instanceof TableRecord record ? Stream.of(record) : Stream.empty();
   }
@@ -115,8 +133,13 @@
   }
 
   private static Step scanned(State state, StoreEvent.Scanned event) {
-    if (!(event.purpose() instanceof Read)) {
-      return Step.of(state);
+    if (event.purpose() instanceof Look) {
+      return event.rows().stream()
+          .map(StoreRow::value)
+          .flatMap(TableReducer::pointer)
+          .findFirst()
+          .map(pointer -> looked(state, pointer))
+          .orElseGet(() -> Step.of(state));
     }
     TableRecord seen =
         event.rows().stream()
@@ -124,7 +147,20 @@
             .flatMap(TableReducer::record)
             .findFirst()
             .orElse(null);
-    return adopt(state, seen);
+    if (event.purpose() instanceof Compare compare) {
+      return stale(state, compare.edit(), seen);
+    }
+    return event.purpose() instanceof Read ? adopt(state, seen) : Step.of(state);
+  }
+
+  private static Step looked(State state, TablePointer pointer) {
+    long known = state.table().version();
+    if (pointer.version() == known) {
+      return Step.of(state.with(new TableState(state.table().record(), state.mono())));
+    }
+    return pointer.version() > known
+        ? readContent(state, pointer.version(), new Read())
+        : Step.of(state);
   }
 
   /** A late answer may carry an older version; it is dropped, so an accepted edit never reverts. */
--- a/core/src/main/java/org/cottontack/core/task/Watching.java
+++ b/core/src/main/java/org/cottontack/core/task/Watching.java
@@ -15,6 +15,13 @@
 final class Watching {
 
   private static final long POLL_MILLIS = 500;
+
+  /** A worker with nothing new is asked less often; still twice before it counts as silent. */
+  private static final long QUIET_POLL_MILLIS = 2_000;
+
+  /** An attempt ordered so recently may end or change at any moment. */
+  private static final long YOUNG_MILLIS = 10_000;
+
   private static final int MAX_FAILED_WORKERS = 3;
 
   private Watching() {}
@@ -22,12 +29,26 @@
   static Step pollDue(State state, TaskEvent.PollDue event) {
     Step step = Step.of(state);
     if (state.ownership().mayAct(state.mono())) {
-      List<WorkerView> owned = state.fleet().ownedWorkers().toList();
+      List<WorkerView> owned =
+          state.fleet().ownedWorkers().filter(worker -> due(state, worker)).toList();
       step = Step.fold(state, owned, Watching::poll);
     }
     return step.with(new Effect.After(POLL_MILLIS, event));
   }
 
+  private static boolean due(State state, WorkerView worker) {
+    return worker.silent(state.mono())
+        || worker.leaving()
+        || state.mono() - worker.polledAt() >= QUIET_POLL_MILLIS
+        || state.tasks().on(worker.id()).anyMatch(view -> mayChange(state, view));
+  }
+
+  private static boolean mayChange(State state, TaskView view) {
+    return view.doing() != TaskView.Doing.RUNNING
+        || view.record().cancelAsked()
+        || state.mono() - view.orderedAt() < YOUNG_MILLIS;
+  }
+
   private static Step poll(State state, WorkerView worker) {
     boolean renews = !worker.silent(state.mono());
     List<TaskEffect.Renewal> renewals =
@@ -47,7 +68,8 @@
             state.ownership().actsUntil(),
             renewals,
             List.copyOf(state.tasks().toForget(worker.id())));
-    State next = renews ? state.with(state.fleet().with(worker.renewed(state.mono()))) : state;
+    WorkerView asked = worker.polled(state.mono());
+    State next = state.with(state.fleet().with(renews ? asked.renewed(state.mono()) : asked));
     return Step.of(next, poll).then(s -> requeueLapsed(s, worker));
   }
 
--- a/core/src/test/java/org/cottontack/core/ownership/OwnershipTest.java
+++ b/core/src/test/java/org/cottontack/core/ownership/OwnershipTest.java
@@ -292,6 +292,21 @@
       }
     }
 
+    /** The wait itself: an order lifetime lies between the barrier and the first use. */
+    @Test
+    public void gainsWaitOneOrderLifetime() {
+      Node third = lab.start("d:1");
+      lab.until(
+          "the barrier has passed",
+          () ->
+              third.state().ownership().joinEpoch() > 0
+                  && third.state().ownership().barrierEpoch()
+                      == third.state().ownership().assignment().epoch());
+      final long passed = third.state().mono();
+      lab.until("something is gained", () -> slots(third) + workers(third) > 0);
+      assertTrue(third.state().mono() - passed >= 500);
+    }
+
     private void changeHandsWithOrdersOnTheWire() {
       first.orderDelay = 490;
       second.orderDelay = 490;
--- a/core/src/test/java/org/cottontack/core/table/TableTest.java
+++ b/core/src/test/java/org/cottontack/core/table/TableTest.java
@@ -127,6 +127,21 @@
       assertEquals(version(second), 2);
     }
 
+    /** Content that was long under way is older than what came meanwhile; it does not revert it. */
+    @Test
+    public void lateContentDoesNotRevert() {
+      final Node fresh = lab.start("c:1");
+      lab.run(5);
+      fresh.scanDelay = 6_000;
+      lab.run(2);
+      fresh.scanDelay = 2;
+      edit(first, 1, 1, 7);
+      lab.run(4_000);
+      assertEquals(version(fresh), 2);
+      lab.run(6_000);
+      assertEquals(version(fresh), 2);
+    }
+
     /** A fresh process that cannot read the table serves nothing rather than an older one. */
     @Test
     public void freshProcessWaitsForTheTable() {
--- a/daemon/src/main/java/org/cottontack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cottontack/daemon/Daemon.java
@@ -108,7 +108,11 @@
             settings.number(SettingKey.PLATFORM_TIMEOUT),
             engine::post);
     HttpMembership membership =
-        new HttpMembership(control, settings.address(SettingKey.PLATFORM_MEMBERSHIP), engine::post);
+        new HttpMembership(
+            control,
+            settings.address(SettingKey.PLATFORM_MEMBERSHIP),
+            settings.dataCentre(),
+            engine::post);
     HttpWorkers workers = new HttpWorkers(control, Engine::mono, engine::post);
     HttpEndpoints endpoints = new HttpEndpoints(new HttpClient(group), Engine::mono, engine::post);
     effects
