--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpCall.java
@@ -14,9 +14,11 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 
 /** One HTTP request at the server, answered once, from any thread. */
 public final class HttpCall {
@@ -36,8 +38,8 @@
     this.headers =
         request.headers().entries().stream()
             .collect(
-                java.util.stream.Collectors.toUnmodifiableMap(
-                    e -> e.getKey().toLowerCase(java.util.Locale.ROOT),
+                Collectors.toUnmodifiableMap(
+                    e -> e.getKey().toLowerCase(Locale.ROOT),
                     Map.Entry::getValue,
                     (first, second) -> first));
     this.body = ByteBufUtil.getBytes(request.content());
--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -26,6 +26,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -210,7 +211,7 @@
 
     private Consumer<HttpResult> waiting;
     private Address address;
-    private java.util.concurrent.Future<?> timeout;
+    private Future<?> timeout;
 
     void begin(Channel channel, Spec spec, Consumer<HttpResult> done) {
       waiting = done;
--- a/adapters/src/main/java/org/cottontack/adapters/json/Json.java
+++ b/adapters/src/main/java/org/cottontack/adapters/json/Json.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.cfg.EnumFeature;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
@@ -45,8 +46,7 @@
   }
 
   /** Applies the project's conventions to a builder of any format. */
-  public static <M extends ObjectMapper> M configure(
-      com.fasterxml.jackson.databind.cfg.MapperBuilder<M, ?> builder) {
+  public static <M extends ObjectMapper> M configure(MapperBuilder<M, ?> builder) {
     return builder
         .addModule(module())
         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
--- a/core/src/main/java/org/cottontack/core/Step.java
+++ b/core/src/main/java/org/cottontack/core/Step.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 /**
@@ -34,8 +35,7 @@
   }
 
   /** Folds {@code items} over a state, one step each. */
-  public static <T> Step fold(
-      State start, Iterable<T> items, java.util.function.BiFunction<State, T, Step> each) {
+  public static <T> Step fold(State start, Iterable<T> items, BiFunction<State, T, Step> each) {
     List<Effect> effects = new ArrayList<>();
     State state = start;
     for (T item : items) {
--- a/core/src/main/java/org/cottontack/core/ownership/OwnershipReducer.java
+++ b/core/src/main/java/org/cottontack/core/ownership/OwnershipReducer.java
@@ -1,5 +1,6 @@
 package org.cottontack.core.ownership;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -226,7 +227,7 @@
     OwnershipState own = state.ownership();
     StoreKey key = StoreKey.assignment(state.settings().dataCentre());
     List<Mutation> mutations =
-        new java.util.ArrayList<>(List.of(Mutation.put(key, own.assignmentVersion(), next)));
+        new ArrayList<>(List.of(Mutation.put(key, own.assignmentVersion(), next)));
     ended.forEach(member -> mutations.add(revocation(state, member)));
     return Step.of(
         state.with(own.copy().reassigning(true).build()),
--- a/core/src/main/java/org/cottontack/core/request/RequestState.java
+++ b/core/src/main/java/org/cottontack/core/request/RequestState.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.request;
 
 import java.util.Comparator;
+import java.util.Map;
 import java.util.Optional;
 import org.cottontack.core.id.AttemptId;
 import org.cottontack.core.id.InstanceId;
@@ -81,10 +82,10 @@
     return shares.entrySet().stream()
         .filter(entry -> !entry.getValue().waiting().isEmpty())
         .min(
-            Comparator.<java.util.Map.Entry<RowName, RowShare>>comparingDouble(
+            Comparator.<Map.Entry<RowName, RowShare>>comparingDouble(
                     entry -> entry.getValue().served())
-                .thenComparing(java.util.Map.Entry::getKey))
-        .map(java.util.Map.Entry::getKey);
+                .thenComparing(Map.Entry::getKey))
+        .map(Map.Entry::getKey);
   }
 
   RequestState admit(Request request) {
--- a/core/src/main/java/org/cottontack/core/table/TableCheck.java
+++ b/core/src/main/java/org/cottontack/core/table/TableCheck.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.table;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -42,7 +43,7 @@
         .entrySet()
         .stream()
         .filter(entry -> entry.getValue() > 1)
-        .sorted(java.util.Map.Entry.comparingByKey())
+        .sorted(Map.Entry.comparingByKey())
         .map(
             entry ->
                 new TableFault(
--- a/core/src/main/java/org/cottontack/core/table/TableContent.java
+++ b/core/src/main/java/org/cottontack/core/table/TableContent.java
@@ -4,9 +4,11 @@
 import java.time.ZoneOffset;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cottontack.core.id.RowName;
 import org.cottontack.core.id.TeamId;
 
@@ -53,9 +55,9 @@
   public List<RowName> changedRows(TableContent other) {
     Map<RowName, RowSpec> mine = byName();
     Map<RowName, RowSpec> theirs = other.byName();
-    return java.util.stream.Stream.concat(mine.keySet().stream(), theirs.keySet().stream())
+    return Stream.concat(mine.keySet().stream(), theirs.keySet().stream())
         .distinct()
-        .filter(name -> !java.util.Objects.equals(mine.get(name), theirs.get(name)))
+        .filter(name -> !Objects.equals(mine.get(name), theirs.get(name)))
         .sorted()
         .toList();
   }
--- a/core/src/main/java/org/cottontack/core/task/Placing.java
+++ b/core/src/main/java/org/cottontack/core/task/Placing.java
@@ -3,7 +3,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.Collectors;
 import org.cottontack.core.Effect;
 import org.cottontack.core.State;
 import org.cottontack.core.Step;
@@ -206,11 +205,4 @@
     return Transition.write(state, view, view.record().queuedAgain(view.checkpoint()))
         .with(new Effect.Note("task.start_refused", event.run().toString(), event.reason()));
   }
-
-  /** Returns tasks that wait, grouped by row, for metrics. */
-  static java.util.Map<org.cottontack.core.id.RowName, Long> waitingByRow(State state) {
-    return state.tasks().tasks().values().stream()
-        .filter(TaskView::waiting)
-        .collect(Collectors.groupingBy(v -> v.record().row(), Collectors.counting()));
-  }
 }
--- a/core/src/main/java/org/cottontack/core/task/TaskRecord.java
+++ b/core/src/main/java/org/cottontack/core/task/TaskRecord.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.task;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.cottontack.core.id.RowName;
 import org.cottontack.core.id.TaskId;
 import org.cottontack.core.id.TeamId;
@@ -76,10 +77,7 @@
 
   /** Returns the record after a failure on its worker. */
   public TaskRecord failedHere() {
-    List<WorkerId> more =
-        java.util.stream.Stream.concat(failedOn.stream(), java.util.stream.Stream.of(worker))
-            .distinct()
-            .toList();
+    List<WorkerId> more = Stream.concat(failedOn.stream(), Stream.of(worker)).distinct().toList();
     return copy(TaskPhase.QUEUED, attempt, null, 0, checkpoint, cancelAsked, more, null);
   }
 
--- a/core/src/test/java/org/cottontack/core/lab/Lab.java
+++ b/core/src/test/java/org/cottontack/core/lab/Lab.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.cottontack.core.Effect;
 import org.cottontack.core.Event;
@@ -31,10 +32,12 @@
 import org.cottontack.core.peer.PeerEvent;
 import org.cottontack.core.request.RequestEffect;
 import org.cottontack.core.request.RequestEvent;
+import org.cottontack.core.store.Mutation;
 import org.cottontack.core.store.StoreEffect;
 import org.cottontack.core.store.StoreEvent;
 import org.cottontack.core.store.StoreKey;
 import org.cottontack.core.store.StoreRow;
+import org.cottontack.core.store.Write;
 import org.cottontack.core.table.TableEffect;
 import org.cottontack.core.table.TablePointer;
 import org.cottontack.core.table.TableRecord;
@@ -85,12 +88,11 @@
     TableRecord table = new TableRecord(1, "lab", WALL_START, LabTable.content());
     store.commit(
         List.of(
-            new org.cottontack.core.store.Write(
+            new Write(
                 "lab",
                 List.of(
-                    org.cottontack.core.store.Mutation.put(
-                        StoreKey.table(), 0, new TablePointer(1, "lab")),
-                    org.cottontack.core.store.Mutation.put(StoreKey.tableHistory(1), 0, table)),
+                    Mutation.put(StoreKey.table(), 0, new TablePointer(1, "lab")),
+                    Mutation.put(StoreKey.tableHistory(1), 0, table)),
                 null)));
   }
 
@@ -293,7 +295,7 @@
     }
   }
 
-  void reply(Node node, BooleanSupplier up, java.util.function.Supplier<Event> event) {
+  void reply(Node node, BooleanSupplier up, Supplier<Event> event) {
     after(
         LATENCY,
         () -> {
--- a/core/src/test/java/org/cottontack/core/request/RequestTest.java
+++ b/core/src/test/java/org/cottontack/core/request/RequestTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.cottontack.core.id.RequestId;
 import org.cottontack.core.lab.FakeEndpoint;
 import org.cottontack.core.lab.Lab;
@@ -55,7 +56,7 @@
     @Test
     public void eachCallerGetsItsOwnAnswer() {
       List<RequestId> ids =
-          java.util.stream.IntStream.range(0, 40)
+          IntStream.range(0, 40)
               .mapToObj(i -> lab.request(first, "check", "", "body " + i, 0))
               .toList();
       lab.run(1_000);
--- a/core/src/test/java/org/cottontack/core/table/TableTest.java
+++ b/core/src/test/java/org/cottontack/core/table/TableTest.java
@@ -7,6 +7,7 @@
 import org.cottontack.core.lab.Lab;
 import org.cottontack.core.lab.LabTable;
 import org.cottontack.core.lab.Node;
+import org.cottontack.core.request.Code;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -152,7 +153,7 @@
       lab.run(1_000);
       assertEquals(version(fresh), 0);
       var id = lab.request(fresh, "check", "", "x", 0);
-      assertEquals(fresh.answers.get(id).code(), org.cottontack.core.request.Code.NO_TABLE);
+      assertEquals(fresh.answers.get(id).code(), Code.NO_TABLE);
       fresh.storeUp = true;
       lab.run(5_000);
       assertEquals(version(fresh), 2);
--- a/core/src/test/java/org/cottontack/core/task/TaskTest.java
+++ b/core/src/test/java/org/cottontack/core/task/TaskTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.cottontack.core.id.RowName;
+import org.cottontack.core.id.TaskId;
 import org.cottontack.core.lab.FakeWorker;
 import org.cottontack.core.lab.Lab;
 import org.cottontack.core.lab.Node;
@@ -294,8 +296,7 @@
       lab.run(5_000);
       assertEquals(starts(), 8);
       node.scanDelay = 1_500;
-      left.inject(
-          new Run(new org.cottontack.core.id.TaskId("stray"), 7), new Demand(8_000, 1_000, 0));
+      left.inject(new Run(new TaskId("stray"), 7), new Demand(8_000, 1_000, 0));
       lab.run(2_500);
       List.copyOf(left.started()).forEach(run -> left.finish(run.task().value()));
       lab.run(5_000);
@@ -369,11 +370,7 @@
     public void taskThatFitsNoWorkerIsSaidSo() {
       node.accept(
           new TaskEvent.SubmitAsked(
-              99,
-              new org.cottontack.core.id.TaskId("huge"),
-              new org.cottontack.core.id.RowName("recall"),
-              "input",
-              new Demand(900_000, 1, 0)));
+              99, new TaskId("huge"), new RowName("recall"), "input", new Demand(900_000, 1, 0)));
       lab.submit(node, "small", "reconcile");
       lab.until("the small one runs", () -> lab.taskRuns("small"));
       lab.until("said so", () -> lab.taskIs("huge", TaskPhase.NEVER_RUNNABLE));
--- a/ctl/src/main/java/org/cottontack/ctl/TableCommand.java
+++ b/ctl/src/main/java/org/cottontack/ctl/TableCommand.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.cottontack.adapters.AdapterException;
@@ -188,7 +189,7 @@
                 out.printf(
                     "%6d  %s  %s  %d rows%n",
                     line.path("version").asLong(),
-                    java.time.Instant.ofEpochMilli(line.path("atWall").asLong()),
+                    Instant.ofEpochMilli(line.path("atWall").asLong()),
                     line.path("editor").asText(),
                     line.path("rows").asInt()));
     return ExitCode.DONE;
--- a/daemon/src/main/java/org/cottontack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/cottontack/daemon/Daemon.java
@@ -18,6 +18,7 @@
 import org.cottontack.adapters.store.HttpTableService;
 import org.cottontack.adapters.task.HttpWorkers;
 import org.cottontack.core.Effect;
+import org.cottontack.core.Event;
 import org.cottontack.core.State;
 import org.cottontack.core.fleet.FleetEffect;
 import org.cottontack.core.id.InstanceId;
@@ -91,7 +92,7 @@
     return new InstanceId(settings.address(SettingKey.LISTEN_PEERS) + "-" + nonce);
   }
 
-  private void countEvent(org.cottontack.core.Event event) {
+  private void countEvent(Event event) {
     metrics.event(event);
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/http/InstanceStatus.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/InstanceStatus.java
@@ -1,6 +1,7 @@
 package org.cottontack.daemon.http;
 
 import java.util.List;
+import java.util.Locale;
 import org.cottontack.core.State;
 import org.cottontack.core.fleet.EndpointView;
 import org.cottontack.core.fleet.WorkerView;
@@ -49,7 +50,7 @@
     return new InstanceStatus(
         own.self().value(),
         state.settings().dataCentre().value(),
-        own.phase().name().toLowerCase(java.util.Locale.ROOT),
+        own.phase().name().toLowerCase(Locale.ROOT),
         own.assignment().epoch(),
         own.assignment().members().keySet().stream().map(Object::toString).sorted().toList(),
         own.mayAct(now),
--- a/daemon/src/main/java/org/cottontack/daemon/http/OperatorRoutes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/OperatorRoutes.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -147,7 +148,7 @@
           case INVALID -> 422;
           case STALE -> 409;
         };
-    String verdict = answer.verdict().name().toLowerCase(java.util.Locale.ROOT);
+    String verdict = answer.verdict().name().toLowerCase(Locale.ROOT);
     call.json(status, Json.write(new EditResult(verdict, answer.version(), answer.messages())));
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/http/TaskRoutes.java
+++ b/daemon/src/main/java/org/cottontack/daemon/http/TaskRoutes.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.http.HttpCall;
 import org.cottontack.adapters.json.Json;
@@ -86,7 +87,7 @@
     return new TaskId(text);
   }
 
-  private void ask(HttpCall call, java.util.function.LongFunction<Event> event) {
+  private void ask(HttpCall call, LongFunction<Event> event) {
     long ticket = tickets.incrementAndGet();
     pending.put(ticket, call);
     events.accept(event.apply(ticket));
--- a/standin/src/main/java/org/cottontack/standin/endpoint/EndpointStandIn.java
+++ b/standin/src/main/java/org/cottontack/standin/endpoint/EndpointStandIn.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -94,7 +95,7 @@
     call.respond(
         200,
         Map.of(HttpEndpoints.ATTEMPT, attempt, "content-type", "application/json"),
-        answer.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        answer.getBytes(StandardCharsets.UTF_8));
   }
 
   @Override
--- a/standin/src/main/java/org/cottontack/standin/experiment/UrgentExperiment.java
+++ b/standin/src/main/java/org/cottontack/standin/experiment/UrgentExperiment.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
+import org.cottontack.adapters.http.HttpClient;
 import org.cottontack.core.peer.Payload;
 import org.cottontack.core.task.Demand;
 import org.cottontack.standin.World;
@@ -37,7 +38,7 @@
         bench
             .client()
             .call(
-                org.cottontack.adapters.http.HttpClient.Spec.post(
+                HttpClient.Spec.post(
                     bench.daemons().get(i % 3).callers(), "/v1/tasks", Payload.of(body), 10_000),
                 result -> {});
       }
--- a/standin/src/test/java/org/cottontack/standin/Load.java
+++ b/standin/src/test/java/org/cottontack/standin/Load.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.cottontack.adapters.http.HttpResult;
 
 /**
@@ -60,7 +61,7 @@
         return outcome;
       }
       doubts += "not_run".equals(outcome) ? 0 : 1;
-      java.util.concurrent.locks.LockSupport.parkNanos(50_000_000);
+      LockSupport.parkNanos(50_000_000);
     }
     return outcome;
   }
--- a/standin/src/test/java/org/cottontack/standin/ProcessesTest.java
+++ b/standin/src/test/java/org/cottontack/standin/ProcessesTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.cottontack.adapters.http.HttpResult;
@@ -155,7 +156,7 @@
       Cluster.until("refused", () -> isRefused("outage-probe"));
       for (int i = 0; i < 200; i++) {
         assertTrue(cluster.serves(cluster.entry(i % 3)), "request " + i + " in the outage");
-        java.util.concurrent.locks.LockSupport.parkNanos(30_000_000);
+        LockSupport.parkNanos(30_000_000);
       }
       HttpResult refused = cluster.request(cluster.entry(1), "transfer", "o", Load.body("o"));
       assertEquals(refused.headers().get("cottontack-ran"), "not_run");
@@ -185,7 +186,7 @@
         for (int i = 0; i < 5; i++) {
           cluster.submit(cluster.entry(i % 3), "lost-" + i, 500);
           cluster.world().platform().fault("dc", StoreFault.LOSES_ANSWERS);
-          java.util.concurrent.locks.LockSupport.parkNanos(300_000_000);
+          LockSupport.parkNanos(300_000_000);
           cluster.world().platform().fault("dc", StoreFault.NONE);
           untilMade(load, 10);
         }
@@ -374,7 +375,7 @@
                 IntStream.range(0, 12)
                     .forEach(i -> new Thread(() -> each.serves(each.entry(0))).start());
               }
-              java.util.concurrent.locks.LockSupport.parkNanos(200_000_000);
+              LockSupport.parkNanos(200_000_000);
               return !cluster.world().ledger().report().violations().isEmpty();
             });
       }
