Look again before leaving a repeated request in doubt; stop handing to who refuses

Cause under investigation: in a full run (69 core, 34 model, 26 process tests) rollingReplacement left 1 of about 100 transfers in doubt. Two weaknesses were found on the way: (1) a repeated request that meets its first copy, or a claim about to be given back, was called in doubt at once; it now looks again for up to 0.4 s within its deadline. (2) A stopping instance that refused a handed-over request was handed the next at once, until the retry budget was gone; it now counts as full until it reports again. The test also counted a refused connection as doubt; what never left its caller did not run.

--- a/core/src/main/java/org/cottontack/core/request/Claiming.java
+++ b/core/src/main/java/org/cottontack/core/request/Claiming.java
@@ -20,20 +20,40 @@
   static final int MAX_KEPT_ANSWER = 8_192;
 
   private static final long IN_DOUBT_RETRY_MILLIS = 1_000;
+  private static final long LOOK_MILLIS = 100;
+  private static final int LOOKS = 4;
 
   private Claiming() {}
 
-  private record Claim(RequestId request, long version) implements Purpose {}
+  /**
+   * A claim.
+   *
+   * @param request the request
+   * @param version the version its row gets
+   * @param tries looks that remain when another copy holds the claim
+   */
+  private record Claim(RequestId request, long version, int tries) implements Purpose {}
 
   private record Closing(RequestId request) implements Purpose {}
 
   static Step claim(State state, Request request) {
-    return write(state, request.at(Phase.CLAIMING), 0);
+    return write(state, request.at(Phase.CLAIMING), 0, LOOKS);
+  }
+
+  /**
+   * Another copy of the request may be about to end, or its claim about to be given back: the
+   * answer of that copy is worth a short wait, where "in doubt" would send the caller on a search.
+   */
+  static Step claimAgain(State state, RequestEvent.ClaimAgain event) {
+    Request request = state.requests().open().get(event.id());
+    return request == null || request.phase() != Phase.CLAIMING
+        ? Step.of(state)
+        : write(state, request, 0, event.tries());
   }
 
-  private static Step write(State state, Request request, long expectedVersion) {
+  private static Step write(State state, Request request, long expectedVersion, int tries) {
     ClaimRecord record = claimOf(state, request);
-    Purpose purpose = new Claim(request.id(), expectedVersion + 1);
+    Purpose purpose = new Claim(request.id(), expectedVersion + 1, tries);
     return Step.of(
         state.with(state.requests().put(request)),
         new Effect.Raise(
@@ -55,7 +75,7 @@
     }
     return event.applied()
         ? Dispatching.enqueue(state, request.claimed(claim.version()))
-        : conflict(state, request, event.conflicts().get(0));
+        : conflict(state, request, event.conflicts().get(0), claim.tries());
   }
 
   private static Step settledLate(State state, Claim claim, boolean applied) {
@@ -67,21 +87,29 @@
     return applied ? release(next, request.claimed(claim.version())) : Step.of(next);
   }
 
-  private static Step conflict(State state, Request request, StoreRow row) {
+  private static Step conflict(State state, Request request, StoreRow row, int tries) {
     if (!(row.value() instanceof ClaimRecord found)) {
-      return write(state, request, row.version());
+      return write(state, request, row.version(), tries);
     }
     if (!found.bodyHash().equals(request.bodyHash())) {
       return RequestReducer.finish(state, request, Answer.of(Code.KEY_REUSED, 0));
     }
     return switch (found.phase()) {
-      case RELEASED -> write(state, request, row.version());
-      case CLAIMED ->
-          RequestReducer.finish(state, request, Answer.of(Code.IN_DOUBT, IN_DOUBT_RETRY_MILLIS));
+      case RELEASED -> write(state, request, row.version(), tries);
+      case CLAIMED -> tries > 0 ? lookLater(state, request, tries) : inDoubt(state, request);
       case ANSWERED -> RequestReducer.finish(state, request, replay(found));
     };
   }
 
+  private static Step lookLater(State state, Request request, int tries) {
+    return Step.of(
+        state, new Effect.After(LOOK_MILLIS, new RequestEvent.ClaimAgain(request.id(), tries - 1)));
+  }
+
+  private static Step inDoubt(State state, Request request) {
+    return RequestReducer.finish(state, request, Answer.of(Code.IN_DOUBT, IN_DOUBT_RETRY_MILLIS));
+  }
+
   private static Answer replay(ClaimRecord found) {
     return found.answer() == null
         ? Answer.of(Code.ANSWER_NOT_KEPT, 0)
@@ -97,9 +125,12 @@
         purpose -> purpose instanceof Claim claim && claim.request().equals(request.id());
     Step step =
         RequestReducer.finish(state, request, Answer.of(Code.STORE_AWAY, IN_DOUBT_RETRY_MILLIS));
-    return state.store().waits(mine)
-        ? step.then(s -> Step.of(s.with(s.store().withdraw(mine))))
-        : step.then(s -> Step.of(s.with(s.requests().abandon(request))));
+    if (state.store().waits(mine)) {
+      return step.then(s -> Step.of(s.with(s.store().withdraw(mine))));
+    }
+    return state.store().sends(mine)
+        ? step.then(s -> Step.of(s.with(s.requests().abandon(request))))
+        : step;
   }
 
   /** Gives a claim back for a request that was never sent. */
--- a/core/src/main/java/org/cottontack/core/request/Forwarding.java
+++ b/core/src/main/java/org/cottontack/core/request/Forwarding.java
@@ -161,10 +161,22 @@
           RequestReducer.finish(state, request, answer)
               .then(s -> Claiming.record(s, request, answer));
       case UNKNOWN -> inDoubt(state, request, answer);
-      case NOT_RUN -> Dispatching.afterFailure(forget(state, request), request, false);
+      case NOT_RUN ->
+          Dispatching.afterFailure(full(forget(state, request), request), request, false);
     };
   }
 
+  /** An instance that refused takes nothing more until it reports again. */
+  private static State full(State state, Request request) {
+    PMap<InstanceId, PeerLoad> peers = state.requests().peers();
+    for (Map.Entry<InstanceId, PeerLoad> entry : peers.entrySet()) {
+      PeerLoad load = entry.getValue();
+      boolean refused = load.address().equals(request.sent().peer());
+      peers = refused ? peers.plus(entry.getKey(), load.none()) : peers;
+    }
+    return state.with(state.requests().with(peers));
+  }
+
   private static Step inDoubt(State state, Request request, Answer answer) {
     Step step = RequestReducer.finish(state, request, answer);
     return request.row().idempotent()
--- a/core/src/main/java/org/cottontack/core/request/PeerLoad.java
+++ b/core/src/main/java/org/cottontack/core/request/PeerLoad.java
@@ -16,6 +16,10 @@
     return freeSlots > 0 && now - at <= MAX_AGE_MILLIS;
   }
 
+  PeerLoad none() {
+    return new PeerLoad(address, 0, at);
+  }
+
   PeerLoad taken() {
     return new PeerLoad(address, freeSlots - 1, at);
   }
--- a/core/src/main/java/org/cottontack/core/request/RequestEvent.java
+++ b/core/src/main/java/org/cottontack/core/request/RequestEvent.java
@@ -48,6 +48,14 @@
    */
   record EndpointFailed(AttemptId attempt, boolean sent) implements RequestEvent {}
 
+  /**
+   * Time to look again whether another copy of a request has an outcome.
+   *
+   * @param id the request
+   * @param tries looks that remain after this one
+   */
+  record ClaimAgain(RequestId id, int tries) implements RequestEvent {}
+
   /**
    * A request's deadline came.
    *
--- a/core/src/main/java/org/cottontack/core/request/RequestReducer.java
+++ b/core/src/main/java/org/cottontack/core/request/RequestReducer.java
@@ -22,6 +22,7 @@
     return new Handlers()
         .on(OwnershipEvent.Start.class, (state, event) -> Forwarding.reportDue(state))
         .on(RequestEvent.Arrived.class, RequestReducer::arrived)
+        .on(RequestEvent.ClaimAgain.class, Claiming::claimAgain)
         .on(RequestEvent.DeadlineCame.class, RequestReducer::deadlineCame)
         .on(RequestEvent.EndpointAnswered.class, Dispatching::answered)
         .on(RequestEvent.EndpointFailed.class, Dispatching::failed)
--- a/core/src/main/java/org/cottontack/core/store/StoreState.java
+++ b/core/src/main/java/org/cottontack/core/store/StoreState.java
@@ -47,6 +47,11 @@
     return Stream.concat(urgent.stream(), ordinary.stream()).map(Write::purpose).anyMatch(wanted);
   }
 
+  /** Returns whether a write for such a purpose is under way. */
+  public boolean sends(Predicate<Purpose> wanted) {
+    return sent.stream().map(Write::purpose).anyMatch(wanted);
+  }
+
   /** Returns this state without the waiting writes for such a purpose. */
   public StoreState withdraw(Predicate<Purpose> unwanted) {
     Predicate<Write> same = write -> unwanted.test(write.purpose());
--- a/core/src/test/java/org/cottontack/core/request/RequestTest.java
+++ b/core/src/test/java/org/cottontack/core/request/RequestTest.java
@@ -131,7 +131,21 @@
       assertEquals(lab.runs("once 1"), 1);
     }
 
-    /** Both copies at the same moment: one runs, the other is told that it is in doubt. */
+    /**
+     * A repeated request arrives while the first copy still runs. It waits for that copy's outcome
+     * a moment and gets its answer, rather than being left in doubt at once.
+     */
+    @Test
+    public void copyOfRunningRequestGetsItsAnswer() {
+      endpoints.forEach(endpoint -> endpoint.millis = 150);
+      lab.request(first, "transfer", "k", "once 1", 0);
+      lab.run(50);
+      RequestId again = lab.request(second, "transfer", "k", "once 1", 0);
+      assertEquals(answer(second, again).body().text(), "answer to once 1");
+      assertEquals(lab.runs("once 1"), 1);
+    }
+
+    /** Both copies at the same moment: one runs, both get its answer or are told of the doubt. */
     @Test
     public void twoCopiesAtOnceRunOnce() {
       RequestId one = lab.request(first, "transfer", "k", "once 1", 0);
--- a/standin/src/test/java/org/cottontack/standin/Load.java
+++ b/standin/src/test/java/org/cottontack/standin/Load.java
@@ -56,7 +56,7 @@
     for (int tries = 0; tries < MAX_TRIES && doubts < MAX_DOUBTS; tries++) {
       EntryProcess entry = cluster.entry((caller + tries) % cluster.entries().size());
       HttpResult result = cluster.request(entry, "transfer", key, body(key));
-      outcome = result.headers().getOrDefault("cottontack-ran", "no answer");
+      outcome = outcomeOf(result);
       if ("ran".equals(outcome)) {
         return outcome;
       }
@@ -66,6 +66,12 @@
     return outcome;
   }
 
+  /** What never left the caller did not run. */
+  private static String outcomeOf(HttpResult result) {
+    String silent = result.outcome() == HttpResult.Outcome.NOT_SENT ? "not_run" : "no answer";
+    return result.headers().getOrDefault("cottontack-ran", silent);
+  }
+
   static String body(String key) {
     return "{\"transfer\":\"" + key + "\",\"once\":true}";
   }
--- a/standin/src/test/java/org/cottontack/standin/ProcessesTest.java
+++ b/standin/src/test/java/org/cottontack/standin/ProcessesTest.java
@@ -109,7 +109,7 @@
         Map<String, String> outcomes = load.finish();
         assertTransfersHold(outcomes);
         outcomes.values().removeIf("ran"::equals);
-        assertEquals(outcomes, Map.of());
+        assertEquals(outcomes.toString(), "{}");
       }
     }
   }
