--- a/spec/models/task.als
+++ b/spec/models/task.als
@@ -4,7 +4,7 @@
 open util/ordering[Attempt]
 
 abstract sig Safeguard {}
-one sig RecordFirst, WaitForEnd, OrdersExpire, OnlyWhenQueued, StrayStopped extends Safeguard {}
+one sig RecordFirst, WaitForEnd, OrdersExpire, OnlyWhenQueued extends Safeguard {}
 sig Present in Safeguard {}
 
 sig Attempt {}
