--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -113,15 +113,19 @@
       connect(spec, done);
       return;
     }
-    kept.eventLoop()
-        .execute(
-            () -> {
-              if (kept.isActive()) {
-                send(kept, spec, done);
-              } else {
-                connect(spec, done);
-              }
-            });
+    if (kept.eventLoop().inEventLoop()) {
+      sendKept(kept, spec, done);
+    } else {
+      kept.eventLoop().execute(() -> sendKept(kept, spec, done));
+    }
+  }
+
+  private void sendKept(Channel kept, Spec spec, Consumer<HttpResult> done) {
+    if (kept.isActive()) {
+      send(kept, spec, done);
+    } else {
+      connect(spec, done);
+    }
   }
 
   private void connect(Spec spec, Consumer<HttpResult> done) {
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -0,0 +1,104 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** A job's progress; confined to {@link JobScheduler}. */
+final class Job {
+
+  /** One repetition of a job. */
+  static final class Occurrence {
+    final int number;
+    final List<List<Task>> steps;
+
+    Occurrence(Job job, int number) {
+      this.number = number;
+      this.steps =
+          IntStream.range(0, job.spec.steps().size())
+              .mapToObj(step -> tasks(job, new StepId(job.spec.id(), number, step)))
+              .toList();
+    }
+
+    private static List<Task> tasks(Job job, StepId id) {
+      StepSpec step = job.spec.steps().get(id.step());
+      return IntStream.range(0, step.count())
+          .mapToObj(index -> new Task(job, new TaskName(id, index), step))
+          .toList();
+    }
+
+    boolean done(int step) {
+      return steps.get(step).stream().allMatch(task -> task.phase == Task.Phase.DONE);
+    }
+
+    boolean open(int step, JobSpec spec) {
+      return spec.steps().get(step).after().stream().allMatch(this::done);
+    }
+  }
+
+  final JobSpec spec;
+  final long arrivedMillis;
+  final List<Occurrence> occurrences = new ArrayList<>();
+  JobPhase phase = JobPhase.QUEUED;
+  boolean begun;
+
+  Job(JobSpec spec, long arrivedMillis) {
+    this.spec = spec;
+    this.arrivedMillis = arrivedMillis;
+  }
+
+  /** Creates the occurrences whose time has come. */
+  boolean advance(long wallMillis) {
+    int before = occurrences.size();
+    while (occurrences.size() < spec.schedule().occurrences()
+        && spec.schedule().dueMillis(occurrences.size()) <= wallMillis) {
+      occurrences.add(new Occurrence(this, occurrences.size()));
+    }
+    return occurrences.size() > before;
+  }
+
+  Stream<Task> tasks() {
+    return occurrences.stream().flatMap(o -> o.steps.stream()).flatMap(List::stream);
+  }
+
+  Task task(TaskName name) {
+    while (occurrences.size() <= name.step().occurrence()) {
+      occurrences.add(new Occurrence(this, occurrences.size()));
+    }
+    return occurrences
+        .get(name.step().occurrence())
+        .steps
+        .get(name.step().step())
+        .get(name.index());
+  }
+
+  boolean has(TaskName name) {
+    int occurrence = name.step().occurrence();
+    int step = name.step().step();
+    return occurrence < spec.schedule().occurrences()
+        && step < spec.steps().size()
+        && name.index() < spec.steps().get(step).count();
+  }
+
+  /** Returns the tasks that may start now. */
+  Stream<Task> ready() {
+    return occurrences.stream()
+        .flatMap(
+            o ->
+                IntStream.range(0, o.steps.size())
+                    .filter(step -> o.open(step, spec))
+                    .boxed()
+                    .flatMap(step -> o.steps.get(step).stream()))
+        .filter(task -> task.phase == Task.Phase.WAITING);
+  }
+
+  boolean finished() {
+    return occurrences.size() == spec.schedule().occurrences()
+        && tasks().allMatch(task -> task.phase == Task.Phase.DONE);
+  }
+
+  boolean onWorkers() {
+    return tasks().anyMatch(task -> task.phase == Task.Phase.PLACED);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -0,0 +1,67 @@
+package org.cottontack.core.job;
+
+import java.util.Map;
+import org.cottontack.core.id.WorkerId;
+
+/** Something to be done outside: an output of {@link JobScheduler}, as data. */
+public sealed interface JobEffect {
+
+  /**
+   * Writes the progress of jobs in one transaction, and answers with {@link
+   * JobEvent.ProgressSaved}. There is at most one under way.
+   */
+  record SaveProgress(Map<JobId, String> progress) implements JobEffect {
+
+    /** Keeps the map immutable. */
+    public SaveProgress {
+      progress = Map.copyOf(progress);
+    }
+  }
+
+  /**
+   * Starts a run.
+   *
+   * @param worker on which worker
+   * @param address where the worker is reached
+   * @param run the run
+   * @param payload the job's opaque text
+   * @param leaseEndMillis end of the lease on the worker's clock
+   * @param checkpoint where to resume from, empty to start afresh
+   */
+  record StartRun(
+      WorkerId worker,
+      String address,
+      RunKey run,
+      String payload,
+      long leaseEndMillis,
+      String checkpoint)
+      implements JobEffect {}
+
+  /** Stops a run, and bars it from starting later. */
+  record StopRun(WorkerId worker, String address, RunKey run) implements JobEffect {}
+
+  /**
+   * Renews the lease of all that runs on a worker and asks what runs there.
+   *
+   * @param worker the worker
+   * @param address where it is reached
+   * @param leaseEndMillis new end of the lease on the worker's clock; 0 leaves it
+   * @param acknowledged ends up to this number need not be reported again
+   * @param waitMillis how long the worker may wait for an end before it answers
+   */
+  record LookAtWorker(
+      WorkerId worker, String address, long leaseEndMillis, long acknowledged, long waitMillis)
+      implements JobEffect {}
+
+  /** Lets a run use a share of its speed. */
+  record PaceRun(WorkerId worker, String address, RunKey run, int percent) implements JobEffect {}
+
+  /** A job no longer waits for its first start. */
+  record Begun(JobId job) implements JobEffect {}
+
+  /** Gives up leading: a worker has seen a newer leader. */
+  record StepDown(String reason) implements JobEffect {}
+
+  /** Writes one log line. */
+  record Note(String name, String subject, String detail) implements JobEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -0,0 +1,575 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * The decisions of one leader's term: which task runs on which worker. A placement is stored before
+ * its start order leaves, and an end is acknowledged to its worker only after it is stored, so that
+ * the next leader finds all it needs in the store and on the workers. It reads no clock and does no
+ * input or output; confined to one thread.
+ */
+public final class JobScheduler {
+
+  private static final Comparator<Job> URGENCY =
+      Comparator.comparingInt((Job job) -> job.spec.queue().priority())
+          .thenComparingLong(JobScheduler::objectiveMillis)
+          .thenComparing(job -> job.spec.id());
+
+  private final JobTiming timing;
+  private final long inheritedLapseMillis;
+  private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+  private final Map<WorkerId, Worker> workers = new TreeMap<>();
+  private final Set<Job> hungry = new LinkedHashSet<>();
+  private final Set<Job> timed = new LinkedHashSet<>();
+  private final Set<Job> dirty = new LinkedHashSet<>();
+  private final Map<WorkerId, Long> savingEnds = new HashMap<>();
+  private final List<Task> savingStarts = new ArrayList<>();
+  private JobTable table;
+  private boolean saving;
+  private boolean roomChanged;
+  private Moment now;
+  private List<JobEffect> out = new ArrayList<>();
+
+  /**
+   * Begins a term.
+   *
+   * @param timing waits and lease lengths
+   * @param table the rules in force
+   * @param start when the term began
+   */
+  public JobScheduler(JobTiming timing, JobTable table, Moment start) {
+    this.timing = timing;
+    this.table = table;
+    this.now = start;
+    this.inheritedLapseMillis = start.mono() + timing.inheritedLeaseMillis();
+  }
+
+  /**
+   * Takes one event in.
+   *
+   * @param moment the time of the event
+   * @param event what happened
+   * @return what is to be done, in order
+   */
+  public List<JobEffect> reduce(Moment moment, JobEvent event) {
+    now = moment;
+    out = new ArrayList<>();
+    apply(event);
+    place();
+    save();
+    return out;
+  }
+
+  private void apply(JobEvent event) {
+    if (event instanceof JobEvent.WorkerReported e) {
+      reported(e);
+    } else if (event instanceof JobEvent.StartEnded e) {
+      startEnded(e);
+    } else if (event instanceof JobEvent.StopEnded e) {
+      stopEnded(e);
+    } else if (event instanceof JobEvent.ProgressSaved) {
+      saved();
+    } else if (event instanceof JobEvent.Tick) {
+      tick();
+    } else if (event instanceof JobEvent.JobArrived e) {
+      arrived(e.job());
+    } else if (event instanceof JobEvent.JobRecovered e) {
+      recovered(e);
+    } else if (event instanceof JobEvent.JobCancelled e) {
+      cancelled(e.job());
+    } else if (event instanceof JobEvent.WorkerSeen e) {
+      seen(e.worker());
+    } else if (event instanceof JobEvent.WorkerUnlisted e) {
+      worker(e.worker()).ifPresent(worker -> worker.registered = false);
+    } else if (event instanceof JobEvent.WorkerSilent e) {
+      worker(e.worker()).ifPresent(this::silent);
+    } else if (event instanceof JobEvent.WorkerReborn e) {
+      worker(e.worker()).ifPresent(this::reborn);
+    } else if (event instanceof JobEvent.TableChanged e) {
+      table = e.table();
+    }
+  }
+
+  // Jobs
+
+  private static long objectiveMillis(Job job) {
+    JobQueue queue = job.spec.queue();
+    return job.arrivedMillis
+        + (long) (queue.stretch() * job.spec.chainMillis())
+        + queue.targetMillis();
+  }
+
+  private void arrived(JobSpec spec) {
+    if (jobs.containsKey(spec.id())) {
+      return;
+    }
+    Job job = new Job(spec, now.mono());
+    open(job);
+    note("job.taken", spec.id(), "queue=" + spec.queue().name() + " steps=" + spec.steps().size());
+  }
+
+  private void open(Job job) {
+    jobs.put(job.spec.id(), job);
+    job.advance(now.wall());
+    if (!job.phase.terminal()) {
+      hungry.add(job);
+    }
+    roomChanged = true;
+    if (!job.phase.terminal() && job.spec.schedule().timed()) {
+      timed.add(job);
+    }
+  }
+
+  private void recovered(JobEvent.JobRecovered event) {
+    Job job = new Job(event.job(), now.mono());
+    ProgressText.restore(job, event.progress());
+    open(job);
+    job.tasks()
+        .filter(task -> task.phase == Task.Phase.PLACED)
+        .forEach(task -> knownOrGhost(task.worker).add(task));
+  }
+
+  /** A worker that is not registered may still run what it was given. */
+  private Worker knownOrGhost(WorkerId id) {
+    return workers.computeIfAbsent(
+        id, key -> new Worker(WorkerInfo.unlisted(key), inheritedLapseMillis));
+  }
+
+  private void cancelled(JobId id) {
+    Job job = jobs.get(id);
+    if (job != null && !job.phase.terminal()) {
+      end(job, JobPhase.CANCELLED);
+    }
+  }
+
+  private void end(Job job, JobPhase phase) {
+    if (!job.begun) {
+      job.begun = true;
+      out.add(new JobEffect.Begun(job.spec.id()));
+    }
+    job.phase = phase;
+    dirty.add(job);
+    hungry.remove(job);
+    timed.remove(job);
+    note("job.ended", job.spec.id(), phase.name());
+    job.tasks().filter(task -> task.phase == Task.Phase.PLACED).toList().forEach(this::withdraw);
+  }
+
+  private void withdraw(Task task) {
+    Worker worker = workers.get(task.worker);
+    boolean neverSent =
+        task.order == Task.Order.UNSAVED || (task.order == Task.Order.RESEND && !task.uncertain);
+    if (neverSent) {
+      release(task);
+    } else {
+      stop(worker, task.key());
+    }
+  }
+
+  private void settle(Job job) {
+    if (!job.phase.terminal() && job.finished()) {
+      end(job, JobPhase.COMPLETE);
+    }
+  }
+
+  /** Takes a task off its worker; it waits again unless its job has ended. */
+  private void release(Task task) {
+    worker(task.worker).ifPresent(worker -> worker.remove(task));
+    task.release();
+    dirty.add(task.job);
+    roomChanged = true;
+    if (!task.job.phase.terminal()) {
+      hungry.add(task.job);
+    }
+  }
+
+  // Placing
+
+  private void place() {
+    if (hungry.isEmpty() || !roomChanged) {
+      return;
+    }
+    roomChanged = false;
+    List<Job> order = hungry.stream().sorted(URGENCY).toList();
+    order.forEach(this::placeJob);
+  }
+
+  private void placeJob(Job job) {
+    JobQueue queue = table.current(job.spec.queue());
+    List<Task> ready = job.ready().toList();
+    Set<StepSpec> full = new HashSet<>();
+    long open = 0;
+    for (Task task : ready) {
+      if (full.contains(task.spec)) {
+        open++;
+        continue;
+      }
+      Optional<Worker> worker = Placement.choose(task, queue, workers.values(), now.mono());
+      if (worker.isPresent()) {
+        placeTask(task, worker.get());
+      } else {
+        full.add(task.spec);
+        open++;
+      }
+    }
+    if (open == 0) {
+      hungry.remove(job);
+    }
+  }
+
+  private void placeTask(Task task, Worker worker) {
+    task.place(worker.info.id(), now.mono());
+    worker.add(task);
+    dirty.add(task.job);
+    if (task.job.phase == JobPhase.QUEUED) {
+      task.job.phase = JobPhase.RUNNING;
+    }
+  }
+
+  // Saving
+
+  private void save() {
+    if (saving) {
+      return;
+    }
+    Map<JobId, String> rows = new HashMap<>();
+    List<Job> batch = dirty.stream().limit(timing.jobsPerSave()).toList();
+    batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
+    batch.forEach(dirty::remove);
+    batch.stream()
+        .flatMap(Job::tasks)
+        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
+        .forEach(savingStarts::add);
+    if (dirty.isEmpty()) {
+      workers.values().stream()
+          .filter(worker -> worker.seenEnd > worker.acknowledgedEnd)
+          .forEach(worker -> savingEnds.put(worker.info.id(), worker.seenEnd));
+    }
+    if (!rows.isEmpty()) {
+      saving = true;
+      out.add(new JobEffect.SaveProgress(rows));
+    } else if (!savingEnds.isEmpty()) {
+      saved();
+    }
+  }
+
+  private void saved() {
+    saving = false;
+    List<Task> starts = List.copyOf(savingStarts);
+    final Map<WorkerId, Long> ends = Map.copyOf(savingEnds);
+    savingStarts.clear();
+    savingEnds.clear();
+    starts.stream()
+        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
+        .forEach(this::start);
+    ends.forEach((id, number) -> worker(id).ifPresent(worker -> acknowledge(worker, number)));
+    jobs.values().removeIf(job -> job.phase.terminal() && !dirty.contains(job) && !job.onWorkers());
+  }
+
+  private void acknowledge(Worker worker, long number) {
+    worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, number);
+    look(worker, timing.lookWaitMillis());
+  }
+
+  // Orders
+
+  private void start(Task task) {
+    Worker worker = workers.get(task.worker);
+    if (!worker.usable(now.mono())) {
+      release(task);
+      return;
+    }
+    order(worker, task);
+    if (!worker.looking) {
+      look(worker, timing.lookWaitMillis());
+    }
+  }
+
+  private void order(Worker worker, Task task) {
+    task.order = Task.Order.SENT;
+    out.add(
+        new JobEffect.StartRun(
+            worker.info.id(),
+            worker.info.address(),
+            task.key(),
+            task.job.spec.payload(),
+            worker.clock.leaseEnd(now.mono(), timing.taskLeaseMillis()),
+            task.checkpoint));
+  }
+
+  private void stop(Worker worker, RunKey run) {
+    Long last = worker.stopsSent.get(run);
+    if (worker.info.reachable()
+        && (last == null || now.mono() - last >= timing.stopAgainMillis())) {
+      worker.stopsSent.put(run, now.mono());
+      out.add(new JobEffect.StopRun(worker.info.id(), worker.info.address(), run));
+    }
+  }
+
+  private void startEnded(JobEvent.StartEnded event) {
+    Worker worker = workers.get(event.worker());
+    Task task = find(event.run().task());
+    if (worker == null || task == null || !task.runsAs(event.worker(), event.run().run())) {
+      return;
+    }
+    task.uncertain |= !event.result().certain();
+    if (event.result() != StartResult.STARTED) {
+      note("start.refused", event.run(), event.worker() + " " + event.result());
+    }
+    switch (event.result()) {
+      case STARTED, OLD -> confirm(task);
+      case LATE, NOT_SENT, UNKNOWN -> task.order = Task.Order.RESEND;
+      case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> elsewhere(worker, task);
+      case REBORN -> reborn(worker);
+      case FENCED -> out.add(new JobEffect.StepDown("a worker has seen a newer leader"));
+      default -> throw new IllegalStateException("no such result: " + event.result());
+    }
+  }
+
+  /** Sends an unanswered order again: the worker takes an order for the same run as the same. */
+  private void retry(Worker worker, Task task) {
+    if (task.job.phase.terminal()) {
+      withdraw(task);
+    } else if (!worker.silent) {
+      order(worker, task);
+    } else if (!task.uncertain) {
+      release(task);
+    }
+  }
+
+  private void confirm(Task task) {
+    if (!task.job.begun) {
+      task.job.begun = true;
+      out.add(new JobEffect.Begun(task.job.spec.id()));
+    }
+    task.order = Task.Order.CONFIRMED;
+    task.confirmedMillis = now.mono();
+  }
+
+  private void elsewhere(Worker worker, Task task) {
+    worker.avoidUntilMillis = now.mono() + timing.avoidMillis();
+    if (task.uncertain) {
+      // An earlier copy of this order may still be on its way and run later; the stop bars it.
+      stop(worker, task.key());
+    } else {
+      release(task);
+    }
+  }
+
+  private void stopEnded(JobEvent.StopEnded event) {
+    Worker worker = workers.get(event.worker());
+    Task task = find(event.run().task());
+    if (worker == null || !event.answered()) {
+      return;
+    }
+    if (task != null && task.runsAs(event.worker(), event.run().run())) {
+      confirm(task);
+    }
+    if (!worker.looking) {
+      look(worker, 0);
+    }
+  }
+
+  // Workers
+
+  private Optional<Worker> worker(WorkerId id) {
+    return Optional.ofNullable(id).map(workers::get);
+  }
+
+  private void seen(WorkerInfo info) {
+    Worker worker =
+        workers.computeIfAbsent(info.id(), id -> new Worker(info, inheritedLapseMillis));
+    worker.info = info;
+    worker.registered = true;
+    roomChanged = true;
+    if (!worker.heard && !worker.looking) {
+      look(worker, 0);
+    }
+  }
+
+  private void look(Worker worker, long waitMillis) {
+    if (worker.looking || !worker.info.reachable()) {
+      return;
+    }
+    worker.looking = true;
+    worker.lookedMillis = now.mono();
+    long leaseEnd =
+        worker.clock.known() ? worker.clock.leaseEnd(now.mono(), timing.taskLeaseMillis()) : 0;
+    out.add(
+        new JobEffect.LookAtWorker(
+            worker.info.id(), worker.info.address(), leaseEnd, worker.acknowledgedEnd, waitMillis));
+  }
+
+  private void silent(Worker worker) {
+    worker.looking = false;
+    if (!worker.silent) {
+      note("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
+    }
+    worker.silent = true;
+  }
+
+  private void reborn(Worker worker) {
+    note("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
+    List.copyOf(worker.placed.values()).forEach(this::release);
+    workers.remove(worker.info.id());
+  }
+
+  private void reported(JobEvent.WorkerReported event) {
+    Worker worker = workers.get(event.worker());
+    if (worker == null) {
+      return;
+    }
+    worker.looking = false;
+    worker.heard = true;
+    worker.silent = false;
+    worker.clock.observe(event.report().clockMillis(), now.mono());
+    event.report().ended().stream()
+        .filter(ended -> ended.number() > worker.seenEnd)
+        .forEach(ended -> ended(worker, ended));
+    Set<RunKey> listed = new HashSet<>();
+    event.report().running().forEach(running -> listed.add(running(worker, running)));
+    missing(worker, listed, event.sentMillis());
+    PaceControl.adjust(worker).forEach(out::add);
+    roomChanged = true;
+    boolean toAcknowledge = worker.seenEnd > worker.acknowledgedEnd;
+    boolean busy = !worker.placed.isEmpty() || !worker.strays.isEmpty();
+    if (busy && !toAcknowledge) {
+      look(worker, timing.lookWaitMillis());
+    }
+  }
+
+  private RunKey running(Worker worker, WorkerReport.Running running) {
+    RunKey key = new RunKey(running.task(), running.run());
+    Task task = find(running.task());
+    if (task == null || !task.runsAs(worker.info.id(), running.run())) {
+      // A run that nobody wants still uses the worker, and it could end beside the wanted one.
+      worker.addStray(key, task == null ? worker.info.capacity() : task.spec.reserved());
+      stop(worker, key);
+      return key;
+    }
+    confirm(task);
+    task.checkpoint = running.checkpoint().isEmpty() ? task.checkpoint : running.checkpoint();
+    task.percent = running.percent();
+    task.load = running.load();
+    if (task.job.phase.terminal()) {
+      stop(worker, key);
+    }
+    return key;
+  }
+
+  private void ended(Worker worker, WorkerReport.Ended ended) {
+    worker.seenEnd = ended.number();
+    RunKey key = new RunKey(ended.task(), ended.run());
+    worker.removeStray(key);
+    worker.stopsSent.remove(key);
+    Task task = find(ended.task());
+    if (task == null) {
+      return;
+    }
+    boolean inForce = task.runsAs(worker.info.id(), ended.run());
+    boolean lateButDone = ended.how() == WorkerReport.End.DONE && task.phase == Task.Phase.WAITING;
+    if (!inForce && !lateButDone) {
+      return;
+    }
+    release(task);
+    task.checkpoint = ended.checkpoint().isEmpty() ? task.checkpoint : ended.checkpoint();
+    note("run.ended", key, worker.info.id() + " " + ended.how());
+    if (task.spec.is(StepSpec.Trait.LASTS) || task.job.phase.terminal()) {
+      return;
+    }
+    if (ended.how() == WorkerReport.End.DONE) {
+      task.phase = Task.Phase.DONE;
+      hungry.add(task.job);
+      settle(task.job);
+    } else if (ended.how() == WorkerReport.End.FAILED) {
+      failed(task);
+    }
+  }
+
+  private void failed(Task task) {
+    task.failures++;
+    if (task.failures >= table.current(task.job.spec.queue()).maxAttempts()) {
+      end(task.job, JobPhase.FAILED);
+    }
+  }
+
+  /** Releases tasks whose runs the worker, asked after it had confirmed them, does not have. */
+  private void missing(Worker worker, Set<RunKey> listed, long sentMillis) {
+    worker.placed.values().stream()
+        .filter(task -> task.order == Task.Order.CONFIRMED)
+        .filter(task -> sentMillis > task.confirmedMillis && !listed.contains(task.key()))
+        .toList()
+        .forEach(
+            task -> {
+              note("run.missing", task.key(), worker.info.id().value());
+              release(task);
+            });
+    worker.strays.keySet().stream()
+        .filter(run -> !listed.contains(run))
+        .toList()
+        .forEach(worker::removeStray);
+  }
+
+  private Task find(TaskName name) {
+    Job job = jobs.get(name.job());
+    return job == null || !job.has(name) ? null : job.task(name);
+  }
+
+  // Time
+
+  private void tick() {
+    timed.stream().filter(job -> job.advance(now.wall())).forEach(hungry::add);
+    roomChanged = true;
+    Collection<Worker> all = List.copyOf(workers.values());
+    all.forEach(this::tick);
+  }
+
+  private void tick(Worker worker) {
+    boolean outOfTouch = worker.silent || !worker.heard;
+    if (outOfTouch && now.mono() > worker.lapsedMillis()) {
+      lapsed(worker);
+    }
+    if (!worker.registered && worker.placed.isEmpty() && worker.strays.isEmpty()) {
+      workers.remove(worker.info.id());
+      return;
+    }
+    boolean idle = worker.placed.isEmpty() && !outOfTouch;
+    long gap = idle ? timing.idleLookMillis() : timing.lookAgainMillis();
+    if (!worker.looking && now.mono() - worker.lookedMillis >= gap) {
+      look(worker, 0);
+    }
+    worker.placed.values().stream()
+        .filter(task -> task.order == Task.Order.RESEND)
+        .toList()
+        .forEach(task -> retry(worker, task));
+    worker.placed.values().stream()
+        .filter(task -> task.job.phase.terminal())
+        .toList()
+        .forEach(task -> stop(worker, task.key()));
+  }
+
+  private void lapsed(Worker worker) {
+    if (worker.placed.isEmpty()) {
+      return;
+    }
+    note("worker.lapsed", worker.info.id(), "runs=" + worker.placed.size());
+    List.copyOf(worker.placed.values()).forEach(this::release);
+  }
+
+  private void note(String name, Object subject, String detail) {
+    out.add(new JobEffect.Note(name, subject.toString(), detail));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/JobSpec.java
@@ -0,0 +1,69 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+
+/**
+ * A job as the caller submitted it; it never changes.
+ *
+ * @param id the identifier
+ * @param queue the queue as it stood when the job was accepted
+ * @param payload opaque text that each task receives
+ * @param steps the steps
+ * @param schedule when its occurrences are due
+ */
+public record JobSpec(
+    JobId id, JobQueue queue, String payload, List<StepSpec> steps, Schedule schedule) {
+
+  /**
+   * When the occurrences of a job are due.
+   *
+   * @param firstMillis time of day of the first one, milliseconds since 1970
+   * @param intervalMillis time between two
+   * @param repeats how often it runs; 0 means once, at once
+   */
+  public record Schedule(long firstMillis, long intervalMillis, int repeats) {
+
+    /** Once, at once. */
+    public static final Schedule AT_ONCE = new Schedule(0, 0, 0);
+
+    /** Returns whether the job waits for a time of day. */
+    public boolean timed() {
+      return repeats > 0;
+    }
+
+    /** Returns the number of occurrences. */
+    public int occurrences() {
+      return Math.max(1, repeats);
+    }
+
+    /** Returns when an occurrence is due, milliseconds since 1970; 0 when it is due at once. */
+    public long dueMillis(int occurrence) {
+      return timed() ? firstMillis + occurrence * intervalMillis : 0;
+    }
+  }
+
+  /** Keeps the list immutable. */
+  public JobSpec {
+    steps = List.copyOf(steps);
+  }
+
+  /** Returns whether some step runs until the job is cancelled. */
+  public boolean lasts() {
+    return steps.stream().anyMatch(step -> step.is(StepSpec.Trait.LASTS));
+  }
+
+  /** Returns the estimated time of the longest chain of steps, in milliseconds. */
+  public long chainMillis() {
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int i = 0; i < ends.length; i++) {
+      long start = 0;
+      for (int before : steps.get(i).after()) {
+        start = Math.max(start, ends[before]);
+      }
+      ends[i] = start + steps.get(i).estimateMillis();
+      longest = Math.max(longest, ends[i]);
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -0,0 +1,33 @@
+package org.cottontack.core.job;
+
+/**
+ * Waits and lease lengths of a leader's term, in milliseconds.
+ *
+ * @param taskLeaseMillis lease of what runs on a worker, renewed with each look
+ * @param inheritedLeaseMillis how long after the start of a term a run that an earlier leader
+ *     started may go on out of our reach
+ * @param lookWaitMillis how long a worker may wait for an end before it answers a look
+ * @param lookAgainMillis least time between two looks at a worker that does not answer
+ * @param idleLookMillis time between two looks at a worker that runs nothing
+ * @param stopAgainMillis time after which a stop without effect is sent again
+ * @param avoidMillis how long a worker that refused work gets no more
+ * @param jobsPerSave most jobs in one transaction
+ */
+public record JobTiming(
+    long taskLeaseMillis,
+    long inheritedLeaseMillis,
+    long lookWaitMillis,
+    long lookAgainMillis,
+    long idleLookMillis,
+    long stopAgainMillis,
+    long avoidMillis,
+    int jobsPerSave) {
+
+  /**
+   * The values in use. The task lease rides out a cut of 5.5 s after the last look, at most 1 s
+   * before it, and stays under the workers' longest lease of 10 s. A deposed leader may renew for
+   * {@link LeaderLease#RENEWING_MILLIS} after its last renewal.
+   */
+  public static final JobTiming STANDARD =
+      new JobTiming(7_500, LeaderLease.RENEWING_MILLIS + 8_000, 1_000, 400, 5_000, 400, 500, 80);
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Resources.java
@@ -0,0 +1,33 @@
+package org.cottontack.core.job;
+
+/**
+ * An amount of a worker's resources.
+ *
+ * @param cpuMillis thousandths of a core
+ * @param memMb memory in megabytes
+ * @param accelerators accelerators
+ */
+public record Resources(long cpuMillis, long memMb, long accelerators) {
+
+  /** Nothing. */
+  public static final Resources NONE = new Resources(0, 0, 0);
+
+  /** Returns the sum. */
+  public Resources plus(Resources other) {
+    return new Resources(
+        cpuMillis + other.cpuMillis, memMb + other.memMb, accelerators + other.accelerators);
+  }
+
+  /** Returns the difference; a part may be negative. */
+  public Resources minus(Resources other) {
+    return new Resources(
+        cpuMillis - other.cpuMillis, memMb - other.memMb, accelerators - other.accelerators);
+  }
+
+  /** Returns whether this amount holds the other. */
+  public boolean holds(Resources other) {
+    return cpuMillis >= other.cpuMillis
+        && memMb >= other.memMb
+        && accelerators >= other.accelerators;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -0,0 +1,93 @@
+package org.cottontack.core.job;
+
+import org.cottontack.core.id.WorkerId;
+
+/** A task's progress; confined to {@link JobScheduler}. */
+final class Task {
+
+  /** Where a task stands. */
+  enum Phase {
+    /** Waits for a worker. */
+    WAITING('w'),
+    /** Has a worker; the run may or may not have begun. */
+    PLACED('p'),
+    /** Ended as done. */
+    DONE('d');
+
+    private final char code;
+
+    Phase(char code) {
+      this.code = code;
+    }
+
+    char code() {
+      return code;
+    }
+
+    static Phase of(char code) {
+      for (Phase phase : values()) {
+        if (phase.code == code) {
+          return phase;
+        }
+      }
+      throw new IllegalArgumentException("no task phase has the letter " + code);
+    }
+  }
+
+  /** What is known about the start order of the present run. */
+  enum Order {
+    /** The placement is not in the store yet, so the order may not leave. */
+    UNSAVED,
+    /** Sent, not answered yet. */
+    SENT,
+    /** Stored, but no order has a certain answer yet; it goes out again. */
+    RESEND,
+    /** The worker said that the run is there, or listed it. */
+    CONFIRMED
+  }
+
+  final TaskName name;
+  final StepSpec spec;
+  final Job job;
+  Phase phase = Phase.WAITING;
+  int run;
+  int failures;
+  WorkerId worker;
+  String checkpoint = "";
+  Order order = Order.UNSAVED;
+  long confirmedMillis;
+  long placedMillis;
+  boolean uncertain;
+  int percent = 100;
+  double load;
+
+  Task(Job job, TaskName name, StepSpec spec) {
+    this.job = job;
+    this.name = name;
+    this.spec = spec;
+  }
+
+  RunKey key() {
+    return new RunKey(name, run);
+  }
+
+  /** Returns whether this run on this worker is the one in force. */
+  boolean runsAs(WorkerId on, int number) {
+    return phase == Phase.PLACED && run == number && on.equals(worker);
+  }
+
+  void place(WorkerId on, long nowMillis) {
+    phase = Phase.PLACED;
+    run++;
+    worker = on;
+    order = Order.UNSAVED;
+    uncertain = false;
+    placedMillis = nowMillis;
+    percent = 100;
+  }
+
+  void release() {
+    phase = Phase.WAITING;
+    worker = null;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/WorkerClock.java
@@ -0,0 +1,38 @@
+package org.cottontack.core.job;
+
+/**
+ * Reads a worker's steady clock from afar. A worker's clock may run up to {@link #SLOWEST} as fast
+ * as ours, and its answers tell its time only at some moment between question and answer.
+ */
+final class WorkerClock {
+
+  /** Least speed of a worker's clock against ours; the platform promises 2 % at most. */
+  static final double SLOWEST = 0.98;
+
+  private long clockMillis;
+  private long receivedMillis;
+  private boolean known;
+  private long longestEndMillis;
+
+  void observe(long clock, long received) {
+    clockMillis = clock;
+    receivedMillis = received;
+    known = true;
+  }
+
+  boolean known() {
+    return known;
+  }
+
+  /** Returns the end on the worker's clock of a lease that begins now. */
+  long leaseEnd(long nowMillis, long leaseMillis) {
+    long end = clockMillis + (nowMillis - receivedMillis) + leaseMillis;
+    longestEndMillis = Math.max(longestEndMillis, end);
+    return end;
+  }
+
+  /** Returns when, on our clock, every lease given so far has ended on the slowest worker clock. */
+  long allLapsedMillis() {
+    return known ? receivedMillis + (long) ((longestEndMillis - clockMillis) / SLOWEST) : 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/WorkerInfo.java
@@ -0,0 +1,44 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * What a worker says of itself when it registers.
+ *
+ * @param id the identifier, new with each life
+ * @param pool the pool it belongs to
+ * @param address where it is reached, {@code host:port}
+ * @param dataCentre its data centre
+ * @param capacity what it can hold
+ * @param labels its kind and its rack
+ * @param draining whether it is about to leave and takes nothing new
+ */
+public record WorkerInfo(
+    WorkerId id,
+    String pool,
+    String address,
+    DataCentreId dataCentre,
+    Resources capacity,
+    List<String> labels,
+    boolean draining) {
+
+  private static final String NOWHERE = "";
+
+  /** Returns a worker that is known only because work was once given to it. */
+  static WorkerInfo unlisted(WorkerId id) {
+    return new WorkerInfo(
+        id, "", NOWHERE, new DataCentreId("unknown"), Resources.NONE, List.of(), true);
+  }
+
+  /** Returns whether its address is known. */
+  boolean reachable() {
+    return !address.equals(NOWHERE);
+  }
+
+  /** Keeps the list immutable. */
+  public WorkerInfo {
+    labels = List.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
@@ -0,0 +1,41 @@
+package org.cottontack.daemon.job;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What became of a transaction.
+ *
+ * @param outcome how it ended
+ * @param version the version of the rows written, when done
+ * @param current the expected rows as they are, after a conflict
+ */
+public record CommitAnswer(Outcome outcome, long version, List<Row> current) {
+
+  /** How a transaction ends. */
+  public enum Outcome {
+    /** It is in the store. */
+    DONE,
+    /** An expected version did not hold; nothing was done. */
+    CONFLICT,
+    /** The store did nothing, and says so. */
+    REFUSED,
+    /** No answer came: it may have happened, or may happen seconds later. */
+    UNKNOWN
+  }
+
+  /** Keeps the list immutable. */
+  public CommitAnswer {
+    current = List.copyOf(current);
+  }
+
+  /** Returns an answer without rows. */
+  public static CommitAnswer of(Outcome outcome) {
+    return new CommitAnswer(outcome, 0, List.of());
+  }
+
+  /** Returns a row as it stood at the time of the conflict. */
+  public Optional<Row> current(RowKey at) {
+    return current.stream().filter(row -> row.at().equals(at) && !row.removed()).findFirst();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -0,0 +1,176 @@
+package org.cottontack.daemon.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cottontack.core.peer.Payload;
+
+/**
+ * Keeps up with a table: reads all of it, then waits for changes, and reads all of it again
+ * whenever the store has forgotten some. Every row reaches the listener in the order of its
+ * versions, and removals that happened unseen are told too. Confined to the event loop.
+ */
+public final class Follower {
+
+  private static final Logger LOG = LogManager.getLogger(Follower.class);
+
+  /** Longest wait for news, in milliseconds: bounds how long a dead connection goes unnoticed. */
+  private static final long WAIT_MILLIS = 1_000;
+
+  /** Pause after a call that failed, in milliseconds: an outage costs few calls this way. */
+  private static final long PAUSE_MILLIS = 150;
+
+  private final TableStore store;
+  private final Timers timers;
+  private final String table;
+  private final List<String> parts;
+  private final Consumer<Row> listener;
+  private final Runnable onCurrent;
+  private final Map<RowKey, Long> known = new HashMap<>();
+  private boolean stopped;
+  private long position;
+  private long contactMillis = Long.MIN_VALUE / 2;
+  private boolean failing;
+  private boolean current;
+
+  /**
+   * Creates a follower that does nothing yet.
+   *
+   * @param parts the partitions to read
+   * @param listener gets each row that is new, changed or removed
+   * @param onCurrent called after the first complete reading of the table
+   */
+  public Follower(
+      TableStore store,
+      Timers timers,
+      String table,
+      List<String> parts,
+      Consumer<Row> listener,
+      Runnable onCurrent) {
+    this.store = store;
+    this.timers = timers;
+    this.table = table;
+    this.parts = List.copyOf(parts);
+    this.listener = listener;
+    this.onCurrent = onCurrent;
+  }
+
+  /** Begins to read. */
+  public void start() {
+    scan(new ArrayList<>(), Long.MAX_VALUE, 0);
+  }
+
+  /** Ends; nothing is told afterwards. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Returns when the store last answered, on our steady clock. */
+  public long contactMillis() {
+    return contactMillis;
+  }
+
+  private void scan(List<Row> rows, long oldest, int index) {
+    if (stopped) {
+      return;
+    }
+    if (index == parts.size()) {
+      scanned(rows, oldest);
+      return;
+    }
+    store.scan(
+        table,
+        parts.get(index),
+        "",
+        scan -> {
+          if (!scan.answered()) {
+            failed("scan");
+            timers.after(PAUSE_MILLIS, () -> scan(new ArrayList<>(), Long.MAX_VALUE, 0));
+            return;
+          }
+          rows.addAll(scan.rows());
+          scan(rows, Math.min(oldest, scan.version()), index + 1);
+        });
+  }
+
+  private void scanned(List<Row> rows, long version) {
+    if (stopped) {
+      return;
+    }
+    answered();
+    Set<RowKey> present = new HashSet<>();
+    rows.forEach(row -> present.add(row.at()));
+    List<RowKey> vanished = known.keySet().stream().filter(k -> !present.contains(k)).toList();
+    vanished.forEach(key -> tell(new Row(key, Payload.EMPTY, version, true)));
+    rows.forEach(this::tell);
+    position = version;
+    if (!current) {
+      current = true;
+      onCurrent.run();
+    }
+    follow();
+  }
+
+  private void follow() {
+    if (!stopped) {
+      store.follow(table, position, WAIT_MILLIS, this::news);
+    }
+  }
+
+  private void news(TableStore.News news) {
+    if (stopped) {
+      return;
+    }
+    switch (news.outcome()) {
+      case CURRENT -> {
+        answered();
+        news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
+        position = Math.max(position, news.version());
+        follow();
+      }
+      case FORGOTTEN -> {
+        LOG.info("the store forgot changes of {}; reading all of it again", table);
+        start();
+      }
+      case FAILED -> {
+        failed("follow");
+        timers.after(PAUSE_MILLIS, this::follow);
+      }
+      default -> throw new IllegalStateException("no such outcome: " + news.outcome());
+    }
+  }
+
+  private void tell(Row row) {
+    Long before = known.get(row.at());
+    if (before != null && before >= row.version()) {
+      return;
+    }
+    if (row.removed()) {
+      known.remove(row.at());
+    } else {
+      known.put(row.at(), row.version());
+    }
+    listener.accept(row);
+  }
+
+  private void answered() {
+    contactMillis = timers.now().mono();
+    if (failing) {
+      failing = false;
+      LOG.info("the store answers again about {}", table);
+    }
+  }
+
+  private void failed(String call) {
+    if (!failing) {
+      failing = true;
+      LOG.warn("the store does not answer about {} ({})", table, call);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -0,0 +1,218 @@
+package org.cottontack.daemon.job;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobPhase;
+import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.ProgressText;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.wire.JobCodec;
+
+/** Takes jobs in, cancels them and tells their state, on any instance, through the store alone. */
+public final class Intake {
+
+  private static final Logger LOG = LogManager.getLogger(Intake.class);
+
+  /** First wait for an answer of the store, in milliseconds: some 20 times its usual answer. */
+  private static final long FIRST_WAIT_MILLIS = 400;
+
+  /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
+  private static final long LONGEST_WAIT_MILLIS = 2_000;
+
+  /** Pause before a refused call is made again, in milliseconds. */
+  private static final long REFUSED_PAUSE_MILLIS = 60;
+
+  /** Tries of a call that the store refuses each time before the caller is told so. */
+  private static final int REFUSED_TRIES = 3;
+
+  /** How a submission or cancellation ends. */
+  public enum Answer {
+    /** It is stored. */
+    STORED,
+    /** It is certainly not stored and never will be. */
+    REJECTED,
+    /** It may be stored. */
+    UNKNOWN,
+    /** There is no such job. */
+    ABSENT
+  }
+
+  private final TableStore store;
+  private final Timers timers;
+
+  /** Uses a store. */
+  public Intake(TableStore store, Timers timers) {
+    this.store = store;
+    this.timers = timers;
+  }
+
+  /**
+   * Stores a job unless it is already there.
+   *
+   * @param job the job
+   * @param untilMillis when the caller stops waiting, on our steady clock
+   * @param done gets the answer
+   */
+  public void submit(JobSpec job, long untilMillis, Consumer<Answer> done) {
+    RowKey row = JobTables.job(job.id());
+    Change change =
+        new Change(
+            Map.of(row, 0L),
+            Map.of(
+                row,
+                Payload.of(JobCodec.write(job)),
+                JobTables.waiting(job.id()),
+                Payload.of(job.queue().name())),
+            List.of());
+    Consumer<Answer> logged = answer -> answered("job.submitted", job.id(), answer, done);
+    new Attempt(change, untilMillis, logged).send();
+  }
+
+  /** Cancels a job, if there is one. */
+  public void cancel(JobId id, long untilMillis, Consumer<Answer> done) {
+    Consumer<Answer> logged = answer -> answered("job.cancelled", id, answer, done);
+    store.scan(
+        JobTables.JOBS,
+        JobTables.job(id).part(),
+        id.value(),
+        scan -> {
+          if (!scan.answered()) {
+            logged.accept(Answer.UNKNOWN);
+          } else if (scan.rows().isEmpty()) {
+            logged.accept(Answer.ABSENT);
+          } else {
+            Change change =
+                new Change(Map.of(), Map.of(JobTables.cancel(id), Payload.of("1")), List.of());
+            new Attempt(change, untilMillis, logged).send();
+          }
+        });
+  }
+
+  /**
+   * Tells a job's state.
+   *
+   * @param done gets the phase, {@code null} when the store gives no answer, or nothing when there
+   *     is no such job
+   */
+  public void state(JobId id, Consumer<State> done) {
+    store.scan(
+        JobTables.PROGRESS,
+        JobTables.PROGRESS_PART,
+        id.value(),
+        scan -> {
+          if (!scan.answered()) {
+            done.accept(new State(false, Optional.empty()));
+          } else if (scan.rows().isEmpty()) {
+            notStarted(id, done);
+          } else {
+            JobPhase phase = ProgressText.phase(scan.rows().get(0).text());
+            done.accept(new State(true, Optional.of(phase)));
+          }
+        });
+  }
+
+  private void notStarted(JobId id, Consumer<State> done) {
+    store.scan(
+        JobTables.JOBS,
+        JobTables.job(id).part(),
+        id.value(),
+        scan -> {
+          Optional<JobPhase> phase =
+              scan.rows().isEmpty() ? Optional.empty() : Optional.of(JobPhase.QUEUED);
+          done.accept(new State(scan.answered(), phase));
+        });
+  }
+
+  /**
+   * A job's state as the store tells it.
+   *
+   * @param known false when the store gave no answer
+   * @param phase the phase, or nothing when there is no such job
+   */
+  public record State(boolean known, Optional<JobPhase> phase) {}
+
+  /** Counts the jobs of a queue that wait for their first start; nothing when the store is away. */
+  public void waiting(String queue, Consumer<OptionalLong> done) {
+    count(queue, JobTables.intakeParts(), 0, done);
+  }
+
+  private void count(String queue, List<String> parts, long sum, Consumer<OptionalLong> done) {
+    if (parts.isEmpty()) {
+      done.accept(OptionalLong.of(sum));
+      return;
+    }
+    store.scan(
+        JobTables.WAITING,
+        parts.get(0),
+        "",
+        scan -> {
+          if (!scan.answered()) {
+            done.accept(OptionalLong.empty());
+            return;
+          }
+          long found = scan.rows().stream().filter(row -> row.text().equals(queue)).count();
+          count(queue, parts.subList(1, parts.size()), sum + found, done);
+        });
+  }
+
+  private static void answered(String event, JobId id, Answer answer, Consumer<Answer> done) {
+    LOG.info(new StringMapMessage().with("event", event).with("job", id).with("answer", answer));
+    done.accept(answer);
+  }
+
+  /** One transaction, sent until it has a certain answer or the caller has gone. */
+  private final class Attempt {
+
+    private final Change change;
+    private final long untilMillis;
+    private final Consumer<Answer> done;
+    private long waitMillis = FIRST_WAIT_MILLIS;
+    private int refusals;
+    private boolean uncertain;
+
+    Attempt(Change change, long untilMillis, Consumer<Answer> done) {
+      this.change = change;
+      this.untilMillis = untilMillis;
+      this.done = done;
+    }
+
+    void send() {
+      long left = untilMillis - timers.now().mono();
+      if (left <= 0) {
+        done.accept(uncertain ? Answer.UNKNOWN : Answer.REJECTED);
+        return;
+      }
+      store.commit(change, Math.min(waitMillis, left), this::ended);
+    }
+
+    private void ended(CommitAnswer answer) {
+      switch (answer.outcome()) {
+        // A conflict says that the row is there: an earlier copy of this submission wrote it.
+        case DONE, CONFLICT -> done.accept(Answer.STORED);
+        case UNKNOWN -> {
+          uncertain = true;
+          waitMillis = Math.min(2 * waitMillis, LONGEST_WAIT_MILLIS);
+          send();
+        }
+        case REFUSED -> refused();
+        default -> throw new IllegalStateException("no such outcome: " + answer.outcome());
+      }
+    }
+
+    private void refused() {
+      refusals++;
+      if (!uncertain && refusals >= REFUSED_TRIES) {
+        done.accept(Answer.REJECTED);
+      } else {
+        timers.after(REFUSED_PAUSE_MILLIS, this::send);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -0,0 +1,134 @@
+package org.cottontack.daemon.job;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.UUID;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.job.JobTable;
+
+/**
+ * An entry instance for jobs. All instances are equal: each takes jobs in, one of them leads. It
+ * keeps nothing of its own; what lasts is in the platform's store. Confined to the event loop.
+ */
+public final class JobEntry {
+
+  private static final Logger LOG = LogManager.getLogger(JobEntry.class);
+
+  /**
+   * How long ago the store may have answered last for this instance to take callers, in
+   * milliseconds: over two unanswered waits of 1 s for news.
+   */
+  private static final long STORE_SILENCE_MILLIS = 2_500;
+
+  private final Timers timers;
+  private final RuleSource rules;
+  private final Intake intake;
+  private final Leadership leadership;
+  private final TableStore store;
+  private final WorkerCalls workers;
+  private final WorkerRegistry registry;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private JobTable table = JobTable.EMPTY;
+  private Leader leader;
+  private boolean stopping;
+
+  /**
+   * Creates an instance that does nothing yet.
+   *
+   * @param name the instance's name
+   * @param store the platform's store
+   * @param timers the event loop's timers
+   * @param rules where the table comes from
+   * @param registry the list of workers
+   * @param workers orders to workers
+   */
+  public JobEntry(
+      String name,
+      TableStore store,
+      Timers timers,
+      RuleSource rules,
+      WorkerRegistry registry,
+      WorkerCalls workers) {
+    this.store = store;
+    this.timers = timers;
+    this.rules = rules;
+    this.registry = registry;
+    this.workers = workers;
+    this.intake = new Intake(store, timers);
+    String self = name + "/" + UUID.randomUUID();
+    this.leadership = new Leadership(store, timers, self, this::won, this::lost);
+  }
+
+  /** Begins to follow the table and, once there is one, to stand for election. */
+  public void start() {
+    rules.start(this::apply);
+  }
+
+  private void apply(JobTable next) {
+    final boolean first = table.version() < 0;
+    // An older table after a newer one would undo an accepted edit.
+    if (next.version() <= table.version()) {
+      return;
+    }
+    table = next;
+    LOG.info(
+        new StringMapMessage()
+            .with("event", "table.changed")
+            .with("version", next.version())
+            .with("queues", next.queues().size()));
+    if (leader != null) {
+      leader.table(next);
+    }
+    if (first) {
+      leadership.start();
+    }
+  }
+
+  private void won(long epoch) {
+    leader = new Leader(store, timers, workers, registry, leadership, epoch, table);
+    leader.start();
+  }
+
+  private void lost() {
+    if (leader != null) {
+      leader.stop();
+      leader = null;
+    }
+  }
+
+  /** Returns the rules in force here. */
+  public JobTable table() {
+    return table;
+  }
+
+  /** Returns what takes jobs in. */
+  public Intake intake() {
+    return intake;
+  }
+
+  /** Returns counters and histograms. */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /** Returns whether this instance should get new callers. */
+  public boolean ready() {
+    return !stopping
+        && table.version() >= 0
+        && timers.now().mono() - rules.contactMillis() < STORE_SILENCE_MILLIS;
+  }
+
+  /** Returns whether this instance is about to stop. */
+  public boolean stopping() {
+    return stopping;
+  }
+
+  /** Stops gracefully: takes no new callers and hands leadership back. */
+  public void stop(Runnable done) {
+    stopping = true;
+    LOG.info(new StringMapMessage().with("event", "instance.stopping"));
+    lost();
+    leadership.leave(done);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -0,0 +1,254 @@
+package org.cottontack.daemon.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.job.LeaderLease;
+import org.cottontack.core.peer.Payload;
+
+/**
+ * Elects one leader among the instances through two rows of the store: one names the leader and
+ * changes only with a takeover, the other changes with each renewal. Confined to the event loop.
+ */
+final class Leadership {
+
+  private static final Logger LOG = LogManager.getLogger(Leadership.class);
+
+  /** Time between two renewals, in milliseconds: a lease of 2 s outlives the loss of two. */
+  private static final long RENEW_MILLIS = 500;
+
+  /** Longest wait for news of the lease, in milliseconds: two fit into the lease. */
+  private static final long WATCH_MILLIS = 600;
+
+  /** Pause after a call that failed, in milliseconds. */
+  private static final long PAUSE_MILLIS = 200;
+
+  /** Longest wait for the answer to a renewal, in milliseconds. */
+  private static final long ANSWER_MILLIS = 1_800;
+
+  /** Instances start their takeovers up to this much apart, in milliseconds. */
+  private static final long SPREAD_MILLIS = 150;
+
+  private static final RowKey ELECTION = new RowKey(JobTables.LEADER, "leader", "election");
+  private static final RowKey LEASE = new RowKey(JobTables.LEADER, "leader", "lease");
+  private static final String FREE = "free";
+
+  private final TableStore store;
+  private final Timers timers;
+  private final String self;
+  private final LongConsumer onWon;
+  private final Runnable onLost;
+  private final Map<RowKey, Row> rows = new HashMap<>();
+  private LeaderLease lease = new LeaderLease();
+  private long position;
+  private boolean leading;
+  private boolean stopped;
+  private long epoch;
+  private long renewals;
+
+  /**
+   * Creates a candidate that does nothing yet.
+   *
+   * @param self this incarnation
+   * @param onWon called with the epoch of each term won
+   * @param onLost called when a term ends before this process does
+   */
+  Leadership(TableStore store, Timers timers, String self, LongConsumer onWon, Runnable onLost) {
+    this.store = store;
+    this.timers = timers;
+    this.self = self;
+    this.onWon = onWon;
+    this.onLost = onLost;
+  }
+
+  void start() {
+    if (stopped) {
+      return;
+    }
+    store.scan(
+        JobTables.LEADER,
+        ELECTION.part(),
+        "",
+        scan -> {
+          if (!scan.answered()) {
+            timers.after(PAUSE_MILLIS, this::start);
+            return;
+          }
+          take(scan.rows());
+          position = scan.version();
+          decide();
+        });
+  }
+
+  /** Returns whether this instance leads. */
+  boolean leading() {
+    return leading;
+  }
+
+  boolean mayStart() {
+    return leading && lease.mayStart(timers.now().mono());
+  }
+
+  boolean mayRenew() {
+    return leading && lease.mayRenew(timers.now().mono());
+  }
+
+  private void take(List<Row> news) {
+    news.forEach(row -> rows.put(row.at(), row));
+  }
+
+  private void decide() {
+    if (stopped || leading) {
+      return;
+    }
+    Row held = rows.get(LEASE);
+    if (held != null) {
+      lease.observed(timers.now().mono(), held.version());
+    }
+    boolean open = held == null || held.text().equals(FREE);
+    if (open || lease.lapsed(0)) {
+      long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
+      timers.after(open ? spread / 10 : spread, () -> campaign(held == null ? 0 : held.version()));
+    } else {
+      watch();
+    }
+  }
+
+  private void watch() {
+    store.follow(
+        JobTables.LEADER,
+        position,
+        WATCH_MILLIS,
+        news -> {
+          switch (news.outcome()) {
+            case CURRENT -> {
+              take(news.rows());
+              position = Math.max(position, news.version());
+              decide();
+            }
+            case FORGOTTEN -> start();
+            case FAILED -> timers.after(PAUSE_MILLIS, this::watch);
+            default -> throw new IllegalStateException("no such outcome: " + news.outcome());
+          }
+        });
+  }
+
+  private void campaign(long leaseVersion) {
+    Row election = rows.get(ELECTION);
+    long next = election == null ? 1 : Long.parseLong(election.text().split(" ", 2)[0]) + 1;
+    Change change =
+        new Change(
+            Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
+            Map.of(
+                ELECTION, Payload.of(next + " " + self), LEASE, Payload.of(self + " " + renewals)),
+            List.of());
+    long sent = timers.now().mono();
+    store.commit(
+        change,
+        ANSWER_MILLIS,
+        answer -> {
+          if (answer.outcome() == CommitAnswer.Outcome.DONE) {
+            won(next, answer.version(), sent);
+          } else {
+            log("leader.notWon", "epoch=" + next + " " + answer.outcome());
+            afterLost(next, sent);
+          }
+        });
+  }
+
+  /** A takeover whose answer was lost may still be in the store. */
+  private void afterLost(long next, long sent) {
+    store.scan(
+        JobTables.LEADER,
+        ELECTION.part(),
+        "",
+        scan -> {
+          if (!scan.answered()) {
+            timers.after(PAUSE_MILLIS, () -> afterLost(next, sent));
+            return;
+          }
+          take(scan.rows());
+          position = scan.version();
+          Row election = rows.get(ELECTION);
+          if (election != null && election.text().equals(next + " " + self)) {
+            won(next, election.version(), sent);
+          } else {
+            decide();
+          }
+        });
+  }
+
+  private void won(long won, long version, long sent) {
+    if (stopped) {
+      return;
+    }
+    leading = true;
+    epoch = won;
+    lease = new LeaderLease();
+    lease.renewed(sent);
+    log("leader.won", "epoch=" + epoch);
+    onWon.accept(won);
+    timers.after(RENEW_MILLIS, () -> renew(won, version));
+  }
+
+  private void renew(long term, long electionVersion) {
+    if (!leading || epoch != term) {
+      return;
+    }
+    renewals++;
+    Change change =
+        new Change(
+            Map.of(ELECTION, electionVersion),
+            Map.of(LEASE, Payload.of(self + " " + renewals)),
+            List.of());
+    long sent = timers.now().mono();
+    store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
+    timers.after(RENEW_MILLIS, () -> renew(term, electionVersion));
+  }
+
+  private void renewed(long term, long sent, CommitAnswer answer) {
+    if (!leading || epoch != term) {
+      return;
+    }
+    if (answer.outcome() == CommitAnswer.Outcome.DONE) {
+      lease.renewed(sent);
+    } else if (answer.outcome() == CommitAnswer.Outcome.CONFLICT) {
+      stepDown("another instance has taken over");
+    } else {
+      log("leader.renewalFailed", answer.outcome().toString());
+    }
+  }
+
+  /** Ends this instance's term, if it leads, and watches the next leader. */
+  void stepDown(String reason) {
+    if (!leading) {
+      return;
+    }
+    log("leader.lost", "epoch=" + epoch + " " + reason);
+    leading = false;
+    lease = new LeaderLease();
+    onLost.run();
+    timers.after(PAUSE_MILLIS, this::start);
+  }
+
+  /** Leaves for good: gives the lease back so that another instance need not wait for it. */
+  void leave(Runnable done) {
+    stopped = true;
+    if (!leading) {
+      done.run();
+      return;
+    }
+    leading = false;
+    Change change = new Change(Map.of(), Map.of(LEASE, Payload.of(FREE)), List.of());
+    store.commit(change, ANSWER_MILLIS, answer -> done.run());
+  }
+
+  private void log(String event, String detail) {
+    LOG.info(new StringMapMessage().with("event", event).with("detail", detail).with("self", self));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
@@ -0,0 +1,68 @@
+package org.cottontack.daemon.job;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The platform's transactional table service. Calls return at once; each consumer gets exactly one
+ * answer, on the process's event loop.
+ */
+public interface TableStore {
+
+  /** Commits a transaction; an answer that does not come in time is {@code UNKNOWN}. */
+  void commit(Change change, long timeoutMillis, Consumer<CommitAnswer> done);
+
+  /** Reads all rows of a partition whose keys begin with a prefix. */
+  void scan(String table, String part, String prefix, Consumer<Scan> done);
+
+  /** Waits for changes of a table after a version. */
+  void follow(String table, long after, long waitMillis, Consumer<News> done);
+
+  /**
+   * The rows of a partition.
+   *
+   * @param answered false when the store gave no answer
+   * @param rows the rows, by key
+   * @param version the newest version of the store when the rows were read
+   */
+  record Scan(boolean answered, List<Row> rows, long version) {
+
+    /** No answer. */
+    public static final Scan FAILED = new Scan(false, List.of(), 0);
+
+    /** Keeps the list immutable. */
+    public Scan {
+      rows = List.copyOf(rows);
+    }
+  }
+
+  /**
+   * What has changed in a table.
+   *
+   * @param outcome whether there is an answer
+   * @param rows the changed rows, in order
+   * @param version where to continue
+   */
+  record News(Outcome outcome, List<Row> rows, long version) {
+
+    /** Whether a wait for changes was answered. */
+    public enum Outcome {
+      /** The rows are all changes after the version asked for. */
+      CURRENT,
+      /** The store has forgotten changes after that version: read everything again. */
+      FORGOTTEN,
+      /** No answer. */
+      FAILED
+    }
+
+    /** Keeps the list immutable. */
+    public News {
+      rows = List.copyOf(rows);
+    }
+
+    /** Returns an answer without rows. */
+    public static News of(Outcome outcome) {
+      return new News(outcome, List.of(), 0);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WorkerCalls.java
@@ -0,0 +1,56 @@
+package org.cottontack.daemon.job;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.StartResult;
+import org.cottontack.core.job.WorkerReport;
+
+/**
+ * Orders to workers. Each order carries the leader's epoch as fencing token; a worker does nothing
+ * for a lower one than it has seen. Each consumer gets exactly one answer, on the event loop.
+ */
+public interface WorkerCalls {
+
+  /** Starts a run; {@code allowed} is asked again right before the order leaves. */
+  void start(
+      JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done);
+
+  /** Stops a run; the consumer gets whether the worker answered that it did. */
+  void stop(JobEffect.StopRun stop, long epoch, Consumer<Boolean> done);
+
+  /** Looks at a worker and renews the lease of what runs there. */
+  void look(JobEffect.LookAtWorker look, long epoch, BooleanSupplier allowed, Consumer<Look> done);
+
+  /** Sets the pace of a run. */
+  void pace(JobEffect.PaceRun pace, long epoch);
+
+  /**
+   * The answer to a look.
+   *
+   * @param outcome how it went
+   * @param report what the worker says, empty unless it answered
+   */
+  record Look(Outcome outcome, WorkerReport report) {
+
+    private static final WorkerReport NOTHING =
+        new WorkerReport(0, java.util.List.of(), java.util.List.of());
+
+    /** How a look goes. */
+    public enum Outcome {
+      /** The worker answered. */
+      ANSWERED,
+      /** No answer. */
+      SILENT,
+      /** Another life of the worker answered. */
+      REBORN,
+      /** The worker has seen a newer leader. */
+      FENCED
+    }
+
+    /** Returns a look without a report. */
+    public static Look of(Outcome outcome) {
+      return new Look(outcome, NOTHING);
+    }
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cottontack/wire/JobCodec.java
@@ -0,0 +1,120 @@
+package org.cottontack.wire;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobQueue;
+import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.Resources;
+import org.cottontack.core.job.StepSpec;
+import org.cottontack.wire.generated.job.StoredJob;
+import org.cottontack.wire.generated.job.StoredQueue;
+import org.cottontack.wire.generated.job.StoredSchedule;
+import org.cottontack.wire.generated.job.StoredStep;
+
+/** Maps a {@link JobSpec} to its stored form and back. */
+public final class JobCodec {
+
+  private JobCodec() {}
+
+  /** Returns the stored form, without the identifier, which is the row's key. */
+  public static byte[] write(JobSpec job) {
+    StoredJob.Builder stored =
+        StoredJob.newBuilder()
+            .setQueue(queue(job.queue()))
+            .setPayload(job.payload())
+            .setSchedule(
+                StoredSchedule.newBuilder()
+                    .setFirstMillis(job.schedule().firstMillis())
+                    .setIntervalMillis(job.schedule().intervalMillis())
+                    .setRepeats(job.schedule().repeats()));
+    job.steps().forEach(step -> stored.addSteps(step(step)));
+    return stored.build().toByteArray();
+  }
+
+  /**
+   * Reads a stored job.
+   *
+   * @throws WireException when the bytes are no stored job
+   */
+  public static JobSpec read(JobId id, byte[] bytes) {
+    try {
+      StoredJob stored = StoredJob.parseFrom(bytes);
+      StoredSchedule schedule = stored.getSchedule();
+      return new JobSpec(
+          id,
+          queue(stored.getQueue()),
+          stored.getPayload(),
+          stored.getStepsList().stream().map(JobCodec::step).toList(),
+          new JobSpec.Schedule(
+              schedule.getFirstMillis(), schedule.getIntervalMillis(), schedule.getRepeats()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      throw new WireException("stored job " + id + " is damaged: " + e.getMessage());
+    }
+  }
+
+  private static StoredQueue queue(JobQueue queue) {
+    return StoredQueue.newBuilder()
+        .setName(queue.name())
+        .setHost(queue.host())
+        .setPrefix(queue.prefix())
+        .setPool(queue.pool())
+        .setPriority(queue.priority())
+        .setMaxAttempts(queue.maxAttempts())
+        .setStretch(queue.stretch())
+        .setTargetMillis(queue.targetMillis())
+        .setAdvised(queue.advised())
+        .build();
+  }
+
+  private static JobQueue queue(StoredQueue queue) {
+    return new JobQueue(
+        queue.getName(),
+        queue.getHost(),
+        queue.getPrefix(),
+        queue.getPool(),
+        queue.getPriority(),
+        queue.getMaxAttempts(),
+        queue.getStretch(),
+        queue.getTargetMillis(),
+        queue.getAdvised());
+  }
+
+  private static StoredStep step(StepSpec step) {
+    StoredStep.Builder stored =
+        StoredStep.newBuilder()
+            .setCount(step.count())
+            .setCpuMillis(step.need().cpuMillis())
+            .setMemMb(step.need().memMb())
+            .setAccelerators(step.need().accelerators())
+            .setEstimateMillis(step.estimateMillis())
+            .addAllAfter(step.after())
+            .setRequiredLabel(step.requiredLabel().orElse(""))
+            .setRack(step.rack().orElse(""))
+            .setMaxPerWorker(step.maxPerWorker())
+            .setImage(step.image())
+            .setTargetMillis(step.targetMillis())
+            .setMayMiss(step.mayMiss());
+    step.traits().forEach(trait -> stored.addTraits(trait.name()));
+    return stored.build();
+  }
+
+  private static StepSpec step(StoredStep step) {
+    return new StepSpec(
+        step.getCount(),
+        new Resources(step.getCpuMillis(), step.getMemMb(), step.getAccelerators()),
+        step.getEstimateMillis(),
+        step.getAfterList(),
+        step.getTraitsList().stream().map(StepSpec.Trait::valueOf).toList(),
+        text(step.getRequiredLabel()),
+        text(step.getRack()),
+        step.getMaxPerWorker(),
+        step.getImage(),
+        step.getTargetMillis(),
+        step.getMayMiss());
+  }
+
+  private static Optional<String> text(String value) {
+    return Optional.of(value).filter(present -> !present.isEmpty());
+  }
+}
