--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
 
@@ -118,7 +119,12 @@
     }
     Job job = new Job(spec, now.mono());
     open(job);
-    note("job.taken", spec.id(), "queue=" + spec.queue().name() + " steps=" + spec.steps().size());
+    note("job.taken", spec.id(), describe(spec));
+  }
+
+  private static String describe(JobSpec spec) {
+    String steps = spec.steps().stream().map(StepSpec::describe).collect(Collectors.joining(", "));
+    return "queue=%s steps=[%s]".formatted(spec.queue().name(), steps);
   }
 
   private void open(Job job) {
@@ -462,7 +468,7 @@
     }
     confirm(task);
     task.checkpoint = running.checkpoint().isEmpty() ? task.checkpoint : running.checkpoint();
-    task.percent = running.percent();
+    task.progress = running.progress();
     task.load = running.load();
     if (task.job.phase.terminal()) {
       stop(worker, key);
--- a/core/src/main/java/org/cottontack/core/job/PaceControl.java
+++ b/core/src/main/java/org/cottontack/core/job/PaceControl.java
@@ -19,8 +19,6 @@
   /** How much more, in percent of full speed, at each report. */
   private static final int RAISE_STEP = 20;
 
-  private static final int FULL = 100;
-
   private PaceControl() {}
 
   /** Returns the orders that bring a worker's tasks that fill to the right pace. */
@@ -31,9 +29,7 @@
             .mapToDouble(task -> task.load / task.spec.targetMillis())
             .max()
             .orElse(0);
-    return fillers(worker)
-        .flatMap(task -> order(worker, task, next(task.percent, pressure)))
-        .toList();
+    return fillers(worker).flatMap(task -> order(worker, task, next(task.pace, pressure))).toList();
   }
 
   private static Stream<Task> fillers(Worker worker) {
@@ -42,17 +38,18 @@
         .filter(task -> task.order == Task.Order.CONFIRMED);
   }
 
-  private static int next(int percent, double pressure) {
+  private static int next(int pace, double pressure) {
     if (pressure > STOP_SHARE) {
       return 0;
     }
-    return pressure < RAISE_SHARE ? Math.min(FULL, percent + RAISE_STEP) : percent;
+    return pressure < RAISE_SHARE ? Math.min(Task.FULL_PACE, pace + RAISE_STEP) : pace;
   }
 
   private static Stream<JobEffect> order(Worker worker, Task task, int percent) {
-    if (percent == task.percent) {
+    if (percent == task.pace) {
       return Stream.empty();
     }
+    task.pace = percent;
     return Stream.of(
         new JobEffect.PaceRun(worker.info.id(), worker.info.address(), task.key(), percent));
   }
--- a/core/src/main/java/org/cottontack/core/job/StepSpec.java
+++ b/core/src/main/java/org/cottontack/core/job/StepSpec.java
@@ -53,6 +53,24 @@
     traits = List.copyOf(traits);
   }
 
+  /** Returns the step in one short text, for logs. */
+  String describe() {
+    return "%dx%dmc/%dMB ~%dms after %s %s label=%s rack=%s apart=%d image=%s target=%s miss=%d"
+        .formatted(
+            count,
+            need.cpuMillis(),
+            need.memMb(),
+            estimateMillis,
+            after,
+            traits,
+            requiredLabel.orElse(""),
+            rack.orElse(""),
+            maxPerWorker,
+            image,
+            targetMillis,
+            mayMiss);
+  }
+
   /** Returns whether the step has a property. */
   public boolean is(Trait trait) {
     return traits.contains(trait);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -46,6 +46,9 @@
     CONFIRMED
   }
 
+  /** Pace of a run at its start, in percent. */
+  static final int FULL_PACE = 100;
+
   final TaskName name;
   final StepSpec spec;
   final Job job;
@@ -58,7 +61,8 @@
   long confirmedMillis;
   long placedMillis;
   boolean uncertain;
-  int percent = 100;
+  int progress;
+  int pace = FULL_PACE;
   double load;
 
   Task(Job job, TaskName name, StepSpec spec) {
@@ -83,7 +87,8 @@
     order = Order.UNSAVED;
     uncertain = false;
     placedMillis = nowMillis;
-    percent = 100;
+    progress = 0;
+    pace = FULL_PACE;
   }
 
   void release() {
--- a/core/src/main/java/org/cottontack/core/job/WorkerReport.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReport.java
@@ -23,10 +23,10 @@
    * @param task the task
    * @param run the run's number
    * @param checkpoint its newest checkpoint, empty when there is none
-   * @param percent the share of its speed it is allowed
+   * @param progress how far it has come, in percent; a lasting run is at work at 100
    * @param load tail of response times in milliseconds for a serving task, otherwise processor use
    */
-  public record Running(TaskName task, int run, String checkpoint, int percent, double load) {}
+  public record Running(TaskName task, int run, String checkpoint, int progress, double load) {}
 
   /**
    * A run that ended.
