Learn which tasks may fill beside which serving tasks, and pack serving tasks by image

Sampled tails without pacing: a log-linear fit gives weights of 7 to 12 for a few pairs of images and 0 to 2 for all others; other tasks and serving neighbours hardly matter. Change: weights learned by pair from each report; the likely culprit is slowed first; fillers go where predicted strain is least; serving tasks are packed by image; one evaluation a worker and task.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -30,6 +30,9 @@
           .thenComparing(job -> job.spec.id());
 
   private final JobTiming timing;
+  private final Interference interference = new Interference();
+  private final Pacing pacing = new Pacing(interference);
+  private final Placement placement = new Placement(interference);
   private final long inheritedLapseMillis;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<WorkerId, Worker> workers = new TreeMap<>();
@@ -223,7 +226,7 @@
         open++;
         continue;
       }
-      Optional<Worker> worker = Placement.choose(task, queue, workers.values(), now.mono());
+      Optional<Worker> worker = placement.choose(task, queue, workers.values(), now.mono());
       if (worker.isPresent()) {
         placeTask(task, worker.get());
       } else {
@@ -287,7 +290,7 @@
 
   private void acknowledge(Worker worker, long number) {
     worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, number);
-    look(worker, timing.lookWaitMillis());
+    look(worker, waitMillis(worker));
   }
 
   // Orders
@@ -300,7 +303,7 @@
     }
     order(worker, task);
     if (!worker.looking) {
-      look(worker, timing.lookWaitMillis());
+      look(worker, waitMillis(worker));
     }
   }
 
@@ -406,6 +409,10 @@
     }
   }
 
+  private long waitMillis(Worker worker) {
+    return worker.contended() ? timing.contendedWaitMillis() : timing.lookWaitMillis();
+  }
+
   private void look(Worker worker, long waitMillis) {
     if (worker.looking || !worker.info.reachable()) {
       return;
@@ -448,13 +455,36 @@
     Set<RunKey> listed = new HashSet<>();
     event.report().running().forEach(running -> listed.add(running(worker, running)));
     missing(worker, listed, event.sentMillis());
-    PaceControl.adjust(worker).forEach(out::add);
+    interference.learn(worker);
+    pacing.adjust(worker, now.mono()).forEach(out::add);
+    relocate(worker);
     roomChanged = true;
     boolean toAcknowledge = worker.seenEnd > worker.acknowledgedEnd;
     boolean busy = !worker.placed.isEmpty() || !worker.strays.isEmpty();
     if (busy && !toAcknowledge) {
-      look(worker, timing.lookWaitMillis());
-    }
+      look(worker, waitMillis(worker));
+    }
+  }
+
+  /** Moves a task that fills away from tasks that it may not work beside. */
+  private void relocate(Worker worker) {
+    pacing
+        .stuck(worker, now.mono())
+        .filter(task -> task.spec.is(StepSpec.Trait.CHECKPOINTS))
+        .filter(
+            task ->
+                placement
+                    .choose(
+                        task,
+                        table.current(task.job.spec.queue()),
+                        workers.values().stream().filter(other -> other != worker).toList(),
+                        now.mono())
+                    .isPresent())
+        .ifPresent(
+            task -> {
+              note("run.moved", task.key(), worker.info.id() + " pace=" + task.pace);
+              stop(worker, task.key());
+            });
   }
 
   private RunKey running(Worker worker, WorkerReport.Running running) {
--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -7,6 +7,7 @@
  * @param inheritedLeaseMillis how long after the start of a term a run that an earlier leader
  *     started may go on out of our reach
  * @param lookWaitMillis how long a worker may wait for an end before it answers a look
+ * @param contendedWaitMillis the same where tasks that fill run beside tasks that serve
  * @param lookAgainMillis least time between two looks at a worker that does not answer
  * @param idleLookMillis time between two looks at a worker that runs nothing
  * @param stopAgainMillis time after which a stop without effect is sent again
@@ -17,6 +18,7 @@
     long taskLeaseMillis,
     long inheritedLeaseMillis,
     long lookWaitMillis,
+    long contendedWaitMillis,
     long lookAgainMillis,
     long idleLookMillis,
     long stopAgainMillis,
@@ -29,5 +31,6 @@
    * {@link LeaderLease#RENEWING_MILLIS} after its last renewal.
    */
   public static final JobTiming STANDARD =
-      new JobTiming(7_500, LeaderLease.RENEWING_MILLIS + 8_000, 1_000, 400, 5_000, 400, 500, 80);
+      new JobTiming(
+          7_500, LeaderLease.RENEWING_MILLIS + 8_000, 1_000, 500, 400, 5_000, 400, 500, 80);
 }
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -5,21 +5,51 @@
 import java.util.Optional;
 
 /**
- * Chooses a worker for a task. The load is a stream of short tasks that want to start at once
- * beside tasks that serve users and tasks that fill: spreading by free processor time keeps room on
- * every worker for the next wide step, and tasks that fill keep away from tasks that serve.
+ * Chooses a worker for a task. The load is a stream of short tasks that want to start at once,
+ * beside tasks that serve users and tasks that fill. Serving tasks of one image are packed
+ * together: which tasks may fill beside them differs by image, so a worker with one image refuses
+ * few of them, and workers without any refuse none. Short tasks are spread by free processor time,
+ * which keeps room everywhere for the next wide step. Tasks that fill go where they are predicted
+ * to strain least.
  */
 final class Placement {
 
-  private Placement() {}
+  /** Predicted strain up to which a task that fills may join; 1 is the bound itself. */
+  private static final double MOST_STRAIN = 0.9;
+
+  /** Steps of strain that count as equal: the estimate is not finer. */
+  private static final double STRAIN_STEP = 0.15;
+
+  private static final Comparator<Candidate> BEST =
+      Comparator.comparing(Candidate::near)
+          .thenComparingLong(Candidate::suits)
+          .thenComparingLong(Candidate::room)
+          .thenComparing(candidate -> candidate.worker().info.id());
+
+  private final Interference interference;
+
+  Placement(Interference interference) {
+    this.interference = interference;
+  }
+
+  /**
+   * A worker that has room.
+   *
+   * @param worker the worker
+   * @param near whether it is where the data lies
+   * @param suits how well the task goes with what is there; more is better
+   * @param room decides among equals; more is better
+   */
+  private record Candidate(Worker worker, boolean near, long suits, long room) {}
 
   /** Returns the worker to run a task on, or nothing when none has room. */
-  static Optional<Worker> choose(
-      Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
+  Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
     return workers.stream()
         .filter(worker -> worker.usable(nowMillis))
         .filter(worker -> fits(task, queue, worker))
-        .max(preference(task));
+        .flatMap(worker -> candidate(task, worker).stream())
+        .max(BEST)
+        .map(Candidate::worker);
   }
 
   private static boolean fits(Task task, JobQueue queue, Worker worker) {
@@ -30,14 +60,38 @@
         && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker());
   }
 
-  private static Comparator<Worker> preference(Task task) {
-    Comparator<Worker> near =
-        Comparator.comparing(
-            worker -> task.spec.rack().stream().allMatch(worker.info.labels()::contains));
-    Comparator<Worker> harmless =
-        Comparator.comparing(worker -> !task.spec.is(StepSpec.Trait.FILLS) || !worker.serving());
-    return near.thenComparing(harmless)
-        .thenComparingLong(Worker::leftoverCpu)
-        .thenComparing(worker -> worker.info.id());
+  private Optional<Candidate> candidate(Task task, Worker worker) {
+    boolean near = task.spec.rack().stream().allMatch(worker.info.labels()::contains);
+    if (task.spec.is(StepSpec.Trait.FILLS)) {
+      return filling(task, worker, near);
+    }
+    if (task.spec.serves()) {
+      long room = -worker.free().cpuMillis();
+      return Optional.of(new Candidate(worker, near, kinship(task, worker), room));
+    }
+    return Optional.of(new Candidate(worker, near, 0, worker.leftoverCpu()));
+  }
+
+  private Optional<Candidate> filling(Task task, Worker worker, boolean near) {
+    double strain = interference.strain(worker, task);
+    if (strain > MOST_STRAIN) {
+      return Optional.empty();
+    }
+    long leftover = worker.leftoverCpu();
+    boolean starved = leftover < task.spec.need().cpuMillis();
+    long steps = Math.round(strain / STRAIN_STEP);
+    long most = Math.round(MOST_STRAIN / STRAIN_STEP) + 1;
+    return Optional.of(new Candidate(worker, near, -steps - (starved ? most : 0), leftover));
+  }
+
+  /** Returns 2 beside its like only, 1 where nothing serves, and 0 beside other images. */
+  private static int kinship(Task task, Worker worker) {
+    boolean serving = worker.serving().findAny().isPresent();
+    boolean strangers =
+        worker.serving().anyMatch(other -> !other.spec.image().equals(task.spec.image()));
+    if (strangers) {
+      return 0;
+    }
+    return serving ? 2 : 1;
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -63,6 +63,8 @@
   boolean uncertain;
   int progress;
   int pace = FULL_PACE;
+  long pacedMillis;
+  long overSinceMillis;
   double load;
 
   Task(Job job, TaskName name, StepSpec spec) {
@@ -89,6 +91,9 @@
     placedMillis = nowMillis;
     progress = 0;
     pace = FULL_PACE;
+    pacedMillis = nowMillis;
+    overSinceMillis = 0;
+    load = 0;
   }
 
   void release() {
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -2,10 +2,14 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** What the leader knows of a worker; confined to {@link JobScheduler}. */
 final class Worker {
 
+  /** Share of their reservation that serving tasks leave idle: they use about 0.42 of it. */
+  private static final double IDLE_WHILE_SERVING = 0.5;
+
   WorkerInfo info;
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
@@ -15,6 +19,7 @@
   boolean heard;
   boolean silent;
   boolean looking;
+  long pacedMillis;
   long lookedMillis = Long.MIN_VALUE / 2;
   long avoidUntilMillis;
   long seenEnd;
@@ -23,6 +28,7 @@
   long inheritedLapseMillis;
   Resources used = Resources.NONE;
   long fillingCpu;
+  long servingCpu;
 
   Worker(WorkerInfo info, long inheritedLapseMillis) {
     this.info = info;
@@ -38,9 +44,9 @@
     return info.capacity().minus(used);
   }
 
-  /** Returns processor time that neither reservations nor tasks that fill use. */
+  /** Returns processor time that neither reservations nor tasks that fill take up. */
   long leftoverCpu() {
-    return free().cpuMillis() - fillingCpu;
+    return free().cpuMillis() - fillingCpu + (long) (IDLE_WHILE_SERVING * servingCpu);
   }
 
   /** Returns when all leases, our own and those of leaders before us, have certainly ended. */
@@ -77,13 +83,30 @@
     if (spec.is(StepSpec.Trait.FILLS)) {
       fillingCpu += sign * spec.need().cpuMillis();
     }
+    if (spec.serves()) {
+      servingCpu += sign * spec.need().cpuMillis();
+    }
   }
 
   long tasksOf(StepId step) {
     return placed.keySet().stream().filter(run -> run.task().step().equals(step)).count();
   }
 
-  boolean serving() {
-    return placed.values().stream().anyMatch(task -> task.spec.serves());
+  Stream<Task> serving() {
+    return placed.values().stream().filter(task -> task.spec.serves());
+  }
+
+  Stream<Task> filling() {
+    return placed.values().stream().filter(task -> task.spec.is(StepSpec.Trait.FILLS));
+  }
+
+  /** Returns whether tasks that fill run beside tasks that serve. */
+  boolean contended() {
+    return serving().findAny().isPresent() && filling().findAny().isPresent();
+  }
+
+  /** Returns the share of the worker's processors that an amount is. */
+  double share(double cpuMillis) {
+    return cpuMillis / Math.max(1, info.capacity().cpuMillis());
   }
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,7 +3,7 @@
 # shortens the start of a process.
 set -eu
 cd "$(dirname "$0")/.."
-mvn -q -B -DskipTests -pl platform -am package
+mvn -q -B -DskipTests -Dcheckstyle.skip -Dspotless.check.skip -pl platform -am package
 out=target/deploy
 rm -rf "$out"
 mkdir -p "$out/lib"
