--- a/core/src/main/java/org/cottontack/core/job/Interference.java
+++ b/core/src/main/java/org/cottontack/core/job/Interference.java
@@ -83,8 +83,7 @@
    */
   double strain(Worker worker, Task added) {
     double allowed = Math.log(1 / QUIET_SHARE);
-    return worker
-        .serving()
+    return worker.servingImages().stream()
         .mapToDouble(
             serving ->
                 effect(worker, serving, added)
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -62,16 +62,34 @@
   }
 
   /**
-   * Takes one event in.
+   * Takes one event in and decides.
    *
    * @param moment the time of the event
    * @param event what happened
    * @return what is to be done, in order
    */
   public List<JobEffect> reduce(Moment moment, JobEvent event) {
+    List<JobEffect> effects = new ArrayList<>(take(moment, event));
+    effects.addAll(decide(moment));
+    return effects;
+  }
+
+  /**
+   * Takes one event in and leaves placing and saving to {@link #decide}. After a takeover hundreds
+   * of events come at once; deciding after each of them kept a leader busy for longer than its
+   * lease.
+   */
+  public List<JobEffect> take(Moment moment, JobEvent event) {
     now = moment;
     out = new ArrayList<>();
     apply(event);
+    return out;
+  }
+
+  /** Places what waits and saves what has changed since the last decision. */
+  public List<JobEffect> decide(Moment moment) {
+    now = moment;
+    out = new ArrayList<>();
     place();
     save();
     return out;
@@ -213,28 +231,27 @@
     }
     roomChanged = false;
     List<Job> order = hungry.stream().sorted(URGENCY).toList();
-    order.forEach(this::placeJob);
+    NoRoom noRoom = new NoRoom();
+    order.forEach(job -> placeJob(job, noRoom));
   }
 
-  private void placeJob(Job job) {
+  private void placeJob(Job job, NoRoom noRoom) {
     JobQueue queue = table.current(job.spec.queue());
     List<Task> ready = job.ready().toList();
-    Set<StepSpec> full = new HashSet<>();
-    long open = 0;
+    boolean all = true;
     for (Task task : ready) {
-      if (full.contains(task.spec)) {
-        open++;
-        continue;
-      }
-      Optional<Worker> worker = placement.choose(task, queue, workers.values(), now.mono());
+      Optional<Worker> worker =
+          noRoom.covers(task.spec, queue)
+              ? Optional.empty()
+              : placement.choose(task, queue, workers.values(), now.mono());
       if (worker.isPresent()) {
         placeTask(task, worker.get());
       } else {
-        full.add(task.spec);
-        open++;
+        noRoom.add(task.spec, queue);
+        all = false;
       }
     }
-    if (open == 0) {
+    if (all) {
       hungry.remove(job);
     }
   }
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/NoRoom.java
@@ -0,0 +1,39 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What found no worker in one pass over the waiting tasks. The load is hundreds of waiting tasks
+ * and a few full workers: a task that asks for at least as much as one that found nothing is not
+ * tried.
+ */
+final class NoRoom {
+
+  private record Refused(StepSpec step, String pool) {}
+
+  private final List<Refused> refused = new ArrayList<>();
+
+  void add(StepSpec step, JobQueue queue) {
+    if (!covers(step, queue)) {
+      refused.add(new Refused(step, queue.pool()));
+    }
+  }
+
+  /** Returns whether a step's tasks need not be tried. */
+  boolean covers(StepSpec step, JobQueue queue) {
+    return refused.stream()
+        .anyMatch(r -> r.pool().equals(queue.pool()) && asksNoLess(step, r.step()));
+  }
+
+  private static boolean asksNoLess(StepSpec step, StepSpec other) {
+    if (step.equals(other)) {
+      return true;
+    }
+    return other.maxPerWorker() == 0
+        && other.requiredLabel().isEmpty()
+        && step.image().equals(other.image())
+        && step.is(StepSpec.Trait.FILLS) == other.is(StepSpec.Trait.FILLS)
+        && step.need().holds(other.need());
+  }
+}
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -86,12 +86,12 @@
 
   /** Returns 2 beside its like only, 1 where nothing serves, and 0 beside other images. */
   private static int kinship(Task task, Worker worker) {
-    boolean serving = worker.serving().findAny().isPresent();
-    boolean strangers =
-        worker.serving().anyMatch(other -> !other.spec.image().equals(task.spec.image()));
-    if (strangers) {
-      return 0;
+    if (worker.servingImages().isEmpty()) {
+      return 1;
     }
-    return serving ? 2 : 1;
+    boolean strangers =
+        worker.servingImages().stream()
+            .anyMatch(other -> !other.spec.image().equals(task.spec.image()));
+    return strangers ? 0 : 2;
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 
@@ -15,6 +16,7 @@
   final Map<RunKey, Task> placed = new HashMap<>();
   final Map<RunKey, Resources> strays = new HashMap<>();
   final Map<RunKey, Long> stopsSent = new HashMap<>();
+  private List<Task> servingImages = List.of();
   boolean registered;
   boolean heard;
   boolean silent;
@@ -57,14 +59,27 @@
   void add(Task task) {
     placed.put(task.key(), task);
     count(task.spec, 1);
+    listImages();
   }
 
   void remove(Task task) {
     if (placed.remove(task.key()) != null) {
       count(task.spec, -1);
+      listImages();
     }
   }
 
+  private void listImages() {
+    Map<String, Task> byImage = new HashMap<>();
+    serving().forEach(task -> byImage.putIfAbsent(task.spec.image(), task));
+    servingImages = List.copyOf(byImage.values());
+  }
+
+  /** Returns one serving task of each image here. */
+  List<Task> servingImages() {
+    return servingImages;
+  }
+
   void addStray(RunKey run, Resources amount) {
     if (strays.putIfAbsent(run, amount) == null) {
       used = used.plus(amount);
@@ -102,7 +117,7 @@
 
   /** Returns whether tasks that fill run beside tasks that serve. */
   boolean contended() {
-    return serving().findAny().isPresent() && filling().findAny().isPresent();
+    return !servingImages.isEmpty() && filling().findAny().isPresent();
   }
 
   /** Returns the share of the worker's processors that an amount is. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -46,6 +47,12 @@
   /** Rows removed in one transaction; the store takes 100. */
   private static final int REMOVE_ROWS = 100;
 
+  /** Pause after a decision as a multiple of the time it took: half the processor at most. */
+  private static final long PAUSE_SHARE = 1;
+
+  /** Longest pause between decisions, in milliseconds: a fifth of the tightest objective. */
+  private static final long LONGEST_PAUSE_MILLIS = 50;
+
   private final TableStore store;
   private final Timers timers;
   private final WorkerCalls workers;
@@ -63,6 +70,8 @@
   private int toRead;
   private long fenceVersion;
   private long saves;
+  private boolean deciding;
+  private long pauseMillis;
 
   Leader(
       TableStore store,
@@ -242,7 +251,23 @@
     if (stopped || scheduler == null) {
       return;
     }
-    scheduler.reduce(timers.now(), event).forEach(this::run);
+    scheduler.take(timers.now(), event).forEach(this::run);
+    if (!deciding) {
+      deciding = true;
+      timers.after(pauseMillis, this::decide);
+    }
+  }
+
+  /** Decides about all events since the last time; the pause bounds its share of the processor. */
+  private void decide() {
+    deciding = false;
+    if (stopped) {
+      return;
+    }
+    long began = System.nanoTime();
+    scheduler.decide(timers.now()).forEach(this::run);
+    long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, PAUSE_SHARE * took);
   }
 
   private void run(JobEffect effect) {
