--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -254,6 +254,19 @@
     if (all) {
       hungry.remove(job);
     }
+    notePlaced(job, ready);
+  }
+
+  private void notePlaced(Job job, List<Task> ready) {
+    List<Task> placed = ready.stream().filter(task -> task.phase == Task.Phase.PLACED).toList();
+    if (!placed.isEmpty()) {
+      String where =
+          placed.stream()
+              .map(t -> t.name.step().step() + "." + t.name.index() + "#" + t.run + "@" + t.worker)
+              .collect(Collectors.joining(" "));
+      int open = ready.size() - placed.size();
+      note("job.placed", job.spec.id(), "table=" + table.version() + " left=" + open + " " + where);
+    }
   }
 
   private void placeTask(Task task, Worker worker) {
