Let the leases of a silent worker end; tests of a leader's decisions in virtual time

Cause: each look at a worker renewed its leases, also while it gave no answer, so the moment when they have certainly ended moved on with each look and its tasks never started elsewhere. Found by the test 'waitsOutTheLeaseOfWorkersOutOfReach', which failed first. Ruled out: the wait inherited from an earlier leader (shortened all the same: it ends with the lease after the first answer). Change: a look at a silent worker renews nothing.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -449,8 +449,10 @@
     }
     worker.looking = true;
     worker.lookedMillis = now.mono();
-    long leaseEnd =
-        worker.clock.known() ? worker.clock.leaseEnd(now.mono(), timing.taskLeaseMillis()) : 0;
+    // A worker that does not answer may still receive this. Were its leases renewed as well, they
+    // would never be sure to have ended, and its tasks would wait for it for ever.
+    boolean renew = worker.clock.known() && !worker.silent;
+    long leaseEnd = renew ? worker.clock.leaseEnd(now.mono(), timing.taskLeaseMillis()) : 0;
     out.add(
         new JobEffect.LookAtWorker(
             worker.info.id(), worker.info.address(), leaseEnd, worker.acknowledgedEnd, waitMillis));
@@ -476,7 +478,9 @@
       return;
     }
     worker.looking = false;
-    worker.heard = true;
+    if (!worker.heard) {
+      worker.heard(now.mono(), timing.taskLeaseMillis());
+    }
     worker.silent = false;
     worker.clock.observe(event.report().clockMillis(), now.mono());
     event.report().ended().stream()
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -51,6 +51,13 @@
     return free().cpuMillis() - fillingCpu + (long) (IDLE_WHILE_SERVING * servingCpu);
   }
 
+  /** Takes in the first answer of this term: from now on an earlier leader's orders are refused. */
+  void heard(long nowMillis, long leaseMillis) {
+    heard = true;
+    long longest = nowMillis + (long) (leaseMillis / WorkerClock.SLOWEST);
+    inheritedLapseMillis = Math.min(inheritedLapseMillis, longest);
+  }
+
   /** Returns when all leases, our own and those of leaders before us, have certainly ended. */
   long lapsedMillis() {
     return Math.max(clock.allLapsedMillis(), inheritedLapseMillis);
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -0,0 +1,252 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Predicate;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * A leader, a store and workers in virtual time. Orders take 2 ms each way and saves 12 ms, unless
+ * a test holds them back. It checks at every step that no task runs twice at a time and that no
+ * worker holds more than it has.
+ */
+final class JobLab {
+
+  private static final long TRIP_MILLIS = 2;
+  private static final long SAVE_MILLIS = 12;
+  private static final long TICK_MILLIS = 100;
+  private static final long STEP_MILLIS = 10;
+
+  private record Due(long at, long order, Runnable what) {}
+
+  final Map<WorkerId, LabWorker> workers = new LinkedHashMap<>();
+  final Map<JobId, String> stored = new HashMap<>();
+  final Map<JobId, JobSpec> specs = new HashMap<>();
+  final List<JobEffect> seen = new ArrayList<>();
+  Predicate<JobEffect> lost = effect -> false;
+  Predicate<JobEffect> late = effect -> false;
+  boolean storeAway;
+  boolean fails;
+  long workMillis = 500;
+  long now = 1_000;
+  long epoch = 1;
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+  private final Deque<JobEffect.SaveProgress> waitingSaves = new ArrayDeque<>();
+  private long orders;
+  private JobScheduler leader;
+  private JobTable table = JobTable.EMPTY;
+
+  JobLab(LabWorker... all) {
+    for (LabWorker worker : all) {
+      workers.put(worker.info.id(), worker);
+    }
+    leader = new JobScheduler(JobTiming.STANDARD, table, moment());
+    introduce();
+    tick(leader);
+  }
+
+  private Moment moment() {
+    return new Moment(now, now);
+  }
+
+  private void introduce() {
+    workers.values().stream()
+        .filter(worker -> !worker.dead)
+        .forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
+  }
+
+  void table(JobTable next) {
+    table = next;
+    post(new JobEvent.TableChanged(next));
+  }
+
+  void submit(JobSpec job) {
+    specs.put(job.id(), job);
+    post(new JobEvent.JobArrived(job));
+  }
+
+  /** Another instance takes over with what is stored; the old leader hears nothing any more. */
+  void takeOver() {
+    epoch++;
+    waitingSaves.clear();
+    leader = new JobScheduler(JobTiming.STANDARD, table, moment());
+    introduce();
+    specs.values().forEach(this::recover);
+    tick(leader);
+  }
+
+  private void recover(JobSpec job) {
+    String progress = stored.get(job.id());
+    post(
+        progress == null ? new JobEvent.JobArrived(job) : new JobEvent.JobRecovered(job, progress));
+  }
+
+  void post(JobEvent event) {
+    post(leader, event);
+  }
+
+  private void post(JobScheduler to, JobEvent event) {
+    if (to == leader) {
+      leader.reduce(moment(), event).forEach(this::carryOut);
+    }
+  }
+
+  private void tick(JobScheduler to) {
+    if (to == leader) {
+      post(to, new JobEvent.Tick());
+      after(TICK_MILLIS, () -> tick(to));
+    }
+  }
+
+  private void after(long millis, Runnable what) {
+    orders++;
+    due.add(new Due(now + millis, orders, what));
+  }
+
+  /** Lets time pass. */
+  void run(long millis) {
+    long end = now + millis;
+    while (now < end) {
+      now = Math.min(end, now + STEP_MILLIS);
+      workers.values().forEach(worker -> worker.advance(now, fails));
+      while (!due.isEmpty() && due.peek().at() <= now) {
+        due.poll().what().run();
+      }
+      check();
+    }
+  }
+
+  private void check() {
+    for (JobSpec job : specs.values()) {
+      for (int step = 0; step < job.steps().size(); step++) {
+        for (int i = 0; i < job.steps().get(step).count(); i++) {
+          TaskName task = new TaskName(new StepId(job.id(), 0, step), i);
+          long running = workers.values().stream().filter(w -> w.runs(task)).count();
+          if (running > 1) {
+            throw new AssertionError(task + " runs on " + running + " workers at " + now);
+          }
+        }
+      }
+    }
+    for (LabWorker worker : workers.values()) {
+      if (!worker.info.capacity().holds(worker.used())) {
+        throw new AssertionError(worker.info.id() + " holds too much at " + now);
+      }
+    }
+  }
+
+  private void carryOut(JobEffect effect) {
+    seen.add(effect);
+    JobScheduler from = leader;
+    long token = epoch;
+    if (effect instanceof JobEffect.SaveProgress save) {
+      save(from, save);
+    } else if (effect instanceof JobEffect.StartRun start) {
+      start(from, token, start);
+    } else if (effect instanceof JobEffect.StopRun stop) {
+      stop(from, token, stop);
+    } else if (effect instanceof JobEffect.LookAtWorker look) {
+      look(from, token, look);
+    }
+  }
+
+  private void save(JobScheduler from, JobEffect.SaveProgress save) {
+    if (storeAway) {
+      waitingSaves.add(save);
+      return;
+    }
+    after(
+        SAVE_MILLIS,
+        () -> {
+          if (from == leader) {
+            stored.putAll(save.progress());
+            post(from, new JobEvent.ProgressSaved());
+          }
+        });
+  }
+
+  /** Brings the store back; saves that waited are done. */
+  void storeBack() {
+    storeAway = false;
+    while (!waitingSaves.isEmpty()) {
+      save(leader, waitingSaves.poll());
+    }
+  }
+
+  private void start(JobScheduler from, long token, JobEffect.StartRun order) {
+    LabWorker worker = workers.get(order.worker());
+    boolean unanswered = lost.test(order) || !worker.reachable || worker.dead;
+    if (!worker.dead && worker.reachable) {
+      long delay = late.test(order) ? 3_000 : TRIP_MILLIS;
+      after(
+          delay,
+          () -> {
+            StartResult result = worker.start(order, token, now, workMillis, need(order));
+            if (!unanswered && delay == TRIP_MILLIS) {
+              after(TRIP_MILLIS, () -> started(from, order, result));
+            }
+          });
+    }
+    if (unanswered || late.test(order)) {
+      after(900, () -> started(from, order, StartResult.UNKNOWN));
+    }
+  }
+
+  private void started(JobScheduler from, JobEffect.StartRun order, StartResult result) {
+    post(from, new JobEvent.StartEnded(order.worker(), order.run(), result));
+  }
+
+  private Resources need(JobEffect.StartRun order) {
+    StepId step = order.run().task().step();
+    return specs.get(step.job()).steps().get(step.step()).reserved();
+  }
+
+  private void stop(JobScheduler from, long token, JobEffect.StopRun order) {
+    LabWorker worker = workers.get(order.worker());
+    boolean answers = worker.reachable && !worker.dead;
+    after(
+        answers ? TRIP_MILLIS : 900,
+        () -> {
+          if (answers) {
+            worker.stop(order.run(), token);
+          }
+          post(from, new JobEvent.StopEnded(order.worker(), order.run(), answers));
+        });
+  }
+
+  private void look(JobScheduler from, long token, JobEffect.LookAtWorker order) {
+    LabWorker worker = workers.get(order.worker());
+    long sent = now;
+    after(
+        Math.max(TRIP_MILLIS, Math.min(order.waitMillis(), 50)),
+        () -> {
+          if (worker == null || !worker.reachable || worker.dead) {
+            after(800, () -> post(from, new JobEvent.WorkerSilent(order.worker())));
+          } else {
+            WorkerReport report = worker.look(order, token, now);
+            post(from, new JobEvent.WorkerReported(order.worker(), sent, report));
+          }
+        });
+  }
+
+  JobPhase phase(JobId job) {
+    String progress = stored.get(job);
+    return progress == null ? JobPhase.QUEUED : ProgressText.phase(progress);
+  }
+
+  int starts() {
+    return workers.values().stream()
+        .flatMap(worker -> worker.starts.values().stream())
+        .mapToInt(Integer::intValue)
+        .sum();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -0,0 +1,443 @@
+package org.cottontack.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.Test;
+
+/** Tests of a leader's decisions, in virtual time. */
+public class JobSchedulerTest {
+
+  private static final JobQueue QUEUE =
+      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
+  private static final JobTable TABLE = new JobTable(1, List.of(QUEUE), List.of());
+  private static final long LEASE_MILLIS = JobTiming.STANDARD.taskLeaseMillis();
+
+  private static StepSpec step(
+      int count, long cores, List<Integer> after, StepSpec.Trait... traits) {
+    return step(count, cores, after, 0, "", 0, traits);
+  }
+
+  private static StepSpec step(
+      int count,
+      long cores,
+      List<Integer> after,
+      int maxPerWorker,
+      String image,
+      double target,
+      StepSpec.Trait... traits) {
+    return new StepSpec(
+        count,
+        new Resources(1_000 * cores, 100, 0),
+        500,
+        after,
+        List.of(traits),
+        Optional.empty(),
+        Optional.empty(),
+        maxPerWorker,
+        image,
+        target,
+        0);
+  }
+
+  private static JobSpec job(String id, StepSpec... steps) {
+    return new JobSpec(new JobId(id), QUEUE, "payload", List.of(steps), JobSpec.Schedule.AT_ONCE);
+  }
+
+  private static JobLab lab(LabWorker... workers) {
+    JobLab lab = new JobLab(workers);
+    lab.table(TABLE);
+    lab.run(200);
+    return lab;
+  }
+
+  /** Steps, attempts and ends on a calm day. */
+  public static class Course {
+
+    @Test
+    public void runsStepsInOrderAndCompletes() {
+      JobLab lab = lab(new LabWorker("w1", 8), new LabWorker("w2", 8));
+      JobSpec job = job("a", step(4, 2, List.of()), step(2, 2, List.of(0)));
+      lab.submit(job);
+      lab.run(300);
+      assertEquals(lab.starts(), 4);
+      lab.run(900);
+      assertEquals(lab.starts(), 6);
+      lab.run(300);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    @Test
+    public void failsAfterTheLastAttempt() {
+      JobLab lab = lab(new LabWorker("w1", 8));
+      lab.fails = true;
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(3_000);
+      assertEquals(lab.phase(job.id()), JobPhase.FAILED);
+      assertEquals(lab.starts(), 2);
+    }
+
+    @Test
+    public void restartsWhatLastsHoweverItEnds() {
+      JobLab lab = lab(new LabWorker("w1", 8));
+      lab.fails = true;
+      JobSpec job = job("a", step(1, 2, List.of(), StepSpec.Trait.LASTS));
+      lab.submit(job);
+      lab.run(3_000);
+      assertEquals(lab.phase(job.id()), JobPhase.RUNNING);
+      assertTrue(lab.starts() > 3, "starts: " + lab.starts());
+    }
+
+    @Test
+    public void keepsToTheSpreadLimit() {
+      LabWorker first = new LabWorker("w1", 32);
+      LabWorker second = new LabWorker("w2", 32);
+      JobLab lab = lab(first, second);
+      lab.submit(job("a", step(6, 1, List.of(), 2, "", 0)));
+      lab.run(300);
+      assertEquals(first.count(), 2);
+      assertEquals(second.count(), 2);
+    }
+
+    @Test
+    public void waitsForRoomRatherThanOverfillOne() {
+      JobLab lab = lab(new LabWorker("w1", 4));
+      JobSpec job = job("a", step(6, 2, List.of()));
+      lab.submit(job);
+      lab.run(300);
+      assertEquals(lab.starts(), 2);
+      lab.run(3_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+  }
+
+  /** What is stored before what is sent. */
+  public static class Durability {
+
+    /**
+     * The store is away. A placement that was sent without being stored would be unknown to the
+     * next leader, which would start the task again elsewhere while it runs.
+     */
+    @Test
+    public void startsNothingThatIsNotStored() {
+      JobLab lab = lab(new LabWorker("w1", 8));
+      lab.storeAway = true;
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(2_000);
+      assertEquals(lab.starts(), 0);
+      lab.storeBack();
+      lab.run(200);
+      assertEquals(lab.starts(), 1);
+    }
+
+    /**
+     * A task ends while the store is away. Once acknowledged, its worker forgets the end; a leader
+     * that comes next would find neither run nor end and run the finished task again.
+     */
+    @Test
+    public void acknowledgesNoEndThatIsNotStored() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(200);
+      lab.storeAway = true;
+      lab.run(2_000);
+      assertEquals(worker.acknowledgedEnds(), 0);
+      lab.takeOver();
+      lab.storeBack();
+      lab.run(1_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(lab.starts(), 1);
+    }
+  }
+
+  /** Orders that get no answer, workers that go and come back. */
+  public static class Doubt {
+
+    /**
+     * A start gets no answer but was carried out. The leader sends it again; the worker takes the
+     * same run as the same, and the task runs once.
+     */
+    @Test
+    public void startsOnceWhenTheAnswerIsLost() {
+      JobLab lab = lab(new LabWorker("w1", 8), new LabWorker("w2", 8));
+      boolean[] first = {true};
+      lab.lost =
+          effect -> {
+            boolean lose = first[0];
+            first[0] = false;
+            return lose;
+          };
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.workMillis = 3_000;
+      lab.submit(job);
+      lab.run(5_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(lab.starts(), 1);
+    }
+
+    /**
+     * A start stays under way for 3 s while its repetition has long run and ended. When it arrives
+     * the worker has seen that run end, so the task is not run a second time.
+     */
+    @Test
+    public void runsOnceWhenAnOrderArrivesLate() {
+      JobLab lab = lab(new LabWorker("w1", 8), new LabWorker("w2", 8));
+      boolean[] first = {true};
+      lab.late =
+          effect -> {
+            boolean delay = first[0];
+            first[0] = false;
+            return delay;
+          };
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(6_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(lab.starts(), 1);
+    }
+
+    /**
+     * A worker is cut off while it runs a task. The task starts elsewhere only after its lease has
+     * certainly ended there; until then it would run twice.
+     */
+    @Test
+    public void waitsOutTheLeaseOfWorkersOutOfReach() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = lab(first, second);
+      lab.workMillis = 60_000;
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(300);
+      LabWorker holder = first.count() > 0 ? first : second;
+      holder.reachable = false;
+      lab.run(LEASE_MILLIS - 1_000);
+      assertEquals(lab.starts(), 1);
+      lab.run(4_000);
+      assertEquals(lab.starts(), 2);
+    }
+
+    /**
+     * A leader dies with tasks running. The next one finds them on their workers and leaves them
+     * alone: their callers see one run of each task.
+     */
+    @Test
+    public void takesOverWithoutStartingAgain() {
+      JobLab lab = lab(new LabWorker("w1", 8), new LabWorker("w2", 8));
+      lab.workMillis = 3_000;
+      JobSpec job = job("a", step(4, 2, List.of()));
+      lab.submit(job);
+      lab.run(500);
+      lab.takeOver();
+      lab.run(5_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(lab.starts(), 4);
+    }
+
+    /**
+     * A leader dies between storing a placement and sending its order. The next leader asks the
+     * worker, does not find the run, and starts the task anew under the next number.
+     */
+    @Test
+    public void startsWhatTheLastLeaderOnlyStored() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.specs.put(job.id(), job);
+      lab.stored.put(job.id(), "r\n0 0 0 p 1 0 w1 ");
+      lab.takeOver();
+      lab.run(2_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(
+          worker.starts.keySet(), java.util.Set.of(new RunKey(TaskName.parse("a.0.0.0"), 2)));
+    }
+
+    /**
+     * A worker dies with its lists after its task was stored on it, and another life registers at
+     * its address. What ran there is gone at once and starts elsewhere without a wait for the
+     * lease.
+     */
+    @Test
+    public void restartsAtOnceWhenAnotherLifeAnswers() {
+      LabWorker first = new LabWorker("w1", 8);
+      JobLab lab = lab(first);
+      lab.workMillis = 2_000;
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(300);
+      first.dead = true;
+      LabWorker second = new LabWorker("w2", 8);
+      lab.workers.put(second.info.id(), second);
+      lab.post(new JobEvent.WorkerSeen(second.info));
+      lab.post(new JobEvent.WorkerReborn(first.info.id()));
+      lab.run(500);
+      assertEquals(second.count(), 1);
+    }
+  }
+
+  /** Cancelled jobs. */
+  public static class Cancelling {
+
+    @Test
+    public void stopsWhatRunsAndStartsNothingMore() {
+      LabWorker worker = new LabWorker("w1", 4);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      JobSpec job = job("a", step(6, 2, List.of()));
+      lab.submit(job);
+      lab.run(300);
+      lab.post(new JobEvent.JobCancelled(job.id()));
+      lab.run(500);
+      assertEquals(worker.count(), 0);
+      lab.run(3_000);
+      assertEquals(lab.starts(), 2);
+      assertEquals(lab.phase(job.id()), JobPhase.CANCELLED);
+    }
+
+    /**
+     * A cancelled job's worker is out of reach when the stop is sent and comes back later. The stop
+     * goes out again until the run is gone.
+     */
+    @Test
+    public void stopsAgainUntilTheRunIsGone() {
+      LabWorker worker = new LabWorker("w1", 4);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.submit(job);
+      lab.run(300);
+      worker.reachable = false;
+      lab.post(new JobEvent.JobCancelled(job.id()));
+      lab.run(2_000);
+      worker.reachable = true;
+      lab.run(2_000);
+      assertEquals(worker.count(), 0);
+    }
+  }
+
+  /** Tasks that fill beside tasks that serve. */
+  public static class Sharing {
+
+    private static JobSpec serving(String id, String image) {
+      return job(id, step(1, 4, List.of(), 0, image, 18, StepSpec.Trait.LASTS));
+    }
+
+    private static JobSpec filling(String id, String image) {
+      return job(id, step(1, 4, List.of(), 0, image, 0, StepSpec.Trait.FILLS));
+    }
+
+    /**
+     * A task that fills pushes a serving task's tail far over its bound. Its pace goes to zero
+     * within the next reports; the users of the serving task see a short bump only.
+     */
+    @Test
+    public void haltsWhatPushesTailsOverItsBound() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      lab.submit(filling("f", "batch"));
+      worker.loads.put("s", 200.0);
+      worker.loads.put("f", 4_000.0);
+      lab.run(1_500);
+      assertTrue(
+          lab.seen.stream()
+              .anyMatch(e -> e instanceof JobEffect.PaceRun pace && pace.percent() == 0));
+    }
+
+    @Test
+    public void packsServingTasksOfOneImage() {
+      LabWorker first = new LabWorker("w1", 16);
+      LabWorker second = new LabWorker("w2", 16);
+      JobLab lab = lab(first, second);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s1", "web"));
+      lab.run(200);
+      lab.submit(serving("s2", "mail"));
+      lab.run(200);
+      lab.submit(serving("s3", "web"));
+      lab.run(200);
+      LabWorker web = first.runs(TaskName.parse("s1.0.0.0")) ? first : second;
+      assertTrue(web.runs(TaskName.parse("s3.0.0.0")));
+      assertFalse(web.runs(TaskName.parse("s2.0.0.0")));
+    }
+
+    /**
+     * One pair of images is seen to multiply a tail by ten. From then on tasks of that image wait
+     * for another worker instead of joining the serving task again.
+     */
+    @Test
+    public void keepsPairsApartOnceKnownToHurt() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 3_000;
+      JobSpec serving = serving("s", "web");
+      lab.submit(serving);
+      lab.run(300);
+      lab.submit(filling("f1", "batch"));
+      worker.loads.put("s", 180.0);
+      worker.loads.put("f1", 4_000.0);
+      lab.run(3_500);
+      worker.loads.put("s", 5.0);
+      lab.submit(filling("f2", "batch"));
+      lab.run(1_000);
+      assertFalse(worker.runs(TaskName.parse("f2.0.0.0")));
+      lab.submit(filling("f3", "harmless"));
+      lab.run(1_000);
+      assertTrue(worker.runs(TaskName.parse("f3.0.0.0")));
+    }
+  }
+
+  /** Workers that must get nothing. */
+  public static class Shunning {
+
+    @Test
+    public void placesNothingOnDrainingWorkers() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      WorkerInfo info = worker.info;
+      lab.post(
+          new JobEvent.WorkerSeen(
+              new WorkerInfo(
+                  info.id(),
+                  info.pool(),
+                  info.address(),
+                  info.dataCentre(),
+                  info.capacity(),
+                  info.labels(),
+                  true)));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+
+    @Test
+    public void placesNothingOnWorkersOfAnotherPool() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      JobQueue moved = new JobQueue("queue", "host", "/jobs/", "other", 0, 2, 1.5, 250, false);
+      lab.table(new JobTable(2, List.of(moved), List.of()));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+
+    @Test
+    public void forgetsWorkersThatLeftEmpty() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.post(new JobEvent.WorkerUnlisted(new WorkerId("w1")));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -0,0 +1,140 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * A worker in virtual time: keeps fencing tokens, leases, ends, and bars runs that it has stopped.
+ */
+final class LabWorker {
+
+  private static final class Held {
+    final RunKey run;
+    final long doneMillis;
+    final Resources need;
+
+    Held(RunKey run, long doneMillis, Resources need) {
+      this.run = run;
+      this.doneMillis = doneMillis;
+      this.need = need;
+    }
+  }
+
+  final WorkerInfo info;
+  final Map<RunKey, Integer> starts = new HashMap<>();
+  final Map<String, Double> loads = new HashMap<>();
+  boolean reachable = true;
+  boolean dead;
+  long token;
+  private final Map<RunKey, Held> running = new HashMap<>();
+  private final Map<TaskName, Integer> barred = new HashMap<>();
+  private final List<WorkerReport.Ended> ended = new ArrayList<>();
+  private long ends;
+  private long acknowledged;
+  private long leaseEndMillis;
+
+  LabWorker(String id, long cores, String... labels) {
+    this.info =
+        new WorkerInfo(
+            new WorkerId(id),
+            "pool",
+            id + ":1",
+            new DataCentreId("dc"),
+            new Resources(1_000 * cores, 100_000, 0),
+            List.of(labels),
+            false);
+  }
+
+  /** Carries out an order to start; the run is done after the given time, or fails if negative. */
+  StartResult start(JobEffect.StartRun order, long epoch, long now, long work, Resources need) {
+    if (epoch < token) {
+      return StartResult.FENCED;
+    }
+    token = epoch;
+    if (running.containsKey(order.run())) {
+      return StartResult.STARTED;
+    }
+    if (order.run().run() <= barred.getOrDefault(order.run().task(), 0)) {
+      return StartResult.OLD;
+    }
+    if (order.leaseEndMillis() <= now) {
+      return StartResult.LATE;
+    }
+    leaseEndMillis = Math.max(leaseEndMillis, order.leaseEndMillis());
+    starts.merge(order.run(), 1, Integer::sum);
+    running.put(order.run(), new Held(order.run(), now + work, need));
+    return StartResult.STARTED;
+  }
+
+  void stop(RunKey run, long epoch) {
+    if (epoch < token) {
+      return;
+    }
+    barred.merge(run.task(), run.run(), Math::max);
+    if (running.remove(run) != null) {
+      end(run, WorkerReport.End.STOPPED);
+    }
+  }
+
+  WorkerReport look(JobEffect.LookAtWorker look, long epoch, long now) {
+    token = Math.max(token, epoch);
+    if (epoch == token) {
+      leaseEndMillis = Math.max(leaseEndMillis, look.leaseEndMillis());
+      acknowledged = Math.max(acknowledged, look.acknowledged());
+    }
+    ended.removeIf(end -> end.number() <= acknowledged);
+    List<WorkerReport.Running> list =
+        running.keySet().stream()
+            .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, load(run)))
+            .toList();
+    return new WorkerReport(now, list, ended);
+  }
+
+  private double load(RunKey run) {
+    return loads.getOrDefault(run.task().job().value(), 0.0);
+  }
+
+  /** Lets time pass: ends what is done, kills everything when the lease lapses. */
+  void advance(long now, boolean fails) {
+    Iterator<Held> held = List.copyOf(running.values()).iterator();
+    boolean lapsed = now > leaseEndMillis;
+    held.forEachRemaining(
+        run -> {
+          if (lapsed || now >= run.doneMillis) {
+            running.remove(run.run);
+            barred.merge(run.run.task(), run.run.run(), Math::max);
+            end(run.run, lapsed ? WorkerReport.End.LAPSED : outcome(fails));
+          }
+        });
+  }
+
+  private static WorkerReport.End outcome(boolean fails) {
+    return fails ? WorkerReport.End.FAILED : WorkerReport.End.DONE;
+  }
+
+  private void end(RunKey run, WorkerReport.End how) {
+    ends++;
+    ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), how, ""));
+  }
+
+  boolean runs(TaskName task) {
+    return !dead && running.keySet().stream().anyMatch(run -> run.task().equals(task));
+  }
+
+  int count() {
+    return running.size();
+  }
+
+  Resources used() {
+    return running.values().stream().map(held -> held.need).reduce(Resources.NONE, Resources::plus);
+  }
+
+  long acknowledgedEnds() {
+    return acknowledged;
+  }
+}
