Suspect workers that fail everything, move runs that stand still, end connections before stopping

Cause: a worker that fails all it starts frees its room fast and draws the most work, using up attempts; runs on a stalled worker never end; a process that stopped cut what was sent to it last. Change: two different jobs failing in a row pause a worker, doubling from 2 to 16 s; a task is tried elsewhere than where it failed; a run without progress for 2.5 s is stopped and resumes elsewhere; after the order to stop each answer closes its connection, and the process leaves when none is open.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpCall.java
@@ -29,10 +29,12 @@
   private final Map<String, String> headers;
   private final byte[] body;
   private final boolean keepAlive;
+  private final HttpServer.Open open;
   private final AtomicBoolean answered = new AtomicBoolean();
 
-  HttpCall(ChannelHandlerContext context, FullHttpRequest request) {
+  HttpCall(ChannelHandlerContext context, FullHttpRequest request, HttpServer.Open open) {
     this.context = context;
+    this.open = open;
     this.method = request.method().name();
     this.uri = new QueryStringDecoder(request.uri());
     this.headers =
@@ -44,6 +46,7 @@
                     (first, second) -> first));
     this.body = ByteBufUtil.getBytes(request.content());
     this.keepAlive = HttpUtil.isKeepAlive(request);
+    open.began();
   }
 
   /** Returns the method, such as {@code GET}. */
@@ -87,6 +90,7 @@
     if (!answered.compareAndSet(false, true)) {
       return;
     }
+    boolean keep = keepAlive && !open.closing();
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -94,9 +98,10 @@
             Unpooled.wrappedBuffer(bytes));
     responseHeaders.forEach((name, value) -> response.headers().set(name, value));
     response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-    HttpUtil.setKeepAlive(response, keepAlive);
+    HttpUtil.setKeepAlive(response, keep);
     var write = context.writeAndFlush(response);
-    if (!keepAlive) {
+    write.addListener(written -> open.ended());
+    if (!keep) {
       write.addListener(ChannelFutureListener.CLOSE);
     }
   }
@@ -104,6 +109,7 @@
   /** Closes the connection without an answer, as a failing server does. */
   public void drop() {
     if (answered.compareAndSet(false, true)) {
+      open.ended();
       context.close();
     }
   }
--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpServer.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.Address;
@@ -27,9 +28,29 @@
   private static final int BACKLOG = 1_024;
 
   private final Channel channel;
+  private final Open open;
 
-  private HttpServer(Channel channel) {
+  private HttpServer(Channel channel, Open open) {
     this.channel = channel;
+    this.open = open;
+  }
+
+  /** What is open at a server. */
+  static final class Open {
+    private final AtomicInteger calls = new AtomicInteger();
+    private volatile boolean closing;
+
+    void began() {
+      calls.incrementAndGet();
+    }
+
+    void ended() {
+      calls.decrementAndGet();
+    }
+
+    boolean closing() {
+      return closing;
+    }
   }
 
   /**
@@ -43,13 +64,14 @@
    */
   public static HttpServer listen(
       EventLoopGroup group, Address address, Consumer<HttpCall> handler) {
+    Open open = new Open();
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new Pipeline(handler));
+            .childHandler(new Pipeline(handler, open));
     var bound = bootstrap.bind(address.socket()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new AdapterException(
@@ -57,7 +79,7 @@
           "cannot listen on " + address + ": " + bound.cause().getMessage(),
           bound.cause());
     }
-    return new HttpServer(bound.channel());
+    return new HttpServer(bound.channel(), open);
   }
 
   /** Returns the address it listens on. */
@@ -66,6 +88,19 @@
     return new Address(local.getAddress().getHostAddress(), local.getPort());
   }
 
+  /**
+   * Ends each connection with the next answer on it. A caller would otherwise go on using it until
+   * the process ends, and lose the answer to what it sent last.
+   */
+  public void drain() {
+    open.closing = true;
+  }
+
+  /** Returns the number of requests that have no answer yet. */
+  public int unanswered() {
+    return open.calls.get();
+  }
+
   @Override
   public void close() {
     channel.close().awaitUninterruptibly();
@@ -74,9 +109,11 @@
   private static final class Pipeline extends ChannelInitializer<SocketChannel> {
 
     private final Consumer<HttpCall> handler;
+    private final Open open;
 
-    Pipeline(Consumer<HttpCall> handler) {
+    Pipeline(Consumer<HttpCall> handler, Open open) {
       this.handler = handler;
+      this.open = open;
     }
 
     @Override
@@ -85,7 +122,7 @@
       pipeline.addLast(new IdleStateHandler(0, 0, IDLE_SECONDS));
       pipeline.addLast(new HttpServerCodec());
       pipeline.addLast(new HttpObjectAggregator(MAX_BODY_BYTES));
-      pipeline.addLast(new Calls(handler));
+      pipeline.addLast(new Calls(handler, open));
     }
   }
 
@@ -96,14 +133,16 @@
             + "\"message\":\"this is not an HTTP/1.1 request\"}";
 
     private final Consumer<HttpCall> handler;
+    private final Open open;
 
-    Calls(Consumer<HttpCall> handler) {
+    Calls(Consumer<HttpCall> handler, Open open) {
       this.handler = handler;
+      this.open = open;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      HttpCall call = new HttpCall(context, request);
+      HttpCall call = new HttpCall(context, request, open);
       if (request.decoderResult().isFailure()) {
         call.json(400, MALFORMED);
         context.close();
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -479,6 +479,7 @@
     interference.learn(worker);
     pacing.adjust(worker, now.mono()).forEach(out::add);
     relocate(worker);
+    abandonStalled(worker);
     roomChanged = true;
     boolean toAcknowledge = worker.seenEnd > worker.acknowledgedEnd;
     boolean busy = !worker.placed.isEmpty() || !worker.strays.isEmpty();
@@ -508,6 +509,27 @@
             });
   }
 
+  /**
+   * Stops runs that stand still. A worker may answer well while what runs there makes no progress:
+   * the caller sees a job that never ends. The run resumes elsewhere from its checkpoint.
+   */
+  private void abandonStalled(Worker worker) {
+    List<Task> stalled =
+        worker.placed.values().stream()
+            .filter(task -> task.order == Task.Order.CONFIRMED)
+            .filter(task -> task.progress < Task.FULL_PROGRESS)
+            .filter(task -> now.mono() - task.progressMillis > timing.stalledMillis())
+            .toList();
+    if (!stalled.isEmpty()) {
+      worker.avoidUntilMillis = now.mono() + timing.stalledMillis();
+    }
+    stalled.forEach(
+        task -> {
+          note("run.stalled", task.key(), worker.info.id() + " at " + task.progress + "%");
+          stop(worker, task.key());
+        });
+  }
+
   private RunKey running(Worker worker, WorkerReport.Running running) {
     RunKey key = new RunKey(running.task(), running.run());
     Task task = find(running.task());
@@ -519,6 +541,9 @@
     }
     confirm(task);
     task.checkpoint = running.checkpoint().isEmpty() ? task.checkpoint : running.checkpoint();
+    if (task.progress != running.progress() || task.pace == 0) {
+      task.progressMillis = now.mono();
+    }
     task.progress = running.progress();
     task.load = running.load();
     if (task.job.phase.terminal()) {
@@ -542,12 +567,17 @@
       return;
     }
     release(task);
+    if (ended.how() == WorkerReport.End.FAILED) {
+      worker.failed(task.job.spec.id(), now.mono());
+      task.failedOn.add(worker.info.id());
+    }
     task.checkpoint = ended.checkpoint().isEmpty() ? task.checkpoint : ended.checkpoint();
     note("run.ended", key, worker.info.id() + " " + ended.how());
     if (task.spec.is(StepSpec.Trait.LASTS) || task.job.phase.terminal()) {
       return;
     }
     if (ended.how() == WorkerReport.End.DONE) {
+      worker.succeeded();
       task.phase = Task.Phase.DONE;
       hungry.add(task.job);
       settle(task.job);
--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -12,6 +12,7 @@
  * @param idleLookMillis time between two looks at a worker that runs nothing
  * @param stopAgainMillis time after which a stop without effect is sent again
  * @param avoidMillis how long a worker that refused work gets no more
+ * @param stalledMillis time without progress after which a run is stopped and tried elsewhere
  * @param noteLoadMillis time between two log lines about the load of all workers
  * @param jobsPerSave most jobs in one transaction
  */
@@ -24,15 +25,27 @@
     long idleLookMillis,
     long stopAgainMillis,
     long avoidMillis,
+    long stalledMillis,
     long noteLoadMillis,
     int jobsPerSave) {
 
   /**
    * The values in use. The task lease rides out a cut of 5.5 s after the last look, at most 1 s
    * before it, and stays under the workers' longest lease of 10 s. A deposed leader may renew for
-   * {@link LeaderLease#RENEWING_MILLIS} after its last renewal.
+   * {@link LeaderLease#RENEWING_MILLIS} after its last renewal. One percent of a usual task is 20
+   * ms, and the slowest starts take 0.6 s, so 2.5 s without progress is no slow task.
    */
   public static final JobTiming STANDARD =
       new JobTiming(
-          7_500, LeaderLease.RENEWING_MILLIS + 8_000, 1_000, 500, 400, 5_000, 400, 500, 2_000, 80);
+          7_500,
+          LeaderLease.RENEWING_MILLIS + 8_000,
+          1_000,
+          500,
+          400,
+          5_000,
+          400,
+          500,
+          2_500,
+          2_000,
+          80);
 }
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -28,6 +28,7 @@
 
   private static final Comparator<Candidate> BEST =
       Comparator.comparing(Candidate::near)
+          .thenComparing(Candidate::fresh)
           .thenComparingLong(Candidate::suits)
           .thenComparingLong(Candidate::room)
           .thenComparing(candidate -> candidate.worker().info.id());
@@ -43,10 +44,11 @@
    *
    * @param worker the worker
    * @param near whether it is where the data lies
+   * @param fresh whether the task has not failed there before
    * @param suits how well the task goes with what is there; more is better
    * @param room decides among equals; more is better
    */
-  private record Candidate(Worker worker, boolean near, long suits, long room) {}
+  private record Candidate(Worker worker, boolean near, boolean fresh, long suits, long room) {}
 
   /** Returns the worker to run a task on, or nothing when none has room. */
   Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
@@ -68,17 +70,18 @@
 
   private Optional<Candidate> candidate(Task task, Worker worker) {
     boolean near = task.spec.rack().stream().allMatch(worker.info.labels()::contains);
+    boolean fresh = !task.failedOn.contains(worker.info.id());
     if (task.spec.is(StepSpec.Trait.FILLS)) {
-      return filling(task, worker, near);
+      return filling(task, worker, near, fresh);
     }
     if (task.spec.serves()) {
       long room = -worker.free().cpuMillis();
-      return Optional.of(new Candidate(worker, near, kinship(task, worker), room));
+      return Optional.of(new Candidate(worker, near, fresh, kinship(task, worker), room));
     }
-    return Optional.of(new Candidate(worker, near, 0, worker.leftoverCpu()));
+    return Optional.of(new Candidate(worker, near, fresh, 0, worker.leftoverCpu()));
   }
 
-  private Optional<Candidate> filling(Task task, Worker worker, boolean near) {
+  private Optional<Candidate> filling(Task task, Worker worker, boolean near, boolean fresh) {
     double strain = interference.strain(worker, task);
     if (strain > MOST_STRAIN) {
       return Optional.empty();
@@ -88,7 +91,7 @@
       return Optional.empty();
     }
     long steps = Math.round(strain / STRAIN_STEP);
-    return Optional.of(new Candidate(worker, near, -steps, leftover));
+    return Optional.of(new Candidate(worker, near, fresh, -steps, leftover));
   }
 
   /** Returns 2 beside its like only, 1 where nothing serves, and 0 beside other images. */
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -1,5 +1,7 @@
 package org.cottontack.core.job;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.cottontack.core.id.WorkerId;
 
 /** A task's progress; confined to {@link JobScheduler}. */
@@ -49,6 +51,9 @@
   /** Pace of a run at its start, in percent. */
   static final int FULL_PACE = 100;
 
+  /** Progress of a run that is done, or of a lasting one that is at work, in percent. */
+  static final int FULL_PROGRESS = 100;
+
   final TaskName name;
   final StepSpec spec;
   final Job job;
@@ -62,6 +67,8 @@
   long placedMillis;
   boolean uncertain;
   int progress;
+  long progressMillis;
+  final Set<WorkerId> failedOn = new HashSet<>();
   int pace = FULL_PACE;
   long pacedMillis;
   long overSinceMillis;
@@ -90,6 +97,7 @@
     uncertain = false;
     placedMillis = nowMillis;
     progress = 0;
+    progressMillis = nowMillis;
     pace = FULL_PACE;
     pacedMillis = nowMillis;
     overSinceMillis = 0;
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -1,8 +1,10 @@
 package org.cottontack.core.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /** What the leader knows of a worker; confined to {@link JobScheduler}. */
@@ -11,6 +13,17 @@
   /** Share of their reservation that serving tasks leave idle: they use about 0.42 of it. */
   private static final double IDLE_WHILE_SERVING = 0.5;
 
+  /** Different jobs that must fail in a row until the worker is suspected. */
+  private static final int FAILED_JOBS = 2;
+
+  /** First pause of a suspected worker, in milliseconds: about one task's duration. */
+  private static final long FIRST_PAUSE_MILLIS = 2_000;
+
+  /**
+   * Longest pause is the first one doubled this often: 16 s, after which one task tries it again.
+   */
+  private static final int MOST_DOUBLINGS = 3;
+
   WorkerInfo info;
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
@@ -24,6 +37,7 @@
   long pacedMillis;
   long lookedMillis = Long.MIN_VALUE / 2;
   long avoidUntilMillis;
+  private final Set<JobId> failedJobs = new HashSet<>();
   long seenEnd;
   long acknowledgedEnd;
   long savedEnd;
@@ -46,6 +60,24 @@
     return info.capacity().minus(used);
   }
 
+  /**
+   * Takes in that a run failed here. One job that fails may be the job's fault; a second one
+   * without a success between points at the worker, which would go on to use up the attempts of all
+   * that is placed on it, the faster the sooner it fails. It is tried again after a pause that
+   * doubles.
+   */
+  void failed(JobId job, long nowMillis) {
+    if (failedJobs.add(job) && failedJobs.size() >= FAILED_JOBS) {
+      int doublings = Math.min(failedJobs.size() - FAILED_JOBS, MOST_DOUBLINGS);
+      avoidUntilMillis = Math.max(avoidUntilMillis, nowMillis + (FIRST_PAUSE_MILLIS << doublings));
+    }
+  }
+
+  /** Takes in that a run was done here. */
+  void succeeded() {
+    failedJobs.clear();
+  }
+
   /** Returns processor time that neither reservations nor tasks that fill take up. */
   long leftoverCpu() {
     return free().cpuMillis() - fillingCpu + (long) (IDLE_WHILE_SERVING * servingCpu);
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -399,6 +399,43 @@
   /** Workers that must get nothing. */
   public static class Shunning {
 
+    /**
+     * A worker answers well and fails all that it starts. After two jobs it gets no more for a
+     * while, and what failed there is tried elsewhere: callers see their jobs complete.
+     */
+    @Test
+    public void suspectsWorkersThatFailEverything() {
+      LabWorker bad = new LabWorker("w1", 32);
+      LabWorker good = new LabWorker("w2", 16);
+      JobLab lab = lab(bad, good);
+      bad.failsAll = true;
+      for (int i = 0; i < 8; i++) {
+        lab.submit(job("a" + i, step(1, 1, List.of())));
+        lab.run(1_000);
+      }
+      lab.run(2_000);
+      assertTrue(bad.starts.size() <= 5, "starts on the bad worker: " + bad.starts.size());
+      for (int i = 0; i < 8; i++) {
+        assertEquals(lab.phase(new JobId("a" + i)), JobPhase.COMPLETE);
+      }
+    }
+
+    /**
+     * A worker answers well and its runs stand still. They are stopped and tried elsewhere; without
+     * that their callers would wait for ever.
+     */
+    @Test
+    public void movesRunsThatStandStill() {
+      LabWorker bad = new LabWorker("w1", 32);
+      LabWorker good = new LabWorker("w2", 16);
+      JobLab lab = lab(bad, good);
+      bad.stalls = true;
+      JobSpec job = job("a", step(1, 1, List.of()));
+      lab.submit(job);
+      lab.run(8_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
     @Test
     public void placesNothingOnDrainingWorkers() {
       LabWorker worker = new LabWorker("w1", 8);
--- a/core/src/test/java/org/cottontack/core/job/LabWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -30,6 +30,8 @@
   final Map<String, Double> loads = new HashMap<>();
   boolean reachable = true;
   boolean dead;
+  boolean failsAll;
+  boolean stalls;
   long token;
   private final Map<RunKey, Held> running = new HashMap<>();
   private final Map<TaskName, Integer> barred = new HashMap<>();
@@ -90,11 +92,18 @@
     ended.removeIf(end -> end.number() <= acknowledged);
     List<WorkerReport.Running> list =
         running.keySet().stream()
-            .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, load(run)))
+            .map(
+                run ->
+                    new WorkerReport.Running(run.task(), run.run(), "", progress(now), load(run)))
             .toList();
     return new WorkerReport(now, list, ended);
   }
 
+  /** Runs make progress all the time, unless they stand still. */
+  private int progress(long now) {
+    return stalls ? 3 : loads.isEmpty() ? (int) (now / 10 % 100) : Task.FULL_PROGRESS;
+  }
+
   private double load(RunKey run) {
     return loads.getOrDefault(run.task().job().value(), 0.0);
   }
@@ -105,10 +114,10 @@
     boolean lapsed = now > leaseEndMillis;
     held.forEachRemaining(
         run -> {
-          if (lapsed || now >= run.doneMillis) {
+          if (lapsed || (!stalls && now >= run.doneMillis)) {
             running.remove(run.run);
             barred.merge(run.run.task(), run.run.run(), Math::max);
-            end(run.run, lapsed ? WorkerReport.End.LAPSED : outcome(fails));
+            end(run.run, lapsed ? WorkerReport.End.LAPSED : outcome(fails || failsAll));
           }
         });
   }
