--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LoopTimers.java
@@ -0,0 +1,32 @@
+package org.cottontack.daemon.job;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.cottontack.core.Moment;
+import org.cottontack.daemon.Engine;
+
+/** The clock and timers of a Netty event loop. */
+public final class LoopTimers implements Timers {
+
+  private final EventLoop loop;
+
+  /** Uses an event loop. */
+  public LoopTimers(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  @Override
+  public Moment now() {
+    return Engine.now();
+  }
+
+  @Override
+  public void after(long millis, Runnable task) {
+    loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void soon(Runnable task) {
+    loop.execute(task);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -0,0 +1,184 @@
+package org.cottontack.daemon.job;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.cottontack.core.peer.Payload;
+
+/** The platform's store in virtual time: versions, conditions, lost and late answers. */
+final class FakeTableStore {
+
+  private static final long ANSWER_MILLIS = 10;
+
+  /** What becomes of a transaction. */
+  enum Fate {
+    /** It is done and answered. */
+    GOOD,
+    /** The store says that it does nothing. */
+    REFUSED,
+    /** It is done, and the answer is lost. */
+    ANSWER_LOST,
+    /** It is done three seconds later, if its condition still holds, without an answer. */
+    LATE
+  }
+
+  private record Waiting(String table, long after, Consumer<TableStore.News> done) {}
+
+  private final VirtualTimers.View self;
+  private final Map<RowKey, Row> rows = new LinkedHashMap<>();
+  private final List<Row> history = new ArrayList<>();
+  private final List<Waiting> waiting = new ArrayList<>();
+  private long version = 1;
+  Function<Change, Fate> fate = change -> Fate.GOOD;
+
+  FakeTableStore(VirtualTimers time) {
+    this.self = time.process();
+  }
+
+  Map<String, String> table(String table) {
+    Map<String, String> found = new TreeMap<>();
+    rows.values().stream()
+        .filter(row -> row.at().table().equals(table))
+        .forEach(row -> found.put(row.key(), row.text()));
+    return found;
+  }
+
+  /** Returns the store as one process reaches it. */
+  TableStore seenBy(VirtualTimers.View process, Predicate<String> reachable) {
+    return new View(process, reachable);
+  }
+
+  private final class View implements TableStore {
+
+    private final VirtualTimers.View process;
+    private final Predicate<String> reachable;
+
+    View(VirtualTimers.View process, Predicate<String> reachable) {
+      this.process = process;
+      this.reachable = reachable;
+    }
+
+    @Override
+    public void commit(Change change, long timeoutMillis, Consumer<CommitAnswer> done) {
+      if (!reachable.test("commit")) {
+        process.after(timeoutMillis, () -> done.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
+        return;
+      }
+      switch (fate.apply(change)) {
+        case GOOD ->
+            self.after(
+                ANSWER_MILLIS,
+                () -> {
+                  CommitAnswer answer = apply(change);
+                  process.after(0, () -> done.accept(answer));
+                });
+        case REFUSED ->
+            process.after(ANSWER_MILLIS, () -> done.accept(answer(CommitAnswer.Outcome.REFUSED)));
+        case ANSWER_LOST -> {
+          self.after(ANSWER_MILLIS, () -> apply(change));
+          process.after(timeoutMillis, () -> done.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
+        }
+        case LATE -> {
+          self.after(3_000, () -> apply(change));
+          process.after(timeoutMillis, () -> done.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
+        }
+        default -> throw new IllegalStateException("no such fate");
+      }
+    }
+
+    private CommitAnswer answer(CommitAnswer.Outcome outcome) {
+      return CommitAnswer.of(outcome);
+    }
+
+    @Override
+    public void scan(String table, String part, String prefix, Consumer<Scan> done) {
+      if (!reachable.test("scan")) {
+        process.after(1_000, () -> done.accept(Scan.FAILED));
+        return;
+      }
+      process.after(
+          ANSWER_MILLIS,
+          () ->
+              done.accept(
+                  new Scan(
+                      true,
+                      rows.values().stream()
+                          .filter(row -> row.at().table().equals(table))
+                          .filter(row -> row.at().part().equals(part))
+                          .filter(row -> row.key().startsWith(prefix))
+                          .toList(),
+                      version)));
+    }
+
+    @Override
+    public void follow(String table, long after, long waitMillis, Consumer<News> done) {
+      if (!reachable.test("follow")) {
+        process.after(waitMillis + 700, () -> done.accept(News.of(News.Outcome.FAILED)));
+        return;
+      }
+      boolean[] told = {false};
+      Consumer<News> once =
+          news -> {
+            if (!told[0]) {
+              told[0] = true;
+              process.after(0, () -> done.accept(news));
+            }
+          };
+      Waiting wait = new Waiting(table, after, once);
+      waiting.add(wait);
+      tell(wait);
+      self.after(
+          waitMillis,
+          () -> {
+            waiting.remove(wait);
+            once.accept(new News(News.Outcome.CURRENT, List.of(), version));
+          });
+    }
+  }
+
+  private CommitAnswer apply(Change change) {
+    boolean holds =
+        change.expected().entrySet().stream().allMatch(e -> versionOf(e.getKey()) == e.getValue());
+    if (!holds) {
+      List<Row> current = change.expected().keySet().stream().map(rows::get).toList();
+      return new CommitAnswer(
+          CommitAnswer.Outcome.CONFLICT, 0, current.stream().filter(Objects::nonNull).toList());
+    }
+    version++;
+    change.writes().forEach((at, value) -> put(new Row(at, value, version, false)));
+    change.removals().forEach(at -> put(new Row(at, Payload.EMPTY, version, true)));
+    List.copyOf(waiting).forEach(this::tell);
+    return new CommitAnswer(CommitAnswer.Outcome.DONE, version, List.of());
+  }
+
+  private long versionOf(RowKey at) {
+    Row row = rows.get(at);
+    return row == null ? 0 : row.version();
+  }
+
+  private void put(Row row) {
+    history.add(row);
+    if (row.removed()) {
+      rows.remove(row.at());
+    } else {
+      rows.put(row.at(), row);
+    }
+  }
+
+  private void tell(Waiting wait) {
+    List<Row> news =
+        history.stream()
+            .filter(row -> row.at().table().equals(wait.table()) && row.version() > wait.after())
+            .toList();
+    if (!news.isEmpty()) {
+      waiting.remove(wait);
+      wait.done().accept(new TableStore.News(TableStore.News.Outcome.CURRENT, news, version));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -0,0 +1,149 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cottontack.core.job.LeaderLease;
+import org.testng.annotations.Test;
+
+/** Tests of the election of a leader through the store. */
+public class LeadershipTest {
+
+  private static final class Candidate {
+    final VirtualTimers.View timers;
+    final Leadership leadership;
+    final List<String> events = new ArrayList<>();
+    boolean reachesStore = true;
+
+    Candidate(VirtualTimers time, FakeTableStore store, String name, int life) {
+      timers = time.process();
+      TableStore seen = store.seenBy(timers, call -> reachesStore);
+      leadership =
+          new Leadership(
+              seen,
+              timers,
+              name,
+              name + "/" + life,
+              epoch -> events.add("won " + epoch),
+              () -> events.add("lost"));
+      leadership.start();
+    }
+  }
+
+  private static final class Lab {
+    final VirtualTimers time = new VirtualTimers();
+    final FakeTableStore store = new FakeTableStore(time);
+
+    Candidate candidate(String name, int life) {
+      return new Candidate(time, store, name, life);
+    }
+  }
+
+  /** Who leads. */
+  public static class Electing {
+
+    @Test
+    public void exactlyOneOfManyLeads() {
+      Lab lab = new Lab();
+      List<Candidate> all =
+          List.of(lab.candidate("a", 1), lab.candidate("b", 1), lab.candidate("c", 1));
+      lab.time.run(10_000);
+      assertEquals(all.stream().filter(c -> c.leadership.leading()).count(), 1);
+      assertEquals(all.stream().mapToInt(c -> c.events.size()).sum(), 1);
+    }
+
+    /**
+     * The takeover is in the store, its answer lost. The winner looks, finds its name, and leads.
+     */
+    @Test
+    public void leadsThoughTheAnswerWasLost() {
+      Lab lab = new Lab();
+      boolean[] first = {true};
+      lab.store.fate =
+          change -> {
+            FakeTableStore.Fate fate =
+                first[0] ? FakeTableStore.Fate.ANSWER_LOST : FakeTableStore.Fate.GOOD;
+            first[0] = false;
+            return fate;
+          };
+      Candidate only = lab.candidate("a", 1);
+      lab.time.run(4_000);
+      assertTrue(only.leadership.leading());
+      assertEquals(only.events, List.of("won 1"));
+    }
+  }
+
+  /** Changes of leader. */
+  public static class TakingOver {
+
+    /**
+     * The leader is killed. Another instance leads soon, but not before the lease has ended: until
+     * then orders that the dead leader sent may still be carried out.
+     */
+    @Test
+    public void waitsForTheLeaseOfAnotherInstance() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(1_000);
+      final Candidate second = lab.candidate("b", 1);
+      lab.time.run(3_000);
+      first.timers.killed = true;
+      lab.time.run(LeaderLease.LEASE_MILLIS - 600);
+      assertFalse(second.leadership.leading());
+      lab.time.run(2_000);
+      assertTrue(second.leadership.leading());
+      assertEquals(second.events, List.of("won 2"));
+    }
+
+    /** All instances lose power and come back; the last leader's next life leads at once. */
+    @Test
+    public void doesNotWaitForItsOwnLastLife() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(1_000);
+      first.timers.killed = true;
+      Candidate next = lab.candidate("a", 2);
+      lab.time.run(300);
+      assertTrue(next.leadership.leading());
+    }
+
+    /**
+     * The leader loses the store while others have it. It stops to start work before another can
+     * lead, and steps down when it reaches the store again.
+     */
+    @Test
+    public void leadersWithoutTheStoreStopInTime() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(1_000);
+      final Candidate second = lab.candidate("b", 1);
+      lab.time.run(1_000);
+      first.reachesStore = false;
+      for (int i = 0; i < 600; i++) {
+        lab.time.run(10);
+        assertFalse(first.leadership.mayStart() && second.leadership.mayStart());
+      }
+      assertTrue(second.leadership.leading());
+      first.reachesStore = true;
+      lab.time.run(3_000);
+      assertEquals(first.events, List.of("won 1", "lost"));
+    }
+
+    /** The leader is told to stop and gives its lease back; the next one need not wait for it. */
+    @Test
+    public void followsAtOnceWhenTheLeaderLeaves() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(1_000);
+      final Candidate second = lab.candidate("b", 1);
+      lab.time.run(1_000);
+      first.leadership.leave(() -> first.events.add("left"));
+      lab.time.run(300);
+      assertEquals(first.events, List.of("won 1", "left"));
+      assertTrue(second.leadership.leading());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
@@ -0,0 +1,49 @@
+package org.cottontack.daemon.job;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.cottontack.core.Moment;
+
+/** Time that passes only when a test says so. */
+final class VirtualTimers {
+
+  private record Due(long at, long order, View view, Runnable task) {}
+
+  private final PriorityQueue<Due> due =
+      new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+  private long now = 1_000;
+  private long orders;
+
+  /** One process's timers: they stop for good when the process is killed. */
+  final class View implements Timers {
+
+    boolean killed;
+
+    @Override
+    public Moment now() {
+      return new Moment(now, now);
+    }
+
+    @Override
+    public void after(long millis, Runnable task) {
+      orders++;
+      due.add(new Due(now + millis, orders, this, task));
+    }
+  }
+
+  View process() {
+    return new View();
+  }
+
+  void run(long millis) {
+    long end = now + millis;
+    while (!due.isEmpty() && due.peek().at() <= end) {
+      Due next = due.poll();
+      now = Math.max(now, next.at());
+      if (!next.view().killed) {
+        next.task().run();
+      }
+    }
+    now = end;
+  }
+}
