--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -46,11 +46,13 @@
 
   private final TableStore store;
   private final Timers timers;
+  private final JobMetrics metrics;
 
   /** Uses a store. */
-  public Intake(TableStore store, Timers timers) {
+  Intake(TableStore store, Timers timers, JobMetrics metrics) {
     this.store = store;
     this.timers = timers;
+    this.metrics = metrics;
   }
 
   /**
@@ -71,13 +73,13 @@
                 JobTables.waiting(job.id()),
                 Payload.of(job.queue().name())),
             List.of());
-    Consumer<Answer> logged = answer -> answered("job.submitted", job.id(), answer, done);
+    Consumer<Answer> logged = logged("job.submitted", job.id(), done);
     new Attempt(change, untilMillis, logged).send();
   }
 
   /** Cancels a job, if there is one. */
   public void cancel(JobId id, long untilMillis, Consumer<Answer> done) {
-    Consumer<Answer> logged = answer -> answered("job.cancelled", id, answer, done);
+    Consumer<Answer> logged = logged("job.cancelled", id, done);
     store.scan(
         JobTables.JOBS,
         JobTables.job(id).part(),
@@ -162,9 +164,19 @@
         });
   }
 
-  private static void answered(String event, JobId id, Answer answer, Consumer<Answer> done) {
-    LOG.info(new StringMapMessage().with("event", event).with("job", id).with("answer", answer));
-    done.accept(answer);
+  private Consumer<Answer> logged(String event, JobId id, Consumer<Answer> done) {
+    long began = timers.now().mono();
+    return answer -> {
+      long took = timers.now().mono() - began;
+      metrics.answered(event, answer, took);
+      LOG.info(
+          new StringMapMessage()
+              .with("event", event)
+              .with("job", id)
+              .with("answer", answer)
+              .with("millis", took));
+      done.accept(answer);
+    };
   }
 
   /** One transaction, sent until it has a certain answer or the caller has gone. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -1,6 +1,5 @@
 package org.cottontack.daemon.job;
 
-import com.codahale.metrics.MetricRegistry;
 import java.util.UUID;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -28,7 +27,7 @@
   private final TableStore store;
   private final WorkerCalls workers;
   private final WorkerRegistry registry;
-  private final MetricRegistry metrics = new MetricRegistry();
+  private final JobMetrics metrics = new JobMetrics(this);
   private JobTable table = JobTable.EMPTY;
   private Leader leader;
   private boolean stopping;
@@ -55,7 +54,7 @@
     this.rules = rules;
     this.registry = registry;
     this.workers = workers;
-    this.intake = new Intake(store, timers);
+    this.intake = new Intake(store, timers, metrics);
     String self = name + "/" + UUID.randomUUID();
     this.leadership = new Leadership(store, timers, name, self, this::won, this::lost);
   }
@@ -86,7 +85,7 @@
   }
 
   private void won(long epoch) {
-    leader = new Leader(store, timers, workers, registry, leadership, epoch, table);
+    leader = new Leader(store, timers, workers, registry, leadership, metrics, epoch, table);
     leader.start();
   }
 
@@ -107,8 +106,13 @@
     return intake;
   }
 
+  /** Returns the epoch of the term this instance leads, or 0 when it does not. */
+  long leadingEpoch() {
+    return leader == null ? 0 : leader.epoch();
+  }
+
   /** Returns counters and histograms. */
-  public MetricRegistry metrics() {
+  public JobMetrics metrics() {
     return metrics;
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -58,6 +58,7 @@
   private final WorkerCalls workers;
   private final WorkerRegistry registry;
   private final Leadership leadership;
+  private final JobMetrics metrics;
   private final long epoch;
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
   private final Map<JobId, String> progress = new HashMap<>();
@@ -70,6 +71,7 @@
   private int toRead;
   private long fenceVersion;
   private long saves;
+  private long saveBeganMillis;
   private boolean deciding;
   private long pauseMillis;
 
@@ -79,6 +81,7 @@
       WorkerCalls workers,
       WorkerRegistry registry,
       Leadership leadership,
+      JobMetrics metrics,
       long epoch,
       JobTable table) {
     this.store = store;
@@ -86,10 +89,15 @@
     this.workers = workers;
     this.registry = registry;
     this.leadership = leadership;
+    this.metrics = metrics;
     this.epoch = epoch;
     this.table = table;
   }
 
+  long epoch() {
+    return epoch;
+  }
+
   void start() {
     readProgress();
   }
@@ -130,7 +138,7 @@
   private void claim(TableStore.Scan scan) {
     Optional<Row> held =
         scan.rows().stream().filter(row -> row.at().equals(JobTables.FENCE)).findFirst();
-    if (held.map(Leader::epoch).orElse(0L) > epoch) {
+    if (held.map(Leader::epochOf).orElse(0L) > epoch) {
       leadership.stepDown("a newer leader has taken over");
       return;
     }
@@ -151,7 +159,7 @@
         });
   }
 
-  private static long epoch(Row fence) {
+  private static long epochOf(Row fence) {
     return Long.parseLong(fence.text().split(" ", 2)[0]);
   }
 
@@ -251,6 +259,7 @@
     if (stopped || scheduler == null) {
       return;
     }
+    metrics.event(event);
     scheduler.take(timers.now(), event).forEach(this::run);
     if (!deciding) {
       deciding = true;
@@ -266,11 +275,13 @@
     }
     long began = System.nanoTime();
     scheduler.decide(timers.now()).forEach(this::run);
-    long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
-    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, PAUSE_SHARE * took);
+    long took = System.nanoTime() - began;
+    metrics.decided(took);
+    pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, PAUSE_SHARE * TimeUnit.NANOSECONDS.toMillis(took));
   }
 
   private void run(JobEffect effect) {
+    metrics.effect(effect);
     if (effect instanceof JobEffect.SaveProgress save) {
       save(save);
     } else if (effect instanceof JobEffect.StartRun start) {
@@ -364,6 +375,7 @@
 
   private void save(JobEffect.SaveProgress save) {
     saves++;
+    saveBeganMillis = timers.now().mono();
     Map<RowKey, Payload> writes = new HashMap<>();
     save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
     writes.put(JobTables.FENCE, Payload.of(fence()));
@@ -401,6 +413,7 @@
   }
 
   private void saved(long version) {
+    metrics.saved(timers.now().mono() - saveBeganMillis);
     fenceVersion = version;
     post(new JobEvent.ProgressSaved());
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -42,6 +42,10 @@
     return new JobSpec(ID, QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
   }
 
+  private static Intake intake(TableStore store, Timers timers) {
+    return new JobEntry("instance", store, timers, null, null, null).intake();
+  }
+
   private static final class Lab {
     final VirtualTimers time = new VirtualTimers();
     final FakeTableStore store = new FakeTableStore(time);
@@ -49,7 +53,7 @@
 
     Intake instance() {
       VirtualTimers.View process = time.process();
-      return new Intake(store.seenBy(process, call -> true), process);
+      return intake(store.seenBy(process, call -> true), process);
     }
 
     void submit(Intake intake) {
@@ -167,7 +171,7 @@
     public void deniesNothingWithoutTheStore() {
       Lab lab = new Lab();
       VirtualTimers.View process = lab.time.process();
-      Intake cut = new Intake(lab.store.seenBy(process, call -> false), process);
+      Intake cut = intake(lab.store.seenBy(process, call -> false), process);
       List<Intake.State> states = new ArrayList<>();
       cut.state(ID, states::add);
       lab.time.run(5_000);
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -20,6 +20,7 @@
 listen:
   callers: "127.0.0.1:18461"
   readiness: "127.0.0.1:18467"
+  metrics: "127.0.0.1:18468"
 platform:
   store: "127.0.0.1:18467"
 stop:
