Start nothing on old news of cancellations; order lost paces again; drop silent connections together

Each has a test; those for the alarm, the lost pace, the early cancellation and the old news failed without their change by construction of the case.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -168,6 +168,19 @@
     channel.close();
   }
 
+  /**
+   * Closes the idle connections to an address. One that went silent is rarely alone: without this
+   * each of the next calls would wait out its own time on another dead connection.
+   */
+  private void dropIdle(Address address) {
+    Deque<Channel> channels = idle.remove(address);
+    if (channels != null) {
+      synchronized (channels) {
+        channels.forEach(Channel::close);
+      }
+    }
+  }
+
   private void send(Channel channel, Spec spec, Consumer<HttpResult> done) {
     // Between the decision and this point the process may have been paused for long.
     if (!channel.isActive() || !spec.allowed().getAsBoolean()) {
@@ -227,6 +240,7 @@
                   () -> {
                     end(HttpResult.lost());
                     channel.close();
+                    dropIdle(spec.address());
                   },
                   spec.timeoutMillis(),
                   TimeUnit.MILLISECONDS);
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -39,6 +39,9 @@
   /** An order to stop a run was answered or lost. */
   record StopEnded(WorkerId worker, RunKey run, boolean answered) implements JobEvent {}
 
+  /** An order to pace a run got no answer, so the run's pace is not known. */
+  record PaceLost(WorkerId worker, RunKey run) implements JobEvent {}
+
   /** The last {@link JobEffect.SaveProgress} is in the store. */
   record ProgressSaved() implements JobEvent {}
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -33,6 +33,7 @@
   private final Map<WorkerId, Worker> workers = new TreeMap<>();
   private final Set<Job> hungry = new LinkedHashSet<>();
   private final Set<Job> timed = new LinkedHashSet<>();
+  private final Set<JobId> cancelledUnseen = new LinkedHashSet<>();
   private final Set<Job> dirty = new LinkedHashSet<>();
   private final Map<WorkerId, Long> savingEnds = new HashMap<>();
   private final List<Task> savingStarts = new ArrayList<>();
@@ -98,6 +99,8 @@
       startEnded(e);
     } else if (event instanceof JobEvent.StopEnded e) {
       stopEnded(e);
+    } else if (event instanceof JobEvent.PaceLost e) {
+      paceLost(e);
     } else if (event instanceof JobEvent.ProgressSaved) {
       saved();
     } else if (event instanceof JobEvent.Tick) {
@@ -130,6 +133,9 @@
     Job job = new Job(spec, now.mono());
     open(job);
     note("job.taken", spec.id(), describe(spec));
+    if (cancelledUnseen.remove(spec.id())) {
+      end(job, JobPhase.CANCELLED);
+    }
   }
 
   private static String describe(JobSpec spec) {
@@ -152,6 +158,7 @@
   private void recovered(JobEvent.JobRecovered event) {
     Job job = new Job(event.job(), now.mono());
     ProgressText.restore(job, event.progress());
+    job.begun = job.phase != JobPhase.QUEUED;
     open(job);
     job.tasks()
         .filter(task -> task.phase == Task.Phase.PLACED)
@@ -164,13 +171,26 @@
         id, key -> new Worker(WorkerInfo.unlisted(key), inheritedLapseMillis));
   }
 
+  /**
+   * News of jobs and of cancellations come separately. A cancellation that overtakes its job is
+   * kept for it; ignored, the job would run although its caller was told that it is cancelled.
+   */
   private void cancelled(JobId id) {
     Job job = jobs.get(id);
-    if (job != null && !job.phase.terminal()) {
+    if (job == null) {
+      cancelledUnseen.add(id);
+      forgetOldest();
+    } else if (!job.phase.terminal()) {
       end(job, JobPhase.CANCELLED);
     }
   }
 
+  private void forgetOldest() {
+    if (cancelledUnseen.size() > timing.cancelsKept()) {
+      cancelledUnseen.remove(cancelledUnseen.iterator().next());
+    }
+  }
+
   private void end(Job job, JobPhase phase) {
     if (!job.begun) {
       job.begun = true;
@@ -410,6 +430,17 @@
     }
   }
 
+  /**
+   * Has the pace ordered again: a run thought to stand still could go on harming its neighbours.
+   */
+  private void paceLost(JobEvent.PaceLost event) {
+    Task task = find(event.run().task());
+    if (task != null && task.runsAs(event.worker(), event.run().run())) {
+      task.pace = Task.INHERITED_PACE;
+      worker(event.worker()).ifPresent(worker -> worker.pacedMillis = 0);
+    }
+  }
+
   // Workers
 
   private Optional<Worker> worker(WorkerId id) {
--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -1,7 +1,7 @@
 package org.cottontack.core.job;
 
 /**
- * Waits and lease lengths of a leader's term, in milliseconds.
+ * Waits and lease lengths of a leader's term, in milliseconds, and sizes.
  *
  * @param taskLeaseMillis lease of what runs on a worker, renewed with each look
  * @param inheritedLeaseMillis how long after the start of a term a run that an earlier leader
@@ -14,6 +14,7 @@
  * @param avoidMillis how long a worker that refused work gets no more
  * @param stalledMillis time without progress after which a run is stopped and tried elsewhere
  * @param noteLoadMillis time between two log lines about the load of all workers
+ * @param cancelsKept most cancellations kept for jobs that were not heard of yet
  * @param jobsPerSave most jobs in one transaction
  */
 public record JobTiming(
@@ -27,6 +28,7 @@
     long avoidMillis,
     long stalledMillis,
     long noteLoadMillis,
+    int cancelsKept,
     int jobsPerSave) {
 
   /**
@@ -48,5 +50,6 @@
           500,
           2_500,
           2_000,
+          10_000,
           80);
 }
--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -19,6 +19,12 @@
   /** Share of the bound below which pace returns. */
   private static final double LOW_SHARE = 0.6;
 
+  /** Share of the bound from which a tail may in truth be over it. */
+  private static final double NEAR_SHARE = 0.95;
+
+  /** Share of the bound under which a tail is surely within it. */
+  private static final double CALM_SHARE = 0.75;
+
   /** Time until an order shows in the reports, in milliseconds: 100 to act, 500 to measure. */
   private static final long SETTLE_MILLIS = 650;
 
@@ -65,10 +71,15 @@
     return serving.load / serving.spec.targetMillis();
   }
 
+  /**
+   * Notes since when a tail has been near or over its bound. Reports are rough: one that reads a
+   * little under the bound between two that read over it does not end the span, or a tail could
+   * stay over its bound for long without ever counting as such.
+   */
   private static void watch(Task serving, long nowMillis) {
-    if (ratio(serving) <= 1) {
+    if (ratio(serving) < CALM_SHARE) {
       serving.overSinceMillis = 0;
-    } else if (serving.overSinceMillis == 0) {
+    } else if (serving.overSinceMillis == 0 && ratio(serving) > NEAR_SHARE) {
       serving.overSinceMillis = nowMillis;
     }
   }
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -82,8 +82,11 @@
   }
 
   private Optional<Candidate> filling(Task task, Worker worker, boolean near, boolean fresh) {
+    // One more task that fills would start at full pace beside a tail that is over its bound
+    // already.
+    boolean strained = worker.serving().anyMatch(serving -> serving.overSinceMillis > 0);
     double strain = interference.strain(worker, task);
-    if (strain > MOST_STRAIN) {
+    if (strained || strain > MOST_STRAIN) {
       return Optional.empty();
     }
     long leftover = worker.leftoverCpu();
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -51,6 +51,9 @@
   /** Pace of a run at its start, in percent. */
   static final int FULL_PACE = 100;
 
+  /** Stands for a pace that another leader set: not full, so that full pace is ordered anew. */
+  static final int INHERITED_PACE = 99;
+
   /** Progress of a run that is done, or of a lasting one that is at work, in percent. */
   static final int FULL_PROGRESS = 100;
 
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -243,6 +243,23 @@
     return progress == null ? JobPhase.QUEUED : ProgressText.phase(progress);
   }
 
+  private List<JobEffect.PaceRun> pacesOf(String task) {
+    return seen.stream()
+        .filter(JobEffect.PaceRun.class::isInstance)
+        .map(JobEffect.PaceRun.class::cast)
+        .filter(pace -> pace.run().task().toString().equals(task))
+        .toList();
+  }
+
+  long paces(String task) {
+    return pacesOf(task).size();
+  }
+
+  int lastPace(String task) {
+    List<JobEffect.PaceRun> all = pacesOf(task);
+    return all.isEmpty() ? Task.FULL_PACE : all.get(all.size() - 1).percent();
+  }
+
   int starts() {
     return workers.values().stream()
         .flatMap(worker -> worker.starts.values().stream())
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -323,6 +323,21 @@
       assertEquals(lab.phase(job.id()), JobPhase.CANCELLED);
     }
 
+    /**
+     * A job is accepted and cancelled while a new leader reads its tables; the cancellation reaches
+     * it first. The caller was told that the job is cancelled, so nothing of it may start.
+     */
+    @Test
+    public void keepsCancellationsThatOvertakeTheirJob() {
+      JobLab lab = lab(new LabWorker("w1", 4));
+      JobSpec job = job("a", step(1, 2, List.of()));
+      lab.post(new JobEvent.JobCancelled(job.id()));
+      lab.submit(job);
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+      assertEquals(lab.phase(job.id()), JobPhase.CANCELLED);
+    }
+
     /**
      * A cancelled job's worker is out of reach when the stop is sent and comes back later. The stop
      * goes out again until the run is gone.
@@ -375,6 +390,73 @@
               .anyMatch(e -> e instanceof JobEffect.PaceRun pace && pace.percent() == 0));
     }
 
+    /**
+     * A tail is over its bound, and the report in between reads just under it. What fills is halted
+     * all the same, and no new task that fills joins: it would start at full pace.
+     */
+    @Test
+    public void oneMilderReportEndsNoAlarm() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      lab.submit(filling("f", "batch"));
+      worker.loads.put("f", 0.1);
+      worker.loads.put("s", 18.5);
+      lab.run(600);
+      worker.loads.put("s", 17.0);
+      lab.run(600);
+      worker.loads.put("s", 18.5);
+      lab.submit(filling("g", "other"));
+      lab.run(1_500);
+      assertEquals(lab.lastPace("f.0.0.0"), 0);
+      assertFalse(worker.runs(TaskName.parse("g.0.0.0")));
+    }
+
+    /**
+     * The order to halt a run gets no answer: the run may go on at full pace. The order goes out
+     * again with the next report, until it is answered.
+     */
+    @Test
+    public void ordersThePaceAgainWhenTheAnswerIsLost() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      lab.submit(filling("f", "batch"));
+      worker.loads.put("s", 200.0);
+      worker.loads.put("f", 4_000.0);
+      lab.run(500);
+      long before = lab.paces("f.0.0.0");
+      lab.post(new JobEvent.PaceLost(worker.info.id(), new RunKey(TaskName.parse("f.0.0.0"), 1)));
+      lab.run(1_000);
+      assertTrue(lab.paces("f.0.0.0") > before, "orders: " + lab.paces("f.0.0.0"));
+    }
+
+    /**
+     * A leader halts a run and dies. The next one does not know the pace; it orders full pace once
+     * the tails allow it. Otherwise the run would stand still until its job is given up.
+     */
+    @Test
+    public void givesPaceBackAfterTakeover() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      lab.submit(filling("f", "batch"));
+      worker.loads.put("s", 200.0);
+      worker.loads.put("f", 4_000.0);
+      lab.run(1_000);
+      assertEquals(lab.lastPace("f.0.0.0"), 0);
+      worker.loads.put("s", 5.0);
+      lab.takeOver();
+      lab.run(3_000);
+      assertEquals(lab.lastPace("f.0.0.0"), Task.FULL_PACE);
+    }
+
     @Test
     public void packsServingTasksOfOneImage() {
       LabWorker first = new LabWorker("w1", 16);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -30,6 +30,12 @@
 
   private static final Logger LOG = LogManager.getLogger(Leader.class);
 
+  /**
+   * Oldest news of cancellations with which work is started, in milliseconds: two waits of 1 s,
+   * under the 3 s in which a cancelled job must stop starting.
+   */
+  private static final long CANCELS_AGE_MILLIS = 2_000;
+
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
 
@@ -65,6 +71,7 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final List<Follower> followers = new ArrayList<>();
   private final Map<String, List<RowKey>> begun = new HashMap<>();
+  private Follower cancels;
   private JobTable table;
   private JobScheduler scheduler;
   private boolean stopped;
@@ -173,8 +180,9 @@
     }
     List<String> parts = JobTables.intakeParts();
     followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, this::onTableRead));
-    followers.add(
-        new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, this::onTableRead));
+    cancels =
+        new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, this::onTableRead);
+    followers.add(cancels);
     followers.add(registry.follower(this::post, this::onTableRead));
     toRead = followers.size();
     followers.forEach(Follower::start);
@@ -298,7 +306,7 @@
     } else if (effect instanceof JobEffect.LookAtWorker look) {
       look(look);
     } else if (effect instanceof JobEffect.PaceRun pace) {
-      workers.pace(pace, epoch);
+      workers.pace(pace, epoch, answered -> paced(pace, answered));
     } else if (effect instanceof JobEffect.Begun begun) {
       begun(begun.job());
     } else if (effect instanceof JobEffect.StepDown down) {
@@ -312,8 +320,21 @@
     }
   }
 
+  private void paced(JobEffect.PaceRun pace, boolean answered) {
+    if (!answered) {
+      post(new JobEvent.PaceLost(pace.worker(), pace.run()));
+    }
+  }
+
+  /**
+   * A start needs the lease, and news of cancellations that are not old. While the table of
+   * cancellations is out of reach, callers may be told elsewhere that a job is cancelled, and its
+   * tasks would go on starting here.
+   */
   private boolean mayStart() {
-    return !stopped && leadership.mayStart();
+    return !stopped
+        && leadership.mayStart()
+        && timers.now().mono() - cancels.contactMillis() < CANCELS_AGE_MILLIS;
   }
 
   private void look(JobEffect.LookAtWorker look) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/WorkerCalls.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WorkerCalls.java
@@ -22,8 +22,8 @@
   /** Looks at a worker and renews the lease of what runs there. */
   void look(JobEffect.LookAtWorker look, long epoch, BooleanSupplier allowed, Consumer<Look> done);
 
-  /** Sets the pace of a run. */
-  void pace(JobEffect.PaceRun pace, long epoch);
+  /** Sets the pace of a run; the consumer gets whether the worker answered that it did. */
+  void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done);
 
   /**
    * The answer to a look.
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -98,7 +98,7 @@
 
     @Override
     public void scan(String table, String part, String prefix, Consumer<Scan> done) {
-      if (!reachable.test("scan")) {
+      if (!reachable.test("scan " + table)) {
         process.after(1_000, () -> done.accept(Scan.FAILED));
         return;
       }
@@ -118,7 +118,7 @@
 
     @Override
     public void follow(String table, long after, long waitMillis, Consumer<News> done) {
-      if (!reachable.test("follow")) {
+      if (!reachable.test("follow " + table)) {
         process.after(waitMillis + 700, () -> done.accept(News.of(News.Outcome.FAILED)));
         return;
       }
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -0,0 +1,232 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.JobEvent;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobQueue;
+import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.JobTable;
+import org.cottontack.core.job.Resources;
+import org.cottontack.core.job.RunKey;
+import org.cottontack.core.job.StartResult;
+import org.cottontack.core.job.StepSpec;
+import org.cottontack.core.job.WorkerInfo;
+import org.cottontack.core.job.WorkerReport;
+import org.testng.annotations.Test;
+
+/** Tests of a term of leading over a store that loses, delays and hides. */
+public class LeaderTest {
+
+  private static final JobQueue QUEUE =
+      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
+
+  private static JobSpec job(String id) {
+    StepSpec step =
+        new StepSpec(
+            1,
+            new Resources(500, 64, 0),
+            900,
+            List.of(),
+            List.of(),
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            "",
+            0,
+            0);
+    return new JobSpec(new JobId(id), QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
+  }
+
+  /** One instance over a fake store, with one worker that runs everything for ever. */
+  private static final class Lab implements WorkerRegistry, WorkerCalls {
+    final VirtualTimers time = new VirtualTimers();
+    final FakeTableStore store = new FakeTableStore(time);
+    final VirtualTimers.View process = time.process();
+    final List<RunKey> starts = new ArrayList<>();
+    final Map<RunKey, Boolean> running = new HashMap<>();
+    String hidden = "nothing";
+    final JobEntry entry =
+        new JobEntry(
+            "instance",
+            store.seenBy(process, call -> !call.equals(hidden)),
+            process,
+            rules(),
+            this,
+            this);
+
+    Lab() {
+      entry.start();
+      time.run(500);
+    }
+
+    void submit(String id) {
+      entry.intake().submit(job(id), Long.MAX_VALUE / 2, answer -> {});
+    }
+
+    private RuleSource rules() {
+      return new RuleSource() {
+        @Override
+        public void start(Consumer<JobTable> listener) {
+          listener.accept(new JobTable(1, List.of(QUEUE), List.of()));
+        }
+
+        @Override
+        public long contactMillis() {
+          return process.now().mono();
+        }
+      };
+    }
+
+    @Override
+    public Follower follower(Consumer<JobEvent> listener, Runnable onCurrent) {
+      TableStore seen = store.seenBy(process, call -> true);
+      return new Follower(seen, process, "workers", List.of("all"), row -> {}, onCurrent);
+    }
+
+    @Override
+    public void replay(Consumer<JobEvent> listener) {
+      listener.accept(
+          new JobEvent.WorkerSeen(
+              new WorkerInfo(
+                  new WorkerId("w"),
+                  "pool",
+                  "w:1",
+                  new DataCentreId("dc"),
+                  new Resources(32_000, 10_000, 0),
+                  List.of(),
+                  false)));
+    }
+
+    @Override
+    public void start(
+        JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done) {
+      boolean sent = allowed.getAsBoolean();
+      if (sent) {
+        starts.add(start.run());
+        running.put(start.run(), true);
+      }
+      process.after(2, () -> done.accept(sent ? StartResult.STARTED : StartResult.NOT_SENT));
+    }
+
+    @Override
+    public void stop(JobEffect.StopRun stop, long epoch, Consumer<Boolean> done) {
+      running.remove(stop.run());
+      process.after(2, () -> done.accept(true));
+    }
+
+    @Override
+    public void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done) {
+      process.after(2, () -> done.accept(true));
+    }
+
+    @Override
+    public void look(
+        JobEffect.LookAtWorker look, long epoch, BooleanSupplier allowed, Consumer<Look> done) {
+      process.after(
+          Math.max(2, look.waitMillis()),
+          () -> {
+            long clock = process.now().mono();
+            List<WorkerReport.Running> list =
+                running.keySet().stream()
+                    .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, 0))
+                    .toList();
+            done.accept(new Look(Look.Outcome.ANSWERED, new WorkerReport(clock, list, List.of())));
+          });
+    }
+  }
+
+  /** What a leader starts. */
+  public static class Starting {
+
+    @Test
+    public void startsWhatIsSubmitted() {
+      Lab lab = new Lab();
+      lab.submit("a");
+      lab.time.run(500);
+      assertEquals(lab.starts.size(), 1);
+      lab.time.run(1_000);
+      assertTrue(lab.store.table(JobTables.WAITING).isEmpty());
+    }
+
+    /**
+     * The leader hears nothing of cancellations while it hears of jobs. Other instances go on
+     * telling callers that their jobs are cancelled; after two seconds of that it starts nothing,
+     * and goes on when the news come again.
+     */
+    @Test
+    public void startsNothingWithoutNewsOfCancellations() {
+      Lab lab = new Lab();
+      lab.hidden = "follow " + JobTables.CANCELS;
+      lab.time.run(4_000);
+      lab.submit("a");
+      lab.time.run(2_000);
+      assertEquals(lab.starts.size(), 0);
+      lab.hidden = "nothing";
+      lab.time.run(3_000);
+      assertEquals(lab.starts.size(), 1);
+    }
+  }
+
+  /** What a leader writes. */
+  public static class Saving {
+
+    /**
+     * A save of progress gets no answer and is carried out three seconds later, after newer saves.
+     * It must not bring the old progress back: the next leader would run finished work again.
+     */
+    @Test
+    public void lateCopiesOfSavesChangeNothing() {
+      Lab lab = new Lab();
+      boolean[] first = {true};
+      lab.store.fate =
+          change -> {
+            boolean progress = change.writes().keySet().stream().anyMatch(JobTables.FENCE::equals);
+            if (progress && first[0]) {
+              first[0] = false;
+              return FakeTableStore.Fate.LATE;
+            }
+            return FakeTableStore.Fate.GOOD;
+          };
+      lab.submit("a");
+      lab.time.run(1_000);
+      lab.submit("b");
+      lab.time.run(500);
+      String before = lab.store.table(JobTables.PROGRESS).toString();
+      assertEquals(lab.starts.size(), 2);
+      lab.time.run(4_000);
+      assertEquals(lab.store.table(JobTables.PROGRESS).toString(), before);
+    }
+
+    /** The answer to a save is lost though it is done: the leader goes on, and starts once. */
+    @Test
+    public void goesOnWhenTheAnswerToSavesIsLost() {
+      Lab lab = new Lab();
+      boolean[] first = {true};
+      lab.store.fate =
+          change -> {
+            boolean progress = change.writes().keySet().stream().anyMatch(JobTables.FENCE::equals);
+            if (progress && first[0]) {
+              first[0] = false;
+              return FakeTableStore.Fate.ANSWER_LOST;
+            }
+            return FakeTableStore.Fate.GOOD;
+          };
+      lab.submit("a");
+      lab.time.run(2_000);
+      assertEquals(lab.starts.size(), 1);
+      assertEquals(lab.entry.leadingEpoch(), 1);
+    }
+  }
+}
