--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -148,7 +148,7 @@
       lab.submit(job);
       lab.run(200);
       lab.storeAway = true;
-      lab.run(2_000);
+      lab.run(7_000);
       assertEquals(worker.acknowledgedEnds(), 0);
       lab.takeOver();
       lab.storeBack();
