--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -204,6 +204,23 @@
       assertEquals(lab.starts(), 1);
     }
 
+    /**
+     * A look is on its way when a run begins, and its answer, made before that, arrives after it
+     * without the run. Taken at its word the task would start again beside itself.
+     */
+    @Test
+    public void olderReportsTakeNothingAway() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(300);
+      WorkerReport older = new WorkerReport(lab.now, List.of(), List.of());
+      lab.post(new JobEvent.WorkerReported(worker.info.id(), lab.now - 200, older));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 1);
+    }
+
     /**
      * A worker is cut off while it runs a task. The task starts elsewhere only after its lease has
      * certainly ended there; until then it would run twice.
