Hand the lead over when cut off from most workers

Ruled out: the store (renewals were answered all the while). Change: a leader whose only answering workers are in one data centre while more than 60 % are silent gives the lease back, with a head start of 1.5 s for other data centres. Giving the lease back now names the election row: a leader deposed meanwhile would have freed its successor's lease. Tests: hands over when cut off, stays where half answer; the neighbour waits, an instance elsewhere leads; alone it leads again.

--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -63,6 +63,9 @@
   /** A job no longer waits for its first start. */
   record Begun(JobId job) implements JobEffect {}
 
+  /** Gives the lead to an instance that may reach more workers. */
+  record HandOver(String reason) implements JobEffect {}
+
   /** Gives up leading: a worker has seen a newer leader. */
   record StepDown(String reason) implements JobEffect {}
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -31,6 +31,7 @@
   private final Estimates estimates = new Estimates();
   private final Urgency urgency = new Urgency(estimates);
   private final LearnedText learned = new LearnedText(interference, estimates);
+  private final long startMillis;
   private final long inheritedLapseMillis;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<WorkerId, Worker> workers = new TreeMap<>();
@@ -59,6 +60,7 @@
     this.timing = timing;
     this.table = table;
     this.now = start;
+    this.startMillis = start.mono();
     this.inheritedLapseMillis = start.mono() + timing.inheritedLeaseMillis();
   }
 
@@ -685,6 +687,9 @@
     roomChanged = true;
     Collection<Worker> all = List.copyOf(workers.values());
     all.forEach(this::tick);
+    if (now.mono() - startMillis > timing.settleMillis() && Reach.cutOff(all)) {
+      out.add(new JobEffect.HandOver("cut off from most workers"));
+    }
     if (now.mono() - notedMillis >= timing.noteLoadMillis()) {
       notedMillis = now.mono();
       note("leader.load", "workers", LoadText.of(workers.values(), jobs.values(), now.mono()));
--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -13,6 +13,7 @@
  * @param stopAgainMillis time after which a stop without effect is sent again
  * @param avoidMillis how long a worker that refused work gets no more
  * @param stalledMillis time without progress after which a run is stopped and tried elsewhere
+ * @param settleMillis age of a term from which on silence of workers is judged: all have been asked
  * @param learnedMillis time between two writes of what was learned about images and queues
  * @param noteLoadMillis time between two log lines about the load of all workers
  * @param cancelsKept most cancellations kept for jobs that were not heard of yet
@@ -28,6 +29,7 @@
     long stopAgainMillis,
     long avoidMillis,
     long stalledMillis,
+    long settleMillis,
     long learnedMillis,
     long noteLoadMillis,
     int cancelsKept,
@@ -51,6 +53,7 @@
           400,
           500,
           2_500,
+          3_000,
           2_000,
           2_000,
           10_000,
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Reach.java
@@ -0,0 +1,31 @@
+package org.cottontack.core.job;
+
+import java.util.Collection;
+import java.util.List;
+import org.cottontack.core.id.DataCentreId;
+
+/**
+ * Judges whether a leader is cut off from the workers that it leads. The load: a data centre is
+ * partitioned from the others and still reaches the store, so its leader keeps its lease while most
+ * workers get nothing new until the cut heals. An instance on the other side reaches more of them.
+ */
+final class Reach {
+
+  /** Share of the registered workers that must be silent: more than one of two equal sides. */
+  private static final double MOST_SILENT = 0.6;
+
+  private Reach() {}
+
+  /** Returns whether all workers that answer are in one data centre, and most do not answer. */
+  static boolean cutOff(Collection<Worker> workers) {
+    List<Worker> registered = workers.stream().filter(worker -> worker.registered).toList();
+    List<DataCentreId> answering =
+        registered.stream()
+            .filter(worker -> worker.heard && !worker.silent)
+            .map(worker -> worker.info.dataCentre())
+            .distinct()
+            .toList();
+    long silent = registered.stream().filter(worker -> worker.silent).count();
+    return answering.size() == 1 && silent > MOST_SILENT * registered.size();
+  }
+}
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -574,6 +574,50 @@
     }
   }
 
+  /** Leaders that do not reach their workers. */
+  public static class Reaching {
+
+    private static LabWorker in(String dataCentre, String id) {
+      return new LabWorker(id, 8, id + ":1", dataCentre);
+    }
+
+    private static long handOvers(JobLab lab) {
+      return lab.seen.stream().filter(JobEffect.HandOver.class::isInstance).count();
+    }
+
+    /**
+     * The leader's data centre is cut off from two others, and callers there see their jobs wait
+     * for the few workers at hand. It gives the lead away once most workers do not answer.
+     */
+    @Test
+    public void handsOverWhenCutOffFromMostWorkers() {
+      LabWorker here = in("a", "w1");
+      LabWorker second = in("b", "w2");
+      LabWorker third = in("c", "w3");
+      JobLab lab = lab(here, second, third);
+      lab.submit(job("a", step(3, 8, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(4_000);
+      assertEquals(handOvers(lab), 0);
+      second.reachable = false;
+      third.reachable = false;
+      lab.run(2_500);
+      assertTrue(handOvers(lab) > 0);
+    }
+
+    /** Two equal sides: neither reaches more, and the lead must not go to and fro. */
+    @Test
+    public void staysWhereHalfAnswer() {
+      LabWorker here = in("a", "w1");
+      LabWorker there = in("b", "w2");
+      JobLab lab = lab(here, there);
+      lab.submit(job("a", step(2, 8, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(4_000);
+      there.reachable = false;
+      lab.run(4_000);
+      assertEquals(handOvers(lab), 0);
+    }
+  }
+
   /** Workers that must get nothing. */
   public static class Shunning {
 
--- a/core/src/test/java/org/cottontack/core/job/LabWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -45,12 +45,16 @@
   }
 
   LabWorker(String id, long cores, String address) {
+    this(id, cores, address, "dc");
+  }
+
+  LabWorker(String id, long cores, String address, String dataCentre) {
     this.info =
         new WorkerInfo(
             new WorkerId(id),
             "pool",
             address,
-            new DataCentreId("dc"),
+            new DataCentreId(dataCentre),
             new Resources(1_000 * cores, 100_000, 0),
             List.of(),
             false);
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -36,6 +36,7 @@
    * Creates an instance that does nothing yet.
    *
    * @param name the instance's name
+   * @param dataCentre where it is
    * @param store the platform's store
    * @param timers the event loop's timers
    * @param rules where the table comes from
@@ -44,6 +45,7 @@
    */
   public JobEntry(
       String name,
+      String dataCentre,
       TableStore store,
       Timers timers,
       RuleSource rules,
@@ -56,7 +58,7 @@
     this.workers = workers;
     this.intake = new Intake(store, timers, metrics);
     String self = name + "/" + UUID.randomUUID();
-    this.leadership = new Leadership(store, timers, name, self, this::won, this::lost);
+    this.leadership = new Leadership(store, timers, name, self, dataCentre, this::won, this::lost);
   }
 
   /** Begins to follow the table and, once there is one, to stand for election. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -317,6 +317,8 @@
       workers.pace(pace, epoch, answered -> paced(pace, answered));
     } else if (effect instanceof JobEffect.Begun begun) {
       begun(begun.job());
+    } else if (effect instanceof JobEffect.HandOver over) {
+      timers.soon(() -> leadership.handOver(over.reason()));
     } else if (effect instanceof JobEffect.StepDown down) {
       timers.soon(() -> leadership.stepDown(down.reason()));
     } else if (effect instanceof JobEffect.Note note) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -38,10 +39,17 @@
   private static final RowKey LEASE = new RowKey(JobTables.LEADER, "leader", "lease");
   private static final String FREE = "free";
 
+  /**
+   * Head start of other data centres when a leader gives the lead away because it was cut off, in
+   * milliseconds: several usual elections, and less than a takeover without it takes.
+   */
+  private static final long HEAD_START_MILLIS = 1_500;
+
   private final TableStore store;
   private final Timers timers;
   private final String name;
   private final String self;
+  private final String dataCentre;
   private final LongConsumer onWon;
   private final Runnable onLost;
   private final Map<RowKey, Row> rows = new HashMap<>();
@@ -50,6 +58,7 @@
   private boolean leading;
   private boolean stopped;
   private long epoch;
+  private long electionVersion;
   private long renewals;
 
   /**
@@ -57,6 +66,7 @@
    *
    * @param name this instance's name, the same in each of its lives
    * @param self this incarnation: the name, a slash and what differs with each life
+   * @param dataCentre where this instance is
    * @param onWon called with the epoch of each term won
    * @param onLost called when a term ends before this process does
    */
@@ -65,12 +75,14 @@
       Timers timers,
       String name,
       String self,
+      String dataCentre,
       LongConsumer onWon,
       Runnable onLost) {
     this.store = store;
     this.timers = timers;
     this.name = name;
     this.self = self;
+    this.dataCentre = dataCentre;
     this.onWon = onWon;
     this.onLost = onLost;
   }
@@ -119,10 +131,13 @@
     if (held != null) {
       lease.observed(timers.now().mono(), held.version());
     }
-    boolean open = held == null || held.text().equals(FREE) || heldByOurLastLife(held.text());
+    boolean free = held == null || held.text().startsWith(FREE);
+    boolean open = free || heldByOurLastLife(held.text());
     if (open || lease.lapsed(0)) {
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
-      timers.after(open ? spread / 10 : spread, () -> campaign(held == null ? 0 : held.version()));
+      boolean cutOff = held != null && held.text().equals(freeFor(dataCentre));
+      long wait = (open ? spread / 10 : spread) + (cutOff ? HEAD_START_MILLIS : 0);
+      timers.after(wait, () -> campaign(held == null ? 0 : held.version()));
     } else {
       watch();
     }
@@ -136,6 +151,11 @@
     return holder.startsWith(name + "/") && !holder.startsWith(self);
   }
 
+  /** Returns the lease's text after its holder, in a data centre, was cut off. */
+  private static String freeFor(String dataCentre) {
+    return FREE + " " + dataCentre;
+  }
+
   private void watch() {
     store.follow(
         JobTables.LEADER,
@@ -206,14 +226,15 @@
     }
     leading = true;
     epoch = won;
+    electionVersion = version;
     lease = new LeaderLease();
     lease.renewed(sent);
     log("leader.won", "epoch=" + epoch);
     onWon.accept(won);
-    timers.after(RENEW_MILLIS, () -> renew(won, version));
+    timers.after(RENEW_MILLIS, () -> renew(won));
   }
 
-  private void renew(long term, long electionVersion) {
+  private void renew(long term) {
     if (!leading || epoch != term) {
       return;
     }
@@ -225,7 +246,7 @@
             List.of());
     long sent = timers.now().mono();
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
-    timers.after(RENEW_MILLIS, () -> renew(term, electionVersion));
+    timers.after(RENEW_MILLIS, () -> renew(term));
   }
 
   private void renewed(long term, long sent, CommitAnswer answer) {
@@ -243,14 +264,35 @@
 
   /** Ends this instance's term, if it leads, and watches the next leader. */
   void stepDown(String reason) {
-    if (!leading) {
-      return;
+    if (leading) {
+      endTerm(reason);
+      timers.after(PAUSE_MILLIS, this::start);
     }
+  }
+
+  private void endTerm(String reason) {
     log("leader.lost", "epoch=" + epoch + " " + reason);
     leading = false;
     lease = new LeaderLease();
     onLost.run();
-    timers.after(PAUSE_MILLIS, this::start);
+  }
+
+  /**
+   * Ends this instance's term and gives the lease back, with a head start for instances of other
+   * data centres: one nearby is probably cut off as well.
+   */
+  void handOver(String reason) {
+    if (leading) {
+      endTerm(reason);
+      giveBack(freeFor(dataCentre), answer -> timers.after(PAUSE_MILLIS, this::start));
+    }
+  }
+
+  /** Gives the lease back, unless another instance has taken over meanwhile. */
+  private void giveBack(String text, Consumer<CommitAnswer> done) {
+    Change change =
+        new Change(Map.of(ELECTION, electionVersion), Map.of(LEASE, Payload.of(text)), List.of());
+    store.commit(change, ANSWER_MILLIS, done);
   }
 
   /** Leaves for good: gives the lease back so that another instance need not wait for it. */
@@ -261,8 +303,7 @@
       return;
     }
     leading = false;
-    Change change = new Change(Map.of(), Map.of(LEASE, Payload.of(FREE)), List.of());
-    store.commit(change, ANSWER_MILLIS, answer -> done.run());
+    giveBack(FREE, answer -> done.run());
   }
 
   private void log(String event, String detail) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -60,6 +60,7 @@
     final JobEntry entry =
         new JobEntry(
             "instance",
+            "dc",
             store.seenBy(process, call -> !call.equals(hidden)),
             process,
             rules(),
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -18,7 +18,7 @@
     final List<String> events = new ArrayList<>();
     boolean reachesStore = true;
 
-    Candidate(VirtualTimers time, FakeTableStore store, String name, int life) {
+    Candidate(VirtualTimers time, FakeTableStore store, String name, int life, String dataCentre) {
       timers = time.process();
       TableStore seen = store.seenBy(timers, call -> reachesStore);
       leadership =
@@ -27,6 +27,7 @@
               timers,
               name,
               name + "/" + life,
+              dataCentre,
               epoch -> events.add("won " + epoch),
               () -> events.add("lost"));
       leadership.start();
@@ -38,7 +39,11 @@
     final FakeTableStore store = new FakeTableStore(time);
 
     Candidate candidate(String name, int life) {
-      return new Candidate(time, store, name, life);
+      return candidate(name, life, "dc");
+    }
+
+    Candidate candidate(String name, int life, String dataCentre) {
+      return new Candidate(time, store, name, life, dataCentre);
     }
   }
 
@@ -132,6 +137,38 @@
       assertEquals(first.events, List.of("won 1", "lost"));
     }
 
+    /**
+     * The leader is cut off from most workers and gives the lead away. Its neighbour, which is
+     * first to hear of it, leaves it to an instance of another data centre.
+     */
+    @Test
+    public void handsOverToAnotherDataCentre() {
+      Lab lab = new Lab();
+      final Candidate first = lab.candidate("a", 1, "cut");
+      lab.time.run(1_000);
+      final Candidate near = lab.candidate("b", 1, "cut");
+      lab.time.run(1_000);
+      final Candidate far = lab.candidate("c", 1, "open");
+      lab.time.run(1_000);
+      first.leadership.handOver("cut off");
+      lab.time.run(400);
+      assertTrue(far.leadership.leading());
+      lab.time.run(4_000);
+      assertEquals(near.events, List.of());
+      assertEquals(first.events, List.of("won 1", "lost"));
+    }
+
+    /** No other data centre has an instance: the old leader leads again soon. */
+    @Test
+    public void leadsAgainWhenNobodyElseDoes() {
+      Lab lab = new Lab();
+      Candidate only = lab.candidate("a", 1, "cut");
+      lab.time.run(1_000);
+      only.leadership.handOver("cut off");
+      lab.time.run(3_000);
+      assertTrue(only.leadership.leading());
+    }
+
     /** The leader is told to stop and gives its lease back; the next one need not wait for it. */
     @Test
     public void followsAtOnceWhenTheLeaderLeaves() {
