Link less at the start of a process

A listing of loaded classes (trial) shows 1,013 forms of method handles in seven processes, spun at their start for string concatenation and for the hashes of records used as keys; they are in no archive. Ruled out: reading 305 jobs back alone (some 1 s of it).

--- a/core/src/main/java/org/cottontack/core/id/WorkerId.java
+++ b/core/src/main/java/org/cottontack/core/id/WorkerId.java
@@ -21,4 +21,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof WorkerId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/JobId.java
+++ b/core/src/main/java/org/cottontack/core/job/JobId.java
@@ -23,4 +23,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof JobId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/RunKey.java
+++ b/core/src/main/java/org/cottontack/core/job/RunKey.java
@@ -12,4 +12,14 @@
   public String toString() {
     return task + "#" + run;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RunKey that && run == that.run && task.equals(that.task);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * run + task.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/StepId.java
+++ b/core/src/main/java/org/cottontack/core/job/StepId.java
@@ -13,4 +13,17 @@
   public String toString() {
     return job + "." + occurrence + "." + step;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof StepId that
+        && step == that.step
+        && occurrence == that.occurrence
+        && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * step + occurrence) + job.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/TaskName.java
+++ b/core/src/main/java/org/cottontack/core/job/TaskName.java
@@ -34,4 +34,14 @@
   public String toString() {
     return step + "." + index;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskName that && index == that.index && step.equals(that.step);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * index + step.hashCode();
+  }
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,8 +10,8 @@
 cp platform/target/lib/*.jar "$out/lib/"
 cp platform/target/cottontack-platform-*.jar "$out/cottontack.jar"
 
-# One short run names the classes that a start loads; all of the product's own are added, since the
-# run has no store and no workers to talk to. Its "store" is its own readiness page.
+# One short run names the classes that a start loads; all of the product's own and of the histograms
+# are added, since the run has no store and no workers to talk to. Its "store" is its own readiness page.
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 cat > "$work/settings.yaml" <<'S'
@@ -25,6 +25,8 @@
   store: "127.0.0.1:18467"
 stop:
   graceMillis: 2000
+jobs:
+  keepMillis: 120000
 S
 flags=$(sed -n 's/^run = "java \(.*\) -Xshare.*/\1/p' deploy/system.toml)
 COTTONTACK_CONFIG="$work/settings.yaml" java $flags -Xshare:off \
@@ -34,7 +36,7 @@
 sleep 3
 kill "$archived" 2> /dev/null || true
 wait "$archived" || true
-for jar in "$out"/cottontack.jar "$out"/lib/cottontack-*.jar; do
+for jar in "$out"/cottontack.jar "$out"/lib/cottontack-*.jar "$out"/lib/*[Hh]dr[Hh]istogram*.jar; do
   jar tf "$jar" | sed -n 's/\.class$//p' | grep -v package-info >> "$work/classes"
 done
 java $flags -Xshare:dump -XX:SharedClassListFile="$work/classes" \
