--- a/core/src/test/java/org/cottontack/core/job/EstimatesTest.java
+++ b/core/src/test/java/org/cottontack/core/job/EstimatesTest.java
@@ -3,8 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
@@ -17,18 +15,7 @@
       new JobQueue("queue", "host", "/jobs/", "pool", 2, 3, 2.0, 1_000, false);
 
   private static StepSpec step(long estimateMillis) {
-    return new StepSpec(
-        1,
-        new Resources(1_000, 100, 0),
-        estimateMillis,
-        List.of(),
-        List.of(),
-        Optional.empty(),
-        Optional.empty(),
-        0,
-        "",
-        0,
-        0);
+    return TestStep.tasks(1).estimate(estimateMillis).of();
   }
 
   private static Estimates taught(double spread) {
--- a/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
+++ b/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
@@ -4,7 +4,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
@@ -18,19 +17,7 @@
   private static final double TARGET = 18;
 
   private static Task task(String id, String image, double target, StepSpec.Trait trait) {
-    StepSpec step =
-        new StepSpec(
-            1,
-            new Resources(4_000, 100, 0),
-            500,
-            List.of(),
-            List.of(trait),
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            image,
-            target,
-            0);
+    StepSpec step = TestStep.tasks(1).cpu(4_000).image(image).target(target).of(trait);
     JobSpec spec =
         new JobSpec(new JobId(id), QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
     Job job = new Job(spec, 0);
@@ -79,9 +66,9 @@
   public static class Pairs {
 
     /**
-     * Two images fill beside a serving one, and one of them triples its tail. Where it fills alone
-     * the tail is high, where the other does it is not: within some seconds of reports the blame
-     * lies on the right one, and the other may join again.
+     * Two images fill beside a serving one, and one of them triples its tail. Reports about both
+     * together cannot tell which; then some seconds of reports with the other one alone clear it.
+     * The blame moves to the right one, though nothing new is heard of that.
      */
     @Test
     public void blamesTheRightOne() {
@@ -93,11 +80,13 @@
       Worker one = worker(serving(), harmless);
       for (int i = 0; i < 20; i++) {
         report(interference, both, 1.1, random);
+      }
+      for (int i = 0; i < 20; i++) {
         report(interference, one, 0, random);
       }
       Task serving = both.serving().findFirst().orElseThrow();
-      assertTrue(interference.effect(both, serving, harmful) > 0.6);
-      assertTrue(interference.effect(both, serving, harmless) < 0.2);
+      assertTrue(interference.effect(both, serving, harmful) > 0.75);
+      assertTrue(interference.effect(both, serving, harmless) < 0.25);
     }
 
     @Test
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -5,7 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.Test;
@@ -31,18 +30,13 @@
       String image,
       double target,
       StepSpec.Trait... traits) {
-    return new StepSpec(
-        count,
-        new Resources(1_000 * cores, 100, 0),
-        500,
-        after,
-        List.of(traits),
-        Optional.empty(),
-        Optional.empty(),
-        maxPerWorker,
-        image,
-        target,
-        0);
+    return TestStep.tasks(count)
+        .cpu(1_000 * cores)
+        .after(after)
+        .apart(maxPerWorker)
+        .image(image)
+        .target(target)
+        .of(traits);
   }
 
   private static JobSpec job(String id, StepSpec... steps) {
@@ -431,6 +425,27 @@
       assertFalse(worker.runs(TaskName.parse("g.0.0.0")));
     }
 
+    /**
+     * A serving task is over its bound by its own load. Nothing joins it, as harmless as it may be:
+     * it would start at full pace where there is no room for it. It joins once the tail is low.
+     */
+    @Test
+    public void nothingJoinsBesideTailOverItsBound() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      worker.loads.put("s", 18.5);
+      lab.run(1_200);
+      lab.submit(filling("g", "other"));
+      lab.run(1_200);
+      assertFalse(worker.runs(TaskName.parse("g.0.0.0")));
+      worker.loads.put("s", 5.0);
+      lab.run(1_500);
+      assertTrue(worker.runs(TaskName.parse("g.0.0.0")));
+    }
+
     /**
      * The order to halt a run gets no answer: the run may go on at full pace. The order goes out
      * again with the next report, until it is answered.
--- a/core/src/test/java/org/cottontack/core/job/UrgencyTest.java
+++ b/core/src/test/java/org/cottontack/core/job/UrgencyTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
 import org.testng.annotations.Test;
 
@@ -16,19 +15,7 @@
       new JobQueue("batch", "host", "/jobs/", "pool", 2, 3, 2.0, 1_000, false);
 
   private static JobSpec job(String id, int count, long millis, StepSpec.Trait... traits) {
-    StepSpec step =
-        new StepSpec(
-            count,
-            new Resources(1_000, 100, 0),
-            millis,
-            List.of(),
-            List.of(traits),
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            "",
-            0,
-            0);
+    StepSpec step = TestStep.tasks(count).estimate(millis).of(traits);
     return new JobSpec(new JobId(id), QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
   }
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -10,10 +10,7 @@
 import java.util.Set;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobPhase;
-import org.cottontack.core.job.JobQueue;
 import org.cottontack.core.job.JobSpec;
-import org.cottontack.core.job.Resources;
-import org.cottontack.core.job.StepSpec;
 import org.testng.annotations.Test;
 
 /**
@@ -21,25 +18,10 @@
  */
 public class IntakeTest {
 
-  private static final JobQueue QUEUE =
-      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
   private static final JobId ID = new JobId("5c0e7a21d94b36f8");
 
   private static JobSpec job() {
-    StepSpec step =
-        new StepSpec(
-            2,
-            new Resources(500, 64, 0),
-            900,
-            List.of(),
-            List.of(),
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            "",
-            0,
-            0);
-    return new JobSpec(ID, QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
+    return TestJobs.job(ID, 2);
   }
 
   private static Intake intake(TableStore store, Timers timers) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cottontack.core.id.DataCentreId;
@@ -15,13 +14,11 @@
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
 import org.cottontack.core.job.JobId;
-import org.cottontack.core.job.JobQueue;
 import org.cottontack.core.job.JobSpec;
 import org.cottontack.core.job.JobTable;
 import org.cottontack.core.job.Resources;
 import org.cottontack.core.job.RunKey;
 import org.cottontack.core.job.StartResult;
-import org.cottontack.core.job.StepSpec;
 import org.cottontack.core.job.WorkerInfo;
 import org.cottontack.core.job.WorkerReport;
 import org.testng.annotations.Test;
@@ -29,24 +26,8 @@
 /** Tests of a term of leading over a store that loses, delays and hides. */
 public class LeaderTest {
 
-  private static final JobQueue QUEUE =
-      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
-
   private static JobSpec job(String id) {
-    StepSpec step =
-        new StepSpec(
-            1,
-            new Resources(500, 64, 0),
-            900,
-            List.of(),
-            List.of(),
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            "",
-            0,
-            0);
-    return new JobSpec(new JobId(id), QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
+    return TestJobs.job(new JobId(id), 1);
   }
 
   /** One instance over a fake store, with one worker that runs everything for ever. */
@@ -81,7 +62,7 @@
       return new RuleSource() {
         @Override
         public void start(Consumer<JobTable> listener) {
-          listener.accept(new JobTable(1, List.of(QUEUE), List.of()));
+          listener.accept(new JobTable(1, List.of(TestJobs.QUEUE), List.of()));
         }
 
         @Override
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/TestJobs.java
@@ -0,0 +1,35 @@
+package org.cottontack.daemon.job;
+
+import java.util.List;
+import java.util.Optional;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobQueue;
+import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.Resources;
+import org.cottontack.core.job.StepSpec;
+
+/** Builds jobs for tests. */
+final class TestJobs {
+
+  static final JobQueue QUEUE =
+      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
+
+  private TestJobs() {}
+
+  static JobSpec job(JobId id, int tasks) {
+    StepSpec step =
+        new StepSpec(
+            tasks,
+            new Resources(500, 64, 0),
+            900,
+            List.of(),
+            List.of(),
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            "",
+            0,
+            0);
+    return new JobSpec(id, QUEUE, "payload", List.of(step), JobSpec.Schedule.AT_ONCE);
+  }
+}
