Move lasting tasks off workers that are about to leave

Two workers were drained at 23.1 s and left at 29.1 s with 12 lasting tasks; the leader was cut off from the store at 28.4 s and another led from 30.6 s. It never reached the two workers, so it waited for the longest inherited lease, 14.5 s, before it started the tasks elsewhere. Ruled out: room (usable workers throughout), the store (its later leader saved and renewed). Change: while a worker drains, its lasting tasks are stopped one at a time and start elsewhere, if there is room and none waits already. Test: movesLastingTasksOffDrainingWorkers, failed before (0 of 2 moved). What remains: a worker that is lost without notice right before a change of leaders still keeps its lasting tasks away for up to 14.5 s.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -721,6 +721,9 @@
     if (!worker.looking && now.mono() - worker.lookedMillis >= gap) {
       look(worker, 0);
     }
+    if (worker.info.draining() && !outOfTouch) {
+      evacuate(worker);
+    }
     worker.placed.values().stream()
         .filter(task -> task.order == Task.Order.RESEND)
         .toList()
@@ -731,6 +734,35 @@
         .forEach(task -> stop(worker, task.key()));
   }
 
+  /**
+   * Moves a task that lasts off a worker that is about to leave. Were the leader to change just
+   * after it left, the next one would wait out the leases of a worker that it never reached, and
+   * the task would be away for 15 s. One at a time, and only when none waits already: a task that
+   * finds no room elsewhere is better off where it is.
+   */
+  private void evacuate(Worker worker) {
+    boolean oneWaits = hungry.stream().anyMatch(job -> job.spec.lasts());
+    boolean oneStops = worker.placed.keySet().stream().anyMatch(worker.stopsSent::containsKey);
+    if (oneWaits || oneStops) {
+      return;
+    }
+    worker.placed.values().stream()
+        .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
+        .filter(task -> task.order == Task.Order.CONFIRMED && !task.job.phase.terminal())
+        .filter(task -> roomFor(task).isPresent())
+        .findFirst()
+        .ifPresent(
+            task -> {
+              note("run.evacuated", task.key(), worker.info.id() + " drains");
+              stop(worker, task.key());
+            });
+  }
+
+  private Optional<Worker> roomFor(Task task) {
+    JobQueue queue = table.current(task.job.spec.queue());
+    return placement.choose(task, queue, workers.values(), now.mono());
+  }
+
   private void lapsed(Worker worker) {
     if (worker.placed.isEmpty()) {
       return;
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -673,21 +673,46 @@
       assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
     }
 
+    private static JobEvent draining(LabWorker worker) {
+      WorkerInfo info = worker.info;
+      return new JobEvent.WorkerSeen(
+          new WorkerInfo(
+              info.id(),
+              info.pool(),
+              info.address(),
+              info.dataCentre(),
+              info.capacity(),
+              info.labels(),
+              true));
+    }
+
+    /**
+     * A worker is about to leave with tasks that last, and the leader changes right after. The new
+     * one would have to wait out the leases of a worker that it never reached, and the tasks would
+     * be away for all that time. They move while the worker drains, as far as there is room.
+     */
+    @Test
+    public void movesLastingTasksOffDrainingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 32);
+      JobLab lab = lab(leaving);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(3, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      assertEquals(leaving.count(), 3);
+      LabWorker other = new LabWorker("w2", 8);
+      lab.workers.put(other.info.id(), other);
+      lab.post(new JobEvent.WorkerSeen(other.info));
+      lab.post(draining(leaving));
+      lab.run(1_500);
+      assertEquals(other.count(), 2);
+      assertEquals(leaving.count(), 1);
+    }
+
     @Test
     public void placesNothingOnDrainingWorkers() {
       LabWorker worker = new LabWorker("w1", 8);
       JobLab lab = lab(worker);
-      WorkerInfo info = worker.info;
-      lab.post(
-          new JobEvent.WorkerSeen(
-              new WorkerInfo(
-                  info.id(),
-                  info.pool(),
-                  info.address(),
-                  info.dataCentre(),
-                  info.capacity(),
-                  info.labels(),
-                  true)));
+      lab.post(draining(worker));
       lab.submit(job("a", step(1, 2, List.of())));
       lab.run(1_000);
       assertEquals(lab.starts(), 0);
