Let a job of which nothing runs have a place beside anything while most is free

An image that harms all that serve has no place under the bound on strain of 0.5, so its jobs wait until services leave. Ruled out: room and leader (32 usable workers, one leader throughout the last 20 s). Change: while under 60 % of a pool's processors are reserved, a job of which nothing runs gets its first task placed where it strains least, whatever the bound; pacing slows it where it does harm. Tests: harmfulImagesRunWhereMostIsFree. keepsPairsApartOnceKnownToHurt now has three serving tasks on its worker in place of one (12 of 16 cores): on a roomy worker the harmful image is now meant to run.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -249,6 +249,7 @@
     }
     roomChanged = false;
     NoRoom noRoom = new NoRoom();
+    placement.begin(workers.values());
     urgency.order(hungry, now.mono()).forEach(job -> placeJob(job, noRoom));
   }
 
@@ -262,7 +263,7 @@
         continue;
       }
       Optional<Worker> worker =
-          noRoom.covers(task.spec, queue)
+          noRoom.covers(task.spec, queue) && !placement.anywhere(job)
               ? Optional.empty()
               : placement.choose(task, queue, workers.values(), now.mono());
       if (worker.isPresent()) {
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -40,7 +40,15 @@
           .thenComparingLong(Candidate::room)
           .thenComparing(candidate -> candidate.worker().info.id());
 
+  /**
+   * Share of the processors reserved up to which a pool counts as roomy. While more is reserved a
+   * job may be kept waiting for a harmless place; with less, its caller would see it wait beside
+   * idle workers.
+   */
+  private static final double ROOMY_SHARE = 0.6;
+
   private final Interference interference;
+  private boolean roomy;
 
   Placement(Interference interference) {
     this.interference = interference;
@@ -57,6 +65,22 @@
    */
   private record Candidate(Worker worker, boolean near, boolean fresh, long suits, long room) {}
 
+  /** Takes in how much is reserved before a pass over what waits. */
+  void begin(Collection<Worker> workers) {
+    long all = workers.stream().mapToLong(w -> w.info.capacity().cpuMillis()).sum();
+    long used = workers.stream().mapToLong(w -> w.used.cpuMillis()).sum();
+    roomy = used < ROOMY_SHARE * all;
+  }
+
+  /**
+   * Returns whether a job gets a place beside anything: nothing of it runs though the pool is
+   * roomy. An image that harms all others would otherwise never run, and its jobs never end; its
+   * first task is paced where it does harm.
+   */
+  boolean anywhere(Job job) {
+    return roomy && !job.onWorkers();
+  }
+
   /** Returns the worker to run a task on, or nothing when none has room. */
   Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
     return workers.stream()
@@ -99,7 +123,7 @@
       return Optional.empty();
     }
     double strain = interference.strainJoined(worker, crowding, task);
-    if (strain > MOST_STRAIN) {
+    if (strain > MOST_STRAIN && !anywhere(task.job)) {
       return Optional.empty();
     }
     long steps = Math.round(strain / STRAIN_STEP);
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -563,6 +563,27 @@
       assertFalse(web.runs(TaskName.parse("s2.0.0.0")));
     }
 
+    /**
+     * An image is known to harm all that serves, and most of the workers are idle. Its job still
+     * gets a place: its caller would otherwise see it wait for ever beside free workers.
+     */
+    @Test
+    public void harmfulImagesRunWhereMostIsFree() {
+      LabWorker worker = new LabWorker("w1", 16);
+      JobLab lab = lab(worker);
+      lab.workMillis = 3_000;
+      lab.submit(serving("s", "web"));
+      lab.run(300);
+      lab.submit(filling("f1", "batch"));
+      worker.loads.put("s", 180.0);
+      worker.loads.put("f1", 4_000.0);
+      lab.run(3_500);
+      worker.loads.put("s", 5.0);
+      lab.submit(filling("f2", "batch"));
+      lab.run(1_000);
+      assertTrue(worker.runs(TaskName.parse("f2.0.0.0")));
+    }
+
     /**
      * One pair of images is seen to multiply a tail by ten. From then on tasks of that image wait
      * for another worker instead of joining the serving task again.
@@ -574,6 +595,8 @@
       lab.workMillis = 3_000;
       JobSpec serving = serving("s", "web");
       lab.submit(serving);
+      lab.submit(serving("t", "web"));
+      lab.submit(serving("u", "web"));
       lab.run(300);
       lab.submit(filling("f1", "batch"));
       worker.loads.put("s", 180.0);
