Run the process from the daemon; the platform's folder only translates

Its settings were read by a second, weaker reader; and grace and keeping times were written as the platform's figure with "000" behind it: where a bound is a fraction (6.5) no process would start. Tests: JobSettingsTest (new; fractions and empty values), HangupTest moved unchanged.

--- a/platform/src/main/java/org/cottontack/platform/Hangup.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Hangup.java
@@ -1,4 +1,4 @@
-package org.cottontack.platform;
+package org.cottontack.daemon.job;
 
 import java.lang.reflect.Proxy;
 import org.apache.logging.log4j.LogManager;
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -20,6 +20,18 @@
 
   private static final Logger LOG = LogManager.getLogger(Intake.class);
 
+  /**
+   * When a caller that was refused should come back, in seconds: usual outages last some seconds,
+   * and the store is asked a few times before a caller is refused.
+   */
+  public static final long COME_BACK_SECONDS = 1;
+
+  /** How long a caller waits that does not say, in milliseconds. */
+  private static final long USUAL_PATIENCE_MILLIS = 3_000;
+
+  /** Time kept back for the way of the answer to the caller, in milliseconds. */
+  private static final long ANSWER_MILLIS = 150;
+
   /** First wait for an answer of the store, in milliseconds: some 20 times its usual answer. */
   private static final long FIRST_WAIT_MILLIS = 400;
 
@@ -59,10 +71,10 @@
    * Stores a job unless it is already there.
    *
    * @param job the job
-   * @param untilMillis when the caller stops waiting, on our steady clock
+   * @param patienceMillis how long the caller waits, if it said
    * @param done gets the answer
    */
-  public void submit(JobSpec job, long untilMillis, Consumer<Answer> done) {
+  public void submit(JobSpec job, OptionalLong patienceMillis, Consumer<Answer> done) {
     RowKey row = JobTables.job(job.id());
     Change change =
         new Change(
@@ -74,11 +86,20 @@
                 Payload.of(job.queue().name())),
             List.of());
     Consumer<Answer> logged = logged("job.submitted", job.id(), done);
-    new Attempt(change, untilMillis, logged).send();
+    new Attempt(change, untilMillis(patienceMillis), logged).send();
   }
 
-  /** Cancels a job, if there is one. */
-  public void cancel(JobId id, long untilMillis, Consumer<Answer> done) {
+  private long untilMillis(OptionalLong patienceMillis) {
+    return timers.now().mono() + patienceMillis.orElse(USUAL_PATIENCE_MILLIS) - ANSWER_MILLIS;
+  }
+
+  /**
+   * Cancels a job, if there is one.
+   *
+   * @param patienceMillis how long the caller waits, if it said
+   */
+  public void cancel(JobId id, OptionalLong patienceMillis, Consumer<Answer> done) {
+    long untilMillis = untilMillis(patienceMillis);
     Consumer<Answer> logged = logged("job.cancelled", id, done);
     store.scan(
         JobTables.JOBS,
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -0,0 +1,140 @@
+package org.cottontack.daemon.job;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cottontack.adapters.AdapterException;
+import org.cottontack.adapters.http.HttpCall;
+import org.cottontack.adapters.http.HttpClient;
+import org.cottontack.adapters.http.HttpServer;
+import org.cottontack.daemon.settings.JobSettings;
+import org.cottontack.daemon.settings.SettingsException;
+
+/** Runs an entry instance for jobs as a process: start, changed settings, graceful stop. */
+public final class JobProcess {
+
+  private static final Logger LOG = LogManager.getLogger(JobProcess.class);
+  private static final int BAD_SETTINGS = 3;
+  private static final int CANNOT_START = 4;
+
+  /** Time kept back before the platform kills the process, in milliseconds. */
+  private static final long EXIT_MARGIN_MILLIS = 800;
+
+  /**
+   * How long new connections may still come after the order to stop, in milliseconds: the platform
+   * asks for readiness once a second and turns away after two refusals.
+   */
+  private static final long ROUTED_MILLIS = 2_500;
+
+  private static final long POLL_MILLIS = 20;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final Path file;
+  private final JobSettings settings;
+  private final Timers timers;
+  private final JobEntry entry;
+  private final HttpServer callers;
+
+  private JobProcess(Path file, JobSettings settings, Adapter adapter) {
+    this.file = file;
+    this.settings = settings;
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    timers = new LoopTimers(group.next());
+    HttpClient http = new HttpClient(group);
+    TableStore store = adapter.store(http, settings.store());
+    entry =
+        new JobEntry(
+            settings.name(),
+            settings.dataCentre(),
+            settings.keepMillis(),
+            store,
+            timers,
+            adapter.rules(store, timers),
+            adapter.registry(store, timers),
+            adapter.workers(http));
+    callers = HttpServer.listen(group, settings.callers(), adapter.callers(entry));
+    HttpServer.listen(group, settings.readiness(), this::readiness);
+    HttpServer.listen(group, settings.metrics(), this::metrics);
+  }
+
+  /**
+   * Runs until the platform stops the process. Exit codes: 0 stopped on order, 3 bad settings, 4
+   * cannot start.
+   *
+   * @param file the file of settings
+   * @param adapter translates between the platform and this instance
+   */
+  public static void run(Path file, Adapter adapter) {
+    try {
+      new JobProcess(file, JobSettings.load(file), adapter).start();
+    } catch (SettingsException e) {
+      fail(BAD_SETTINGS, e);
+    } catch (AdapterException e) {
+      fail(CANNOT_START, e);
+    }
+  }
+
+  private static void fail(int code, Exception cause) {
+    LOG.fatal("cannot run: {}", cause.getMessage(), cause);
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(code);
+  }
+
+  private void start() {
+    timers.soon(entry::start);
+    Hangup.handle(this::reloaded);
+    LOG.info("started {}", settings.name());
+    Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+  }
+
+  private void readiness(HttpCall call) {
+    call.json(entry.ready() ? OK : UNAVAILABLE, "{}");
+  }
+
+  private void metrics(HttpCall call) {
+    byte[] text = entry.metrics().text().getBytes(StandardCharsets.UTF_8);
+    call.respond(OK, Map.of("content-type", "text/plain; charset=utf-8"), text);
+  }
+
+  /** Checks a changed file; all settings here hold for a process's life, so none is applied. */
+  private void reloaded() {
+    try {
+      LOG.info("settings read again: {}", JobSettings.load(file));
+    } catch (SettingsException e) {
+      LOG.error("the changed settings are wrong and would keep the next start from working", e);
+    }
+  }
+
+  /**
+   * Hands leadership back, ends each caller's connection with its next answer, and leaves once the
+   * platform sends no new ones and nothing is unanswered, at the latest before the end of the
+   * grace.
+   */
+  private void stop() {
+    long began = timers.now().mono();
+    long latest = began + settings.graceMillis() - EXIT_MARGIN_MILLIS;
+    CountDownLatch left = new CountDownLatch(1);
+    timers.soon(() -> entry.stop(left::countDown));
+    callers.drain();
+    try {
+      left.await(settings.graceMillis() - EXIT_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+      while (timers.now().mono() < began + ROUTED_MILLIS
+          || (callers.unanswered() > 0 && timers.now().mono() < latest)) {
+        TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    LOG.info("stopped {}, unanswered: {}", settings.name(), callers.unanswered());
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(0);
+  }
+}
--- a/daemon/src/main/java/org/cottontack/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/SettingsLoader.java
@@ -7,7 +7,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
@@ -24,44 +23,64 @@
   private SettingsLoader() {}
 
   /**
-   * Loads a file.
+   * Loads a file of an entry instance.
    *
    * @throws SettingsException with every fault at once
    */
   public static DaemonSettings load(Path file) {
+    return parse(read(file));
+  }
+
+  /**
+   * Reads settings of an entry instance from text.
+   *
+   * @throws SettingsException with every fault at once
+   */
+  public static DaemonSettings parse(String text) {
+    return new DaemonSettings(values(text, SettingKey.class));
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @throws SettingsException when it cannot be read
+   */
+  static String read(Path file) {
     try {
-      return parse(Files.readString(file));
+      return Files.readString(file);
     } catch (IOException e) {
       throw new SettingsException(List.of("cannot read " + file + ": " + e.getMessage()));
     }
   }
 
   /**
-   * Reads settings from text.
+   * Returns the value of each setting of a kind of process.
    *
    * @throws SettingsException with every fault at once
    */
-  public static DaemonSettings parse(String text) {
+  static <K extends Enum<K> & SettingName> Map<K, String> values(String text, Class<K> kind) {
     Map<String, String> found = flatten(tree(text));
+    List<K> keys = List.of(kind.getEnumConstants());
+    List<String> known = keys.stream().map(SettingName::path).toList();
     List<String> faults = new ArrayList<>();
     found.keySet().stream()
-        .filter(path -> SettingKey.at(path).isEmpty())
-        .map(SettingsLoader::unknown)
+        .filter(path -> !known.contains(path))
+        .map(path -> unknown(path, known))
         .forEach(faults::add);
-    Map<SettingKey, String> values = new EnumMap<>(SettingKey.class);
-    for (SettingKey key : SettingKey.values()) {
-      String value = found.getOrDefault(key.path(), key.fallback().orElse(null));
+    Map<K, String> values = new EnumMap<>(kind);
+    for (K key : keys) {
+      String value = found.getOrDefault(key.path(), key.rule().fallback().orElse(null));
       if (value == null) {
         faults.add(key.path() + ": is missing and has no default");
       } else {
-        key.fault(value).ifPresent(faults::add);
+        key.rule().fault(value).ifPresent(faults::add);
         values.put(key, value);
       }
     }
     if (!faults.isEmpty()) {
       throw new SettingsException(faults);
     }
-    return new DaemonSettings(values);
+    return values;
   }
 
   private static JsonNode tree(String text) {
@@ -87,17 +106,16 @@
                       prefix.isEmpty() ? field.getKey() : prefix + "." + field.getKey(),
                       field.getValue(),
                       found));
-    } else if (!prefix.isEmpty()) {
+    } else if (!prefix.isEmpty() && !node.isNull()) {
       found.put(prefix, node.asText());
     }
   }
 
-  private static String unknown(String path) {
+  private static String unknown(String path, List<String> known) {
     LevenshteinDistance distance = LevenshteinDistance.getDefaultInstance();
     String nearest =
-        Arrays.stream(SettingKey.values())
-            .map(SettingKey::path)
-            .min(Comparator.comparingInt(known -> distance.apply(path, known)))
+        known.stream()
+            .min(Comparator.comparingInt(other -> distance.apply(path, other)))
             .orElseThrow();
     return "%s: no such setting; did you mean %s?".formatted(path, nearest);
   }
--- a/platform/src/test/java/org/cottontack/platform/HangupTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/HangupTest.java
@@ -1,4 +1,4 @@
-package org.cottontack.platform;
+package org.cottontack.daemon.job;
 
 import static org.testng.Assert.assertEquals;
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -39,7 +39,7 @@
     }
 
     void submit(Intake intake) {
-      intake.submit(job(), 1_000 + 2_800, answers::add);
+      intake.submit(job(), OptionalLong.of(2_950), answers::add);
     }
   }
 
@@ -164,11 +164,11 @@
     public void cancelsOnlyWhatIsThere() {
       Lab lab = new Lab();
       Intake intake = lab.instance();
-      intake.cancel(ID, 4_000, lab.answers::add);
+      intake.cancel(ID, OptionalLong.of(3_000), lab.answers::add);
       lab.time.run(100);
       lab.submit(intake);
       lab.time.run(100);
-      intake.cancel(ID, 4_000, lab.answers::add);
+      intake.cancel(ID, OptionalLong.of(3_000), lab.answers::add);
       lab.time.run(100);
       assertEquals(
           lab.answers, List.of(Intake.Answer.ABSENT, Intake.Answer.STORED, Intake.Answer.STORED));
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cottontack.core.id.DataCentreId;
@@ -62,7 +63,7 @@
     }
 
     void submit(String id) {
-      entry.intake().submit(job(id), Long.MAX_VALUE / 2, answer -> {});
+      entry.intake().submit(job(id), OptionalLong.empty(), answer -> {});
     }
 
     private RuleSource rules() {
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -0,0 +1,80 @@
+package org.cottontack.daemon.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Settings of an entry instance for jobs, which the platform fills in. */
+public class JobSettingsTest {
+
+  private static final String GOOD =
+      String.join(
+          "\n",
+          "name: one",
+          "dataCentre: dc",
+          "listen:",
+          "  callers: 127.0.0.1:1",
+          "  readiness: 127.0.0.1:2",
+          "  metrics: 127.0.0.1:3",
+          "platform:",
+          "  store: 127.0.0.1:4",
+          "");
+
+  private static JobSettings with(String grace, String keep) {
+    return JobSettings.parse(
+        GOOD + "stop:\n  graceSeconds: " + grace + "\njobs:\n  keepSeconds: " + keep + "\n");
+  }
+
+  /** Values as the platform may fill them in. */
+  public static class Filled {
+
+    /** Grace and time to keep as text, and both in milliseconds. */
+    @DataProvider
+    public Object[][] values() {
+      return new Object[][] {
+        {"6", "120", 6_000L, 120_000L},
+        {"6.5", "300.25", 6_500L, 300_250L},
+        {"", "", 6_000L, 120_000L},
+        {"2", "30", 2_000L, 120_000L},
+      };
+    }
+
+    /**
+     * The platform gives bounds as whole numbers, as fractions, or not at all. A process that took
+     * a fraction for a fault would not start, and no caller would be served on that installation.
+     */
+    @Test(dataProvider = "values")
+    public void takesWholeNumbersFractionsAndNothing(
+        String grace, String keep, long graceMillis, long keepMillis) {
+      JobSettings settings = with(grace, keep);
+      assertEquals(settings.graceMillis(), graceMillis);
+      assertEquals(settings.keepMillis(), keepMillis);
+    }
+  }
+
+  /** Bad files. */
+  public static class Faults {
+
+    @Test
+    public void listsAllAtOnce() {
+      List<String> faults =
+          expectThrows(SettingsException.class, () -> JobSettings.parse("nam: one")).faults();
+      assertEquals(faults.get(0), "nam: no such setting; did you mean name?");
+      assertEquals(faults.size(), 7);
+    }
+
+    @Test
+    public void namesWhatIsWrong() {
+      List<String> faults =
+          expectThrows(SettingsException.class, () -> with("soon", "-1")).faults();
+      assertEquals(
+          faults,
+          List.of(
+              "jobs.keepSeconds: -1 is not between 0 and 604800 seconds",
+              "stop.graceSeconds: 'soon' is not a number of seconds"));
+    }
+  }
+}
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -24,9 +24,9 @@
 platform:
   store: "127.0.0.1:18467"
 stop:
-  graceMillis: 2000
+  graceSeconds: 2
 jobs:
-  keepMillis: 120000
+  keepSeconds: 120
 S
 flags=$(sed -n 's/^run = "java \(.*\) -Xshare.*/\1/p' deploy/system.toml)
 COTTONTACK_CONFIG="$work/settings.yaml" java $flags -Xshare:off \
