Split the leader's decisions by matter

Methods were moved, not rewritten, but for one: stops for an evacuation go out again while they have no effect; before, a lost one held all others. Tests: unchanged, and lostStopsDoNotHoldLastingTasksOnDrainingWorkers.

--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -0,0 +1,123 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Which workers there are, and what is done about those that leave or do not answer. */
+final class Fleet {
+
+  private final Term term;
+  private final Orders orders;
+  private final Placement placement;
+
+  Fleet(Term term, Orders orders, Placement placement) {
+    this.term = term;
+    this.orders = orders;
+    this.placement = placement;
+  }
+
+  void seen(WorkerInfo info) {
+    livesAt(info).filter(other -> !other.registered).toList().forEach(orders::reborn);
+    Worker worker =
+        term.workers.computeIfAbsent(info.id(), id -> new Worker(info, term.inheritedLapseMillis));
+    worker.info = info;
+    worker.registered = true;
+    term.roomChanged = true;
+    if (!worker.heard && !worker.looking) {
+      orders.look(worker, 0);
+    }
+  }
+
+  void unlisted(Worker worker) {
+    worker.registered = false;
+    if (livesAt(worker.info).anyMatch(other -> other.registered)) {
+      orders.reborn(worker);
+    }
+  }
+
+  /**
+   * Returns other workers at a worker's address. When one of them is registered, those that no
+   * longer are have ended, with all that ran there: their leases need not be waited out.
+   */
+  private Stream<Worker> livesAt(WorkerInfo info) {
+    return term.workers.values().stream()
+        .filter(other -> other.info.reachable())
+        .filter(other -> other.info.address().equals(info.address()))
+        .filter(other -> !other.info.id().equals(info.id()));
+  }
+
+  void silent(Worker worker) {
+    worker.looking = false;
+    if (!worker.silent) {
+      term.note("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
+    }
+    worker.silent = true;
+  }
+
+  void tick(Worker worker) {
+    boolean outOfTouch = worker.silent || !worker.heard;
+    if (outOfTouch && term.now.mono() > worker.lapsedMillis()) {
+      lapsed(worker);
+    }
+    if (!worker.registered && worker.placed.isEmpty() && worker.strays.isEmpty()) {
+      term.workers.remove(worker.info.id());
+      return;
+    }
+    boolean idle = worker.placed.isEmpty() && !outOfTouch;
+    long gap = idle ? term.timing.idleLookMillis() : term.timing.lookAgainMillis();
+    if (!worker.looking && term.now.mono() - worker.lookedMillis >= gap) {
+      orders.look(worker, 0);
+    }
+    if (worker.info.draining() && !outOfTouch) {
+      evacuate(worker);
+    }
+    worker.placed.values().stream()
+        .filter(task -> task.order == Task.Order.RESEND)
+        .toList()
+        .forEach(task -> orders.retry(worker, task));
+    worker.placed.values().stream()
+        .filter(task -> task.job.phase.terminal())
+        .toList()
+        .forEach(task -> orders.stop(worker, task.key()));
+  }
+
+  /**
+   * Moves a task that lasts off a worker that is about to leave. Were the leader to change just
+   * after it left, the next one would wait out the leases of a worker that it never reached, and
+   * the task would be away for 15 s. One at a time, and only when none waits already: a task that
+   * finds no room elsewhere is better off where it is.
+   */
+  private void evacuate(Worker worker) {
+    boolean oneWaits = term.hungry.stream().anyMatch(job -> job.spec.lasts() && job.begun);
+    List<RunKey> stopping =
+        worker.placed.keySet().stream().filter(worker.stopsSent::containsKey).toList();
+    stopping.forEach(run -> orders.stop(worker, run));
+    if (oneWaits || !stopping.isEmpty()) {
+      return;
+    }
+    worker.placed.values().stream()
+        .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
+        .filter(task -> task.order == Task.Order.CONFIRMED && !task.job.phase.terminal())
+        .filter(task -> roomFor(task).isPresent())
+        .findFirst()
+        .ifPresent(
+            task -> {
+              term.note("run.evacuated", task.key(), worker.info.id() + " drains");
+              orders.stop(worker, task.key());
+            });
+  }
+
+  private Optional<Worker> roomFor(Task task) {
+    JobQueue queue = term.table.current(task.job.spec.queue());
+    return placement.choose(task, queue, term.workers.values(), term.now.mono());
+  }
+
+  private void lapsed(Worker worker) {
+    if (worker.placed.isEmpty()) {
+      return;
+    }
+    term.note("worker.lapsed", worker.info.id(), "runs=" + worker.placed.size());
+    List.copyOf(worker.placed.values()).forEach(term::release);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -0,0 +1,115 @@
+package org.cottontack.core.job;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cottontack.core.id.WorkerId;
+
+/** The life of a job: taken, recovered after a change of leader, cancelled, ended. */
+final class Lifecycle {
+
+  private final Term term;
+  private final Orders orders;
+  private final Estimates estimates;
+  private final Urgency urgency;
+  private final Set<JobId> cancelledUnseen = new LinkedHashSet<>();
+
+  Lifecycle(Term term, Orders orders, Estimates estimates, Urgency urgency) {
+    this.term = term;
+    this.orders = orders;
+    this.estimates = estimates;
+    this.urgency = urgency;
+  }
+
+  void arrived(JobSpec spec) {
+    if (term.jobs.containsKey(spec.id())) {
+      return;
+    }
+    Job job = new Job(spec, term.now.mono());
+    estimates.arrived(spec.queue(), urgency.work(spec));
+    open(job);
+    term.note("job.taken", spec.id(), describe(spec));
+    if (cancelledUnseen.remove(spec.id())) {
+      end(job, JobPhase.CANCELLED);
+    }
+  }
+
+  private static String describe(JobSpec spec) {
+    String steps = spec.steps().stream().map(StepSpec::describe).collect(Collectors.joining(", "));
+    return "queue=%s steps=[%s]".formatted(spec.queue().name(), steps);
+  }
+
+  private void open(Job job) {
+    term.jobs.put(job.spec.id(), job);
+    job.advance(term.now.wall());
+    if (!job.phase.terminal()) {
+      term.hungry.add(job);
+    }
+    term.roomChanged = true;
+    if (!job.phase.terminal() && job.spec.schedule().timed()) {
+      term.timed.add(job);
+    }
+  }
+
+  void recovered(JobEvent.JobRecovered event) {
+    Job job = new Job(event.job(), term.now.mono());
+    ProgressText.restore(job, event.progress());
+    job.begun = job.phase != JobPhase.QUEUED;
+    open(job);
+    job.tasks()
+        .filter(task -> task.phase == Task.Phase.PLACED)
+        .forEach(task -> knownOrGhost(task.worker).add(task));
+  }
+
+  /** A worker that is not registered may still run what it was given. */
+  private Worker knownOrGhost(WorkerId id) {
+    return term.workers.computeIfAbsent(
+        id, key -> new Worker(WorkerInfo.unlisted(key), term.inheritedLapseMillis));
+  }
+
+  /**
+   * News of jobs and of cancellations come separately. A cancellation that overtakes its job is
+   * kept for it; ignored, the job would run although its caller was told that it is cancelled.
+   */
+  void cancelled(JobId id) {
+    Job job = term.jobs.get(id);
+    if (job == null) {
+      cancelledUnseen.add(id);
+      forgetOldest();
+    } else if (!job.phase.terminal()) {
+      end(job, JobPhase.CANCELLED);
+    }
+  }
+
+  private void forgetOldest() {
+    if (cancelledUnseen.size() > term.timing.cancelsKept()) {
+      cancelledUnseen.remove(cancelledUnseen.iterator().next());
+    }
+  }
+
+  private void end(Job job, JobPhase phase) {
+    if (!job.begun) {
+      job.begun = true;
+      term.out.add(new JobEffect.Begun(job.spec.id()));
+    }
+    job.phase = phase;
+    term.dirty.add(job);
+    term.hungry.remove(job);
+    term.timed.remove(job);
+    term.note("job.ended", job.spec.id(), phase.name());
+    job.tasks().filter(task -> task.phase == Task.Phase.PLACED).toList().forEach(orders::withdraw);
+  }
+
+  void settle(Job job) {
+    if (!job.phase.terminal() && job.finished()) {
+      end(job, JobPhase.COMPLETE);
+    }
+  }
+
+  void failed(Task task) {
+    task.failures++;
+    if (task.failures >= term.table.current(task.job.spec.queue()).maxAttempts()) {
+      end(task.job, JobPhase.FAILED);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -0,0 +1,166 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+
+/**
+ * Orders to workers and their answers. An order without an answer may be carried out later, after
+ * newer ones, so a place counts as taken until a worker's lists say otherwise.
+ */
+final class Orders {
+
+  private final Term term;
+
+  Orders(Term term) {
+    this.term = term;
+  }
+
+  void withdraw(Task task) {
+    Worker worker = term.workers.get(task.worker);
+    boolean neverSent =
+        task.order == Task.Order.UNSAVED || (task.order == Task.Order.RESEND && !task.uncertain);
+    if (neverSent) {
+      term.release(task);
+    } else {
+      stop(worker, task.key());
+    }
+  }
+
+  void start(Task task) {
+    Worker worker = term.workers.get(task.worker);
+    if (!worker.usable(term.now.mono())) {
+      term.release(task);
+      return;
+    }
+    order(worker, task);
+    if (!worker.looking) {
+      look(worker, waitMillis(worker));
+    }
+  }
+
+  private void order(Worker worker, Task task) {
+    task.order = Task.Order.SENT;
+    term.out.add(
+        new JobEffect.StartRun(
+            worker.info.id(),
+            worker.info.address(),
+            task.key(),
+            task.job.spec.payload(),
+            worker.clock.leaseEnd(term.now.mono(), term.timing.taskLeaseMillis()),
+            task.checkpoint));
+  }
+
+  void stop(Worker worker, RunKey run) {
+    Long last = worker.stopsSent.get(run);
+    if (worker.info.reachable()
+        && (last == null || term.now.mono() - last >= term.timing.stopAgainMillis())) {
+      worker.stopsSent.put(run, term.now.mono());
+      term.out.add(new JobEffect.StopRun(worker.info.id(), worker.info.address(), run));
+    }
+  }
+
+  void startEnded(JobEvent.StartEnded event) {
+    Worker worker = term.workers.get(event.worker());
+    Task task = term.find(event.run().task());
+    if (worker == null || task == null || !task.runsAs(event.worker(), event.run().run())) {
+      return;
+    }
+    task.uncertain |= !event.result().certain();
+    if (event.result() != StartResult.STARTED) {
+      term.note("start.refused", event.run(), event.worker() + " " + event.result());
+    }
+    switch (event.result()) {
+      case STARTED, OLD -> confirm(task);
+      case LATE, NOT_SENT, UNKNOWN -> task.order = Task.Order.RESEND;
+      case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> elsewhere(worker, task);
+      case REBORN -> reborn(worker);
+      case FENCED -> term.out.add(new JobEffect.StepDown("a worker has seen a newer leader"));
+      default -> throw new IllegalStateException("no such result: " + event.result());
+    }
+  }
+
+  /** Sends an unanswered order again: the worker takes an order for the same run as the same. */
+  void retry(Worker worker, Task task) {
+    if (task.job.phase.terminal()) {
+      withdraw(task);
+    } else if (!worker.silent) {
+      order(worker, task);
+    } else if (!task.uncertain) {
+      term.release(task);
+    }
+  }
+
+  void confirm(Task task) {
+    if (!task.job.begun) {
+      task.job.begun = true;
+      term.out.add(new JobEffect.Begun(task.job.spec.id()));
+    }
+    task.order = Task.Order.CONFIRMED;
+    task.confirmedMillis = term.now.mono();
+  }
+
+  private void elsewhere(Worker worker, Task task) {
+    worker.avoidUntilMillis = term.now.mono() + term.timing.avoidMillis();
+    if (task.uncertain) {
+      // An earlier copy of this order may still be on its way and run later; the stop bars it.
+      stop(worker, task.key());
+    } else {
+      term.release(task);
+    }
+  }
+
+  void stopEnded(JobEvent.StopEnded event) {
+    Worker worker = term.workers.get(event.worker());
+    Task task = term.find(event.run().task());
+    if (worker == null || !event.answered()) {
+      return;
+    }
+    if (task != null && task.runsAs(event.worker(), event.run().run())) {
+      confirm(task);
+    }
+    if (!worker.looking) {
+      look(worker, 0);
+    }
+  }
+
+  /**
+   * Has the pace ordered again: a run thought to stand still could go on harming its neighbours.
+   */
+  void paceLost(JobEvent.PaceLost event) {
+    Task task = term.find(event.run().task());
+    if (task != null && task.runsAs(event.worker(), event.run().run())) {
+      task.pace = Task.INHERITED_PACE;
+      term.worker(event.worker())
+          .ifPresent(
+              worker -> {
+                worker.pacedMillis = 0;
+                worker.changed();
+              });
+    }
+  }
+
+  void look(Worker worker, long waitMillis) {
+    if (worker.looking || !worker.info.reachable()) {
+      return;
+    }
+    worker.looking = true;
+    worker.lookedMillis = term.now.mono();
+    // A worker that does not answer may still receive this. Were its leases renewed as well, they
+    // would never be sure to have ended, and its tasks would wait for it for ever.
+    boolean renew = worker.clock.known() && !worker.silent;
+    long leaseEnd =
+        renew ? worker.clock.leaseEnd(term.now.mono(), term.timing.taskLeaseMillis()) : 0;
+    term.out.add(
+        new JobEffect.LookAtWorker(
+            worker.info.id(), worker.info.address(), leaseEnd, worker.acknowledgedEnd, waitMillis));
+  }
+
+  long waitMillis(Worker worker) {
+    return worker.contended() ? term.timing.contendedWaitMillis() : term.timing.lookWaitMillis();
+  }
+
+  void reborn(Worker worker) {
+    term.note("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
+    List.copyOf(worker.placed.values()).forEach(term::release);
+    term.workers.remove(worker.info.id());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -0,0 +1,172 @@
+package org.cottontack.core.job;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** What workers report: what runs, what has ended, how tasks that share a worker fare. */
+final class Reports {
+
+  private final Term term;
+  private final Orders orders;
+  private final Lifecycle lifecycle;
+  private final Interference interference;
+  private final Estimates estimates;
+  private final Pacing pacing;
+
+  Reports(
+      Term term,
+      Orders orders,
+      Lifecycle lifecycle,
+      Interference interference,
+      Estimates estimates) {
+    this.term = term;
+    this.orders = orders;
+    this.lifecycle = lifecycle;
+    this.interference = interference;
+    this.estimates = estimates;
+    this.pacing = new Pacing(interference);
+  }
+
+  void reported(JobEvent.WorkerReported event) {
+    Worker worker = term.workers.get(event.worker());
+    if (worker == null) {
+      return;
+    }
+    worker.looking = false;
+    if (!worker.heard) {
+      worker.heard(term.now.mono(), term.timing.taskLeaseMillis());
+    }
+    worker.silent = false;
+    worker.clock.observe(event.report().clockMillis(), term.now.mono());
+    event.report().ended().stream()
+        .filter(ended -> ended.number() > worker.seenEnd)
+        .forEach(ended -> ended(worker, ended));
+    Set<RunKey> listed = new HashSet<>();
+    event.report().running().forEach(running -> listed.add(running(worker, running)));
+    missing(worker, listed, event.sentMillis());
+    interference.learn(worker);
+    pacing.adjust(worker, term.now.mono()).forEach(term.out::add);
+    worker.changed();
+    relocate(worker);
+    abandonStalled(worker);
+    term.roomChanged = true;
+    boolean toAcknowledge = worker.seenEnd > worker.acknowledgedEnd;
+    boolean busy = !worker.placed.isEmpty() || !worker.strays.isEmpty();
+    if (busy && !toAcknowledge) {
+      orders.look(worker, orders.waitMillis(worker));
+    }
+  }
+
+  /**
+   * Takes a task that fills away from tasks that it may not work beside. While other jobs wait
+   * there is hardly ever a free place for it elsewhere; halted, it would wait for one behind jobs
+   * that came later, and the whole job with it. Stopped, it waits with its job's urgency.
+   */
+  private void relocate(Worker worker) {
+    pacing
+        .stuck(worker, term.now.mono())
+        .ifPresent(
+            task -> {
+              term.note("run.moved", task.key(), worker.info.id() + " pace=" + task.pace);
+              orders.stop(worker, task.key());
+            });
+  }
+
+  /**
+   * Stops runs that stand still. A worker may answer well while what runs there makes no progress:
+   * the caller sees a job that never ends. The run resumes elsewhere from its checkpoint.
+   */
+  private void abandonStalled(Worker worker) {
+    List<Task> stalled =
+        worker.placed.values().stream()
+            .filter(task -> task.order == Task.Order.CONFIRMED)
+            .filter(task -> task.progress < Task.FULL_PROGRESS)
+            .filter(task -> term.now.mono() - task.progressMillis > term.timing.stalledMillis())
+            .toList();
+    if (!stalled.isEmpty()) {
+      worker.avoidUntilMillis = term.now.mono() + term.timing.stalledMillis();
+    }
+    stalled.forEach(
+        task -> {
+          term.note("run.stalled", task.key(), worker.info.id() + " at " + task.progress + "%");
+          orders.stop(worker, task.key());
+        });
+  }
+
+  private RunKey running(Worker worker, WorkerReport.Running running) {
+    RunKey key = new RunKey(running.task(), running.run());
+    Task task = term.find(running.task());
+    if (task == null || !task.runsAs(worker.info.id(), running.run())) {
+      // A run that nobody wants still uses the worker, and it could end beside the wanted one.
+      worker.addStray(key, task == null ? worker.info.capacity() : task.spec.reserved());
+      orders.stop(worker, key);
+      return key;
+    }
+    orders.confirm(task);
+    task.checkpoint = running.checkpoint().isEmpty() ? task.checkpoint : running.checkpoint();
+    if (task.progress != running.progress() || task.pace == 0) {
+      task.progressMillis = term.now.mono();
+    }
+    task.progress = running.progress();
+    task.load = running.load();
+    if (task.job.phase.terminal()) {
+      orders.stop(worker, key);
+    }
+    return key;
+  }
+
+  private void ended(Worker worker, WorkerReport.Ended ended) {
+    worker.seenEnd = ended.number();
+    RunKey key = new RunKey(ended.task(), ended.run());
+    worker.removeStray(key);
+    worker.stopsSent.remove(key);
+    Task task = term.find(ended.task());
+    if (task == null) {
+      return;
+    }
+    boolean inForce = task.runsAs(worker.info.id(), ended.run());
+    boolean lateButDone = ended.how() == WorkerReport.End.DONE && task.phase == Task.Phase.WAITING;
+    if (!inForce && !lateButDone) {
+      return;
+    }
+    if (ended.how() == WorkerReport.End.DONE && task.wholeAtFullPace()) {
+      estimates.learn(task.job.spec.queue(), task.spec, term.now.mono() - task.placedMillis);
+    }
+    term.release(task);
+    if (ended.how() == WorkerReport.End.FAILED) {
+      worker.failed(task.job.spec.id(), term.now.mono());
+      task.failedOn.add(worker.info.id());
+    }
+    task.checkpoint = ended.checkpoint().isEmpty() ? task.checkpoint : ended.checkpoint();
+    term.note("run.ended", key, worker.info.id() + " " + ended.how());
+    if (task.spec.is(StepSpec.Trait.LASTS) || task.job.phase.terminal()) {
+      return;
+    }
+    if (ended.how() == WorkerReport.End.DONE) {
+      worker.succeeded();
+      task.phase = Task.Phase.DONE;
+      term.hungry.add(task.job);
+      lifecycle.settle(task.job);
+    } else if (ended.how() == WorkerReport.End.FAILED) {
+      lifecycle.failed(task);
+    }
+  }
+
+  /** Releases tasks whose runs the worker, asked after it had confirmed them, does not have. */
+  private void missing(Worker worker, Set<RunKey> listed, long sentMillis) {
+    worker.placed.values().stream()
+        .filter(task -> task.order == Task.Order.CONFIRMED)
+        .filter(task -> sentMillis > task.confirmedMillis && !listed.contains(task.key()))
+        .toList()
+        .forEach(
+            task -> {
+              term.note("run.missing", task.key(), worker.info.id().value());
+              term.release(task);
+            });
+    worker.strays.keySet().stream()
+        .filter(run -> !listed.contains(run))
+        .toList()
+        .forEach(worker::removeStray);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -0,0 +1,88 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * Saves progress, one transaction at a time. Start orders leave after their placement is saved, and
+ * ends are acknowledged after they are.
+ */
+final class Saver {
+
+  private final Term term;
+  private final Orders orders;
+  private final LearnedText learned;
+  private final Map<WorkerId, Long> savingEnds = new HashMap<>();
+  private final List<Task> savingStarts = new ArrayList<>();
+  private boolean saving;
+  private long learnedMillis;
+
+  Saver(Term term, Orders orders, LearnedText learned) {
+    this.term = term;
+    this.orders = orders;
+    this.learned = learned;
+  }
+
+  void save() {
+    if (saving) {
+      return;
+    }
+    Map<JobId, String> rows = new HashMap<>();
+    List<Job> batch = term.dirty.stream().limit(term.timing.jobsPerSave()).toList();
+    batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
+    batch.forEach(term.dirty::remove);
+    batch.stream()
+        .flatMap(Job::tasks)
+        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
+        .forEach(savingStarts::add);
+    if (term.dirty.isEmpty()) {
+      term.workers.values().stream()
+          .filter(worker -> worker.seenEnd > worker.acknowledgedEnd)
+          .forEach(worker -> savingEnds.put(worker.info.id(), worker.seenEnd));
+    }
+    if (!rows.isEmpty()) {
+      saving = true;
+      term.out.add(new JobEffect.SaveProgress(rows, learnedIfDue()));
+    } else if (!savingEnds.isEmpty()) {
+      saved();
+    }
+  }
+
+  void restoreLearned(String text) {
+    long skipped = learned.restore(text);
+    if (skipped > 0) {
+      term.note("learned.skipped", "lines", Long.toString(skipped));
+    }
+  }
+
+  private String learnedIfDue() {
+    if (term.now.mono() - learnedMillis < term.timing.learnedMillis()) {
+      return "";
+    }
+    learnedMillis = term.now.mono();
+    return learned.write();
+  }
+
+  void saved() {
+    saving = false;
+    List<Task> starts = List.copyOf(savingStarts);
+    final Map<WorkerId, Long> ends = Map.copyOf(savingEnds);
+    savingStarts.clear();
+    savingEnds.clear();
+    starts.stream()
+        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
+        .forEach(orders::start);
+    ends.forEach((id, number) -> term.worker(id).ifPresent(worker -> acknowledge(worker, number)));
+    term.jobs
+        .values()
+        .removeIf(job -> job.phase.terminal() && !term.dirty.contains(job) && !job.onWorkers());
+  }
+
+  private void acknowledge(Worker worker, long number) {
+    worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, number);
+    orders.look(worker, orders.waitMillis(worker));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -0,0 +1,71 @@
+package org.cottontack.core.job;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.WorkerId;
+
+/**
+ * What one leader's term knows of jobs and workers, and what it wants done. The parts of {@link
+ * JobScheduler} share it; confined to one thread.
+ */
+final class Term {
+
+  final JobTiming timing;
+  final long startMillis;
+  final long inheritedLapseMillis;
+  final Map<JobId, Job> jobs = new LinkedHashMap<>();
+  final Map<WorkerId, Worker> workers = new TreeMap<>();
+
+  /** Jobs with tasks that wait for a worker. */
+  final Set<Job> hungry = new LinkedHashSet<>();
+
+  /** Jobs with occurrences that are not due yet. */
+  final Set<Job> timed = new LinkedHashSet<>();
+
+  /** Jobs whose progress is not saved. */
+  final Set<Job> dirty = new LinkedHashSet<>();
+
+  JobTable table;
+  boolean roomChanged;
+  Moment now;
+  List<JobEffect> out = new ArrayList<>();
+
+  Term(JobTiming timing, JobTable table, Moment start) {
+    this.timing = timing;
+    this.table = table;
+    this.now = start;
+    this.startMillis = start.mono();
+    this.inheritedLapseMillis = start.mono() + timing.inheritedLeaseMillis();
+  }
+
+  void note(String name, Object subject, String detail) {
+    out.add(new JobEffect.Note(name, subject.toString(), detail));
+  }
+
+  Optional<Worker> worker(WorkerId id) {
+    return Optional.ofNullable(id).map(workers::get);
+  }
+
+  Task find(TaskName name) {
+    Job job = jobs.get(name.job());
+    return job == null || !job.has(name) ? null : job.task(name);
+  }
+
+  /** Takes a task off its worker; it waits again unless its job has ended. */
+  void release(Task task) {
+    worker(task.worker).ifPresent(worker -> worker.remove(task));
+    task.release();
+    dirty.add(task.job);
+    roomChanged = true;
+    if (!task.job.phase.terminal()) {
+      hungry.add(task.job);
+    }
+  }
+}
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -212,7 +212,7 @@
 
   private void stop(JobScheduler from, long token, JobEffect.StopRun order) {
     LabWorker worker = workers.get(order.worker());
-    boolean answers = worker.reachable && !worker.dead;
+    boolean answers = worker.reachable && !worker.dead && !lost.test(order);
     after(
         answers ? TRIP_MILLIS : 900,
         () -> {
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -754,6 +754,32 @@
       assertEquals(leaving.count(), 1);
     }
 
+    /**
+     * The first order to stop is lost on its way to a worker that drains. It goes out again, and
+     * all lasting tasks leave in time.
+     */
+    @Test
+    public void lostStopsDoNotHoldLastingTasksOnDrainingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 16);
+      JobLab lab = lab(leaving);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(2, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      LabWorker other = new LabWorker("w2", 16);
+      lab.workers.put(other.info.id(), other);
+      lab.post(new JobEvent.WorkerSeen(other.info));
+      int[] stops = {0};
+      lab.lost =
+          effect -> {
+            boolean first = effect instanceof JobEffect.StopRun && stops[0] == 0;
+            stops[0] += first ? 1 : 0;
+            return first;
+          };
+      lab.post(draining(leaving));
+      lab.run(2_500);
+      assertEquals(other.count(), 2);
+    }
+
     /**
      * A job that can never run waits for ever. Lasting tasks still leave a worker that drains;
      * otherwise one such job would tie all of them to workers that go.
