Split the leader's term from its rows in the store; leave alone what cannot be read

Reading it: progress that cannot be read (damage, another version, or a checkpoint with a line break, which workers choose) threw an exception at the start of a term: the leader held its lease and did nothing, and so would each one after it. Checkpoints are escaped (those of the platform are hexadecimal, so stored rows read the same); a job with unreadable progress is left alone with an error in the log: not deleted, and not run anew, since its tasks may run or be done. Tests: ProgressTextTest (new), LeaderTest; all others unchanged.

--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -1,5 +1,9 @@
 package org.cottontack.core.job;
 
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
@@ -15,51 +19,117 @@
 
   private ProgressText() {}
 
-  /** Returns the phase that a stored progress says. */
+  /** One task's line. Checkpoints are escaped: workers choose them, and may use line breaks. */
+  private record Line(
+      int occurrence,
+      int step,
+      int index,
+      Task.Phase phase,
+      int run,
+      int failures,
+      Optional<WorkerId> worker,
+      String checkpoint) {
+
+    static Line of(Task task) {
+      StepId step = task.name.step();
+      return new Line(
+          step.occurrence(),
+          step.step(),
+          task.name.index(),
+          task.phase,
+          task.run,
+          task.failures,
+          Optional.ofNullable(task.worker),
+          task.checkpoint);
+    }
+
+    static Line parse(String text) {
+      String[] fields = text.split(" ", -1);
+      if (fields.length != FIELDS || fields[3].length() != 1) {
+        throw new IllegalArgumentException("not a task's progress: " + text);
+      }
+      return new Line(
+          Integer.parseInt(fields[0]),
+          Integer.parseInt(fields[1]),
+          Integer.parseInt(fields[2]),
+          Task.Phase.of(fields[3].charAt(0)),
+          Integer.parseInt(fields[4]),
+          Integer.parseInt(fields[5]),
+          Optional.of(fields[6]).filter(name -> !name.equals(NO_WORKER)).map(WorkerId::new),
+          URLDecoder.decode(fields[7], StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public String toString() {
+      return String.join(
+          " ",
+          Integer.toString(occurrence),
+          Integer.toString(step),
+          Integer.toString(index),
+          String.valueOf(phase.code()),
+          Integer.toString(run),
+          Integer.toString(failures),
+          worker.map(WorkerId::value).orElse(NO_WORKER),
+          URLEncoder.encode(checkpoint, StandardCharsets.UTF_8));
+    }
+  }
+
+  /**
+   * Returns the phase that a stored progress says.
+   *
+   * @throws IllegalArgumentException when it says none
+   */
   public static JobPhase phase(String text) {
+    if (text.isEmpty()) {
+      throw new IllegalArgumentException("the progress is empty");
+    }
     return JobPhase.of(text.charAt(0));
   }
 
+  /**
+   * Returns whether a stored progress can be read. One that cannot, by damage or because another
+   * version wrote it, must not be taken for none: its tasks may run or be done.
+   */
+  public static boolean readable(String text) {
+    try {
+      phase(text);
+      lines(text).forEach(line -> {});
+      return true;
+    } catch (IllegalArgumentException e) {
+      // The caller logs which job it is.
+      return false;
+    }
+  }
+
   /** Returns whether some run may still be on a worker. */
   public static boolean onWorkers(String text) {
-    return text.lines().skip(1).anyMatch(line -> line.split(" ", -1)[3].equals("p"));
+    return lines(text).anyMatch(line -> line.phase() == Task.Phase.PLACED);
+  }
+
+  private static Stream<Line> lines(String text) {
+    return text.lines().skip(1).map(Line::parse);
   }
 
   static String write(Job job) {
-    Stream<String> tasks = job.tasks().filter(task -> task.run > 0).map(ProgressText::line);
+    Stream<String> tasks =
+        job.tasks().filter(task -> task.run > 0).map(task -> Line.of(task).toString());
     return Stream.concat(Stream.of(String.valueOf(job.phase.code())), tasks)
         .collect(Collectors.joining("\n"));
   }
 
-  private static String line(Task task) {
-    StepId step = task.name.step();
-    String worker = task.worker == null ? NO_WORKER : task.worker.value();
-    return String.join(
-        " ",
-        Integer.toString(step.occurrence()),
-        Integer.toString(step.step()),
-        Integer.toString(task.name.index()),
-        String.valueOf(task.phase.code()),
-        Integer.toString(task.run),
-        Integer.toString(task.failures),
-        worker,
-        task.checkpoint);
-  }
-
   static void restore(Job job, String text) {
     job.phase = phase(text);
-    text.lines().skip(1).forEach(line -> restoreTask(job, line.split(" ", FIELDS)));
+    lines(text).forEach(line -> restore(job, line));
   }
 
-  private static void restoreTask(Job job, String[] fields) {
-    StepId step =
-        new StepId(job.spec.id(), Integer.parseInt(fields[0]), Integer.parseInt(fields[1]));
-    Task task = job.task(new TaskName(step, Integer.parseInt(fields[2])));
-    task.phase = Task.Phase.of(fields[3].charAt(0));
-    task.run = Integer.parseInt(fields[4]);
-    task.failures = Integer.parseInt(fields[5]);
-    task.worker = fields[6].equals(NO_WORKER) ? null : new WorkerId(fields[6]);
-    task.checkpoint = fields[7];
+  private static void restore(Job job, Line line) {
+    StepId step = new StepId(job.spec.id(), line.occurrence(), line.step());
+    Task task = job.task(new TaskName(step, line.index()));
+    task.phase = line.phase();
+    task.run = line.run();
+    task.failures = line.failures();
+    task.worker = line.worker().orElse(null);
+    task.checkpoint = line.checkpoint();
     task.order = Task.Order.CONFIRMED;
     task.pace = task.spec.is(StepSpec.Trait.FILLS) ? Task.INHERITED_PACE : Task.FULL_PACE;
   }
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ProgressTextTest.java
@@ -0,0 +1,70 @@
+package org.cottontack.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of the stored form of a job's progress. */
+public class ProgressTextTest {
+
+  private static final JobQueue QUEUE =
+      new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
+
+  private static Job job() {
+    List<StepSpec> steps = List.of(TestStep.tasks(2).of());
+    JobSpec spec = new JobSpec(new JobId("a"), QUEUE, "payload", steps, JobSpec.Schedule.AT_ONCE);
+    Job job = new Job(spec, 0);
+    job.advance(0);
+    return job;
+  }
+
+  /** Writing and reading back. */
+  public static class RoundTrip {
+
+    /** Checkpoints as workers may give them. */
+    @DataProvider
+    public Object[][] checkpoints() {
+      return new Object[][] {{""}, {"00000bb87a21d94b"}, {"two words"}, {"a\nb c\n"}, {"50%+ä"}};
+    }
+
+    /**
+     * A worker gives a checkpoint of any text. The leader changes, and the run resumes from that
+     * very checkpoint; a text taken for several lines would keep the next leader from starting.
+     */
+    @Test(dataProvider = "checkpoints")
+    public void keepsAnyCheckpoint(String checkpoint) {
+      Job job = job();
+      Task task = job.tasks().findFirst().orElseThrow();
+      task.place(new WorkerId("w"), 0);
+      task.checkpoint = checkpoint;
+      String text = ProgressText.write(job);
+      assertTrue(ProgressText.readable(text));
+      assertTrue(ProgressText.onWorkers(text));
+      Job next = job();
+      ProgressText.restore(next, text);
+      assertEquals(next.tasks().findFirst().orElseThrow().checkpoint, checkpoint);
+    }
+  }
+
+  /** Damaged texts, and those of another version. */
+  public static class Unreadable {
+
+    /** Texts that are no progress. */
+    @DataProvider
+    public Object[][] texts() {
+      return new Object[][] {
+        {""}, {"?"}, {"r\n0 0 0"}, {"r\n0 0 x p 1 0 w "}, {"r\n0 0 0 ? 1 0 w "},
+      };
+    }
+
+    @Test(dataProvider = "texts")
+    public void isSaidToBe(String text) {
+      assertFalse(ProgressText.readable(text));
+    }
+  }
+}
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -21,7 +20,6 @@
 import org.cottontack.core.job.JobTiming;
 import org.cottontack.core.job.ProgressText;
 import org.cottontack.core.job.WorkerReport;
-import org.cottontack.core.peer.Payload;
 import org.cottontack.wire.JobCodec;
 import org.cottontack.wire.WireException;
 
@@ -39,20 +37,6 @@
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
 
-  /** First wait for an answer of the store, in milliseconds. */
-  private static final long FIRST_WAIT_MILLIS = 300;
-
-  /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
-  private static final long LONGEST_WAIT_MILLIS = 2_400;
-
-  private static final long PAUSE_MILLIS = 100;
-
-  /** Time between two removals of rows of jobs that no longer wait; a count may be 2 s old. */
-  private static final long REMOVE_MILLIS = 500;
-
-  /** Rows removed in one transaction; the store takes 100. */
-  private static final int REMOVE_ROWS = 100;
-
   /** Pause after a decision as a multiple of the time it took: half the processor at most. */
   private static final long PAUSE_SHARE = 1;
 
@@ -66,22 +50,17 @@
   private final Leadership leadership;
   private final JobMetrics metrics;
   private final long epoch;
+  private final ProgressStore progressStore;
+  private final WaitingRows waitingRows;
   private final Retention retention;
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
-  private final Map<JobId, String> progress = new HashMap<>();
   private final Set<JobId> cancelled = new HashSet<>();
   private final List<Follower> followers = new ArrayList<>();
-  private final Map<String, List<RowKey>> begun = new HashMap<>();
   private Follower cancels;
   private JobTable table;
   private JobScheduler scheduler;
-  private String learned = "";
   private boolean stopped;
   private int toRead;
-  private List<JobId> savingEnded = List.of();
-  private long fenceVersion;
-  private long saves;
-  private long saveBeganMillis;
   private boolean deciding;
   private long pauseMillis;
 
@@ -104,6 +83,8 @@
     this.retention = retention;
     this.epoch = epoch;
     this.table = table;
+    this.progressStore = new ProgressStore(store, timers, epoch, leadership::stepDown);
+    this.waitingRows = new WaitingRows(store, timers);
   }
 
   long epoch() {
@@ -111,12 +92,14 @@
   }
 
   void start() {
-    readProgress();
+    progressStore.takeOver(this::readRest);
   }
 
   void stop() {
     stopped = true;
     followers.forEach(Follower::stop);
+    progressStore.stop();
+    waitingRows.stop();
     retention.stop();
   }
 
@@ -127,75 +110,16 @@
 
   // Taking over
 
-  private void readProgress() {
-    if (stopped) {
-      return;
-    }
-    store.scan(
-        JobTables.PROGRESS,
-        JobTables.PROGRESS_PART,
-        "",
-        scan -> {
-          if (scan.answered()) {
-            claim(scan);
-          } else {
-            timers.after(PAUSE_MILLIS, this::readProgress);
-          }
-        });
-  }
-
-  /**
-   * Takes the fence row. Each write of an earlier leader changes that row, so the progress read
-   * before is complete if the row is unchanged, and from now on their writes conflict.
-   */
-  private void claim(TableStore.Scan scan) {
-    Optional<Row> held =
-        scan.rows().stream().filter(row -> row.at().equals(JobTables.FENCE)).findFirst();
-    if (held.map(Leader::epochOf).orElse(0L) > epoch) {
-      leadership.stepDown("a newer leader has taken over");
-      return;
-    }
-    long version = held.map(Row::version).orElse(0L);
-    store.commit(
-        Change.write(JobTables.FENCE, version, fence()),
-        LONGEST_WAIT_MILLIS,
-        answer -> {
-          if (answer.outcome() != CommitAnswer.Outcome.DONE) {
-            timers.after(PAUSE_MILLIS, this::readProgress);
-            return;
-          }
-          fenceVersion = answer.version();
-          scan.rows().forEach(this::progress);
-          readRest();
-        });
-  }
-
-  private void progress(Row row) {
-    if (row.at().equals(JobTables.LEARNED)) {
-      learned = row.text();
-    } else if (!row.at().equals(JobTables.FENCE)) {
-      progress.put(new JobId(row.key()), row.text());
-    }
-  }
-
-  private static long epochOf(Row fence) {
-    return Long.parseLong(fence.text().split(" ", 2)[0]);
-  }
-
-  private String fence() {
-    return epoch + " " + saves;
-  }
-
-  private void readRest() {
+  private void readRest(ProgressStore.Found found) {
     if (stopped) {
       return;
     }
+    Runnable onCurrent = () -> onTableRead(found);
     List<String> parts = JobTables.intakeParts();
-    followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, this::onTableRead));
-    cancels =
-        new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, this::onTableRead);
+    followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, onCurrent));
+    cancels = new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent);
     followers.add(cancels);
-    followers.add(registry.follower(this::post, this::onTableRead));
+    followers.add(registry.follower(this::post, onCurrent));
     toRead = followers.size();
     followers.forEach(Follower::start);
   }
@@ -228,46 +152,52 @@
     }
   }
 
-  private void onTableRead() {
+  private void onTableRead(ProgressStore.Found found) {
     toRead--;
     if (toRead == 0) {
-      begin();
+      begin(found);
     }
   }
 
-  private void begin() {
+  private void begin(ProgressStore.Found found) {
+    final Map<JobId, String> progress = found.jobs();
     JobScheduler made = new JobScheduler(JobTiming.STANDARD, table, timers.now());
     scheduler = made;
-    post(new JobEvent.LearnedRecovered(learned));
+    post(new JobEvent.LearnedRecovered(found.learned()));
     registry.replay(this::post);
+    List<JobId> unreadable =
+        progress.keySet().stream().filter(id -> !ProgressText.readable(progress.get(id))).toList();
+    unreadable.forEach(
+        id -> LOG.error("leaving a job alone whose progress cannot be read: {}", id));
+    accepted.keySet().removeAll(unreadable);
+    progress.keySet().removeAll(unreadable);
     accepted.values().stream()
-        .filter(job -> open(progress.get(job.id())))
+        .filter(job -> !ended(progress.get(job.id())))
         .sorted(Comparator.comparing(JobSpec::id))
-        .forEach(this::recover);
+        .forEach(job -> recover(job, progress.get(job.id())));
     cancelled.forEach(id -> post(new JobEvent.JobCancelled(id)));
     LOG.info(
         new StringMapMessage()
             .with("event", "leader.ready")
             .with("epoch", epoch)
             .with("jobs", accepted.size()));
-    progress.keySet().forEach(this::begun);
+    progress.keySet().forEach(waitingRows::begun);
     // Those without a job are what a removal left that its leader did not live to finish. Open
     // ones without a job stay: this version may be unable to read it.
-    progress.keySet().stream().filter(id -> !open(progress.get(id))).forEach(retention::ended);
+    progress.keySet().stream().filter(id -> ended(progress.get(id))).forEach(retention::ended);
     retention.start();
     accepted.clear();
-    progress.clear();
     cancelled.clear();
     tick();
-    removeWaiting();
+    waitingRows.start();
   }
 
-  private static boolean open(String text) {
-    return text == null || !ProgressText.phase(text).terminal() || ProgressText.onWorkers(text);
+  /** Returns whether a job has ended and nothing of it is on a worker any more. */
+  private static boolean ended(String text) {
+    return text != null && ProgressText.phase(text).terminal() && !ProgressText.onWorkers(text);
   }
 
-  private void recover(JobSpec job) {
-    String text = progress.get(job.id());
+  private void recover(JobSpec job, String text) {
     post(text == null ? new JobEvent.JobArrived(job) : new JobEvent.JobRecovered(job, text));
   }
 
@@ -325,7 +255,7 @@
     } else if (effect instanceof JobEffect.PaceRun pace) {
       workers.pace(pace, epoch, answered -> paced(pace, answered));
     } else if (effect instanceof JobEffect.Begun begun) {
-      begun(begun.job());
+      waitingRows.begun(begun.job());
     } else if (effect instanceof JobEffect.HandOver over) {
       timers.soon(() -> leadership.handOver(over.reason()));
     } else if (effect instanceof JobEffect.StepDown down) {
@@ -378,93 +308,18 @@
     };
   }
 
-  // Jobs that no longer wait
-
-  private void begun(JobId id) {
-    begun
-        .computeIfAbsent(JobTables.waiting(id).part(), part -> new ArrayList<>())
-        .add(JobTables.waiting(id));
-  }
-
-  private void removeWaiting() {
-    if (stopped) {
-      return;
-    }
-    begun.values().forEach(this::removeWaiting);
-    begun.clear();
-    timers.after(REMOVE_MILLIS, this::removeWaiting);
-  }
-
-  private void removeWaiting(List<RowKey> rows) {
-    for (int from = 0; from < rows.size(); from += REMOVE_ROWS) {
-      List<RowKey> some =
-          List.copyOf(rows.subList(from, Math.min(rows.size(), from + REMOVE_ROWS)));
-      Change change = new Change(Map.of(), Map.of(), some);
-      store.commit(change, LONGEST_WAIT_MILLIS, answer -> removed(some, answer));
-    }
-  }
-
-  /** A row that stays would count its job as waiting for good, so a removal is tried until done. */
-  private void removed(List<RowKey> rows, CommitAnswer answer) {
-    if (answer.outcome() != CommitAnswer.Outcome.DONE && !stopped) {
-      rows.forEach(row -> begun.computeIfAbsent(row.part(), p -> new ArrayList<>()).add(row));
-    }
-  }
-
   // Saving
 
   private void save(JobEffect.SaveProgress save) {
-    saves++;
-    savingEnded =
-        save.progress().entrySet().stream()
-            .filter(entry -> !open(entry.getValue()))
-            .map(Map.Entry::getKey)
-            .toList();
-    saveBeganMillis = timers.now().mono();
-    Map<RowKey, Payload> writes = new HashMap<>();
-    save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
-    writes.put(JobTables.FENCE, Payload.of(fence()));
-    if (!save.learned().isEmpty()) {
-      writes.put(JobTables.LEARNED, Payload.of(save.learned()));
-    }
-    Change change = new Change(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
-    commit(change, FIRST_WAIT_MILLIS);
-  }
-
-  /**
-   * Sends the same change until it is certainly stored. Without the fence row's version an
-   * unanswered copy could be carried out after newer writes and bring an old state back.
-   */
-  private void commit(Change change, long waitMillis) {
-    if (!stopped) {
-      store.commit(change, waitMillis, answer -> committed(change, waitMillis, answer));
-    }
-  }
-
-  private void committed(Change change, long waitMillis, CommitAnswer answer) {
-    switch (answer.outcome()) {
-      case DONE -> saved(answer.version());
-      case REFUSED -> timers.after(PAUSE_MILLIS, () -> commit(change, waitMillis));
-      case UNKNOWN -> commit(change, Math.min(2 * waitMillis, LONGEST_WAIT_MILLIS));
-      case CONFLICT -> conflict(answer);
-      default -> throw new IllegalStateException("no such outcome: " + answer.outcome());
-    }
-  }
-
-  private void conflict(CommitAnswer answer) {
-    Row fence = answer.current(JobTables.FENCE).orElse(null);
-    if (fence != null && fence.text().equals(fence())) {
-      saved(fence.version());
-    } else {
-      leadership.stepDown("another leader writes progress");
-    }
-  }
-
-  private void saved(long version) {
-    metrics.saved(timers.now().mono() - saveBeganMillis);
-    fenceVersion = version;
-    savingEnded.forEach(retention::ended);
-    savingEnded = List.of();
-    post(new JobEvent.ProgressSaved());
+    long began = timers.now().mono();
+    progressStore.save(
+        save,
+        () -> {
+          metrics.saved(timers.now().mono() - began);
+          save.progress().entrySet().stream()
+              .filter(entry -> ended(entry.getValue()))
+              .forEach(entry -> retention.ended(entry.getKey()));
+          post(new JobEvent.ProgressSaved());
+        });
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -0,0 +1,172 @@
+package org.cottontack.daemon.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.peer.Payload;
+
+/**
+ * The progress of jobs in the store, as one leader reads and writes it. Each write names the
+ * version of a fence row and changes that row, so the writes of an earlier leader, and late copies
+ * of our own, conflict. Confined to the event loop.
+ */
+final class ProgressStore {
+
+  /** First wait for an answer of the store, in milliseconds. */
+  private static final long FIRST_WAIT_MILLIS = 300;
+
+  /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
+  private static final long LONGEST_WAIT_MILLIS = 2_400;
+
+  /** Pause after a call that failed, in milliseconds. */
+  private static final long PAUSE_MILLIS = 100;
+
+  /**
+   * What a new leader reads.
+   *
+   * @param jobs stored progress of each job that has any
+   * @param learned what earlier leaders have learned; empty when there is nothing
+   */
+  record Found(Map<JobId, String> jobs, String learned) {}
+
+  private final TableStore store;
+  private final Timers timers;
+  private final long epoch;
+  private final Consumer<String> onDeposed;
+  private boolean stopped;
+  private long fenceVersion;
+  private long saves;
+
+  /**
+   * Creates one that does nothing yet.
+   *
+   * @param epoch the leader's epoch
+   * @param onDeposed called with the reason when a newer leader is found
+   */
+  ProgressStore(TableStore store, Timers timers, long epoch, Consumer<String> onDeposed) {
+    this.store = store;
+    this.timers = timers;
+    this.epoch = epoch;
+    this.onDeposed = onDeposed;
+  }
+
+  /** Ends; nothing is told afterwards. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Reads all progress and bars earlier leaders from writing more. */
+  void takeOver(Consumer<Found> done) {
+    if (stopped) {
+      return;
+    }
+    store.scan(
+        JobTables.PROGRESS,
+        JobTables.PROGRESS_PART,
+        "",
+        scan -> {
+          if (scan.answered()) {
+            claim(scan.rows(), done);
+          } else {
+            timers.after(PAUSE_MILLIS, () -> takeOver(done));
+          }
+        });
+  }
+
+  /**
+   * Takes the fence row. Each write of an earlier leader changes that row, so the progress read
+   * before is complete if the row is unchanged, and from now on their writes conflict.
+   */
+  private void claim(List<Row> rows, Consumer<Found> done) {
+    Optional<Row> held = rows.stream().filter(row -> row.at().equals(JobTables.FENCE)).findFirst();
+    if (held.map(ProgressStore::epochOf).orElse(0L) > epoch) {
+      onDeposed.accept("a newer leader has taken over");
+      return;
+    }
+    store.commit(
+        Change.write(JobTables.FENCE, held.map(Row::version).orElse(0L), fence()),
+        LONGEST_WAIT_MILLIS,
+        answer -> {
+          if (answer.outcome() == CommitAnswer.Outcome.DONE) {
+            fenceVersion = answer.version();
+            done.accept(found(rows));
+          } else {
+            timers.after(PAUSE_MILLIS, () -> takeOver(done));
+          }
+        });
+  }
+
+  private static Found found(List<Row> rows) {
+    Map<JobId, String> jobs = new HashMap<>();
+    String learned = "";
+    for (Row row : rows) {
+      if (row.at().equals(JobTables.LEARNED)) {
+        learned = row.text();
+      } else if (!row.at().equals(JobTables.FENCE)) {
+        jobs.put(new JobId(row.key()), row.text());
+      }
+    }
+    return new Found(jobs, learned);
+  }
+
+  private static long epochOf(Row fence) {
+    return Long.parseLong(fence.text().split(" ", 2)[0]);
+  }
+
+  private String fence() {
+    return epoch + " " + saves;
+  }
+
+  /** Writes progress; there is at most one save under way. */
+  void save(JobEffect.SaveProgress save, Runnable onSaved) {
+    saves++;
+    Map<RowKey, Payload> writes = new HashMap<>();
+    save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
+    writes.put(JobTables.FENCE, Payload.of(fence()));
+    if (!save.learned().isEmpty()) {
+      writes.put(JobTables.LEARNED, Payload.of(save.learned()));
+    }
+    Change change = new Change(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
+    commit(change, FIRST_WAIT_MILLIS, onSaved);
+  }
+
+  /**
+   * Sends the same change until it is certainly stored. Without the fence row's version an
+   * unanswered copy could be carried out after newer writes and bring an old state back.
+   */
+  private void commit(Change change, long waitMillis, Runnable onSaved) {
+    if (!stopped) {
+      store.commit(change, waitMillis, answer -> committed(change, waitMillis, onSaved, answer));
+    }
+  }
+
+  private void committed(Change change, long waitMillis, Runnable onSaved, CommitAnswer answer) {
+    switch (answer.outcome()) {
+      case DONE -> saved(answer.version(), onSaved);
+      case REFUSED -> timers.after(PAUSE_MILLIS, () -> commit(change, waitMillis, onSaved));
+      case UNKNOWN -> commit(change, Math.min(2 * waitMillis, LONGEST_WAIT_MILLIS), onSaved);
+      case CONFLICT -> conflict(answer, onSaved);
+      default -> throw new IllegalStateException("no such outcome: " + answer.outcome());
+    }
+  }
+
+  private void conflict(CommitAnswer answer, Runnable onSaved) {
+    Row fence = answer.current(JobTables.FENCE).orElse(null);
+    if (fence != null && fence.text().equals(fence())) {
+      saved(fence.version(), onSaved);
+    } else {
+      onDeposed.accept("another leader writes progress");
+    }
+  }
+
+  private void saved(long version, Runnable onSaved) {
+    fenceVersion = version;
+    if (!stopped) {
+      onSaved.run();
+    }
+  }
+}
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -173,6 +173,26 @@
   /** What a leader writes. */
   public static class Saving {
 
+    /**
+     * The progress of one job cannot be read, by damage or by another version. Its tasks are not
+     * started anew, since they may run or be done; and all other jobs go on.
+     */
+    @Test
+    public void goesOnBesideProgressThatItCannotRead() {
+      Lab lab = new Lab();
+      lab.submit("a");
+      lab.time.run(1_000);
+      assertEquals(lab.starts.size(), 1);
+      lab.running.clear();
+      lab.write(JobTables.progress(new JobId("a")), "r\n0 0 zero p 1");
+      lab.restart();
+      lab.time.run(30_000);
+      lab.submit("b");
+      lab.time.run(1_000);
+      assertEquals(lab.starts.get(1).task().job(), new JobId("b"));
+      assertEquals(lab.starts.size(), 2);
+    }
+
     /**
      * A version of this program that cannot read a job leads for a while. The job is open, its
      * caller waits: its rows must stay for a leader that can read them.
