--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -0,0 +1,212 @@
+package org.cottontack.core.job;
+
+import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.Test;
+
+/** Tests of a leader's decisions about workers that fail, leave or do not answer. */
+public class WorkerTroubleTest {
+
+  /** Leaders that do not reach their workers. */
+  public static class Reaching {
+
+    private static LabWorker in(String dataCentre, String id) {
+      return new LabWorker(id, 8, id + ":1", dataCentre);
+    }
+
+    private static long handOvers(JobLab lab) {
+      return lab.seen.stream().filter(JobEffect.HandOver.class::isInstance).count();
+    }
+
+    /**
+     * The leader's data centre is cut off from two others, and callers there see their jobs wait
+     * for the few workers at hand. It gives the lead away once most workers do not answer.
+     */
+    @Test
+    public void handsOverWhenCutOffFromMostWorkers() {
+      LabWorker here = in("a", "w1");
+      LabWorker second = in("b", "w2");
+      LabWorker third = in("c", "w3");
+      JobLab lab = lab(here, second, third);
+      lab.submit(job("a", step(3, 8, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(4_000);
+      assertEquals(handOvers(lab), 0);
+      second.reachable = false;
+      third.reachable = false;
+      lab.run(2_500);
+      assertTrue(handOvers(lab) > 0);
+    }
+
+    /** Two equal sides: neither reaches more, and the lead must not go to and fro. */
+    @Test
+    public void staysWhereHalfAnswer() {
+      LabWorker here = in("a", "w1");
+      LabWorker there = in("b", "w2");
+      JobLab lab = lab(here, there);
+      lab.submit(job("a", step(2, 8, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(4_000);
+      there.reachable = false;
+      lab.run(4_000);
+      assertEquals(handOvers(lab), 0);
+    }
+  }
+
+  /** Workers that must get nothing. */
+  public static class Shunning {
+
+    /**
+     * A worker answers well and fails all that it starts. After two jobs it gets no more for a
+     * while, and what failed there is tried elsewhere: callers see their jobs complete.
+     */
+    @Test
+    public void suspectsWorkersThatFailEverything() {
+      LabWorker bad = new LabWorker("w1", 32);
+      LabWorker good = new LabWorker("w2", 16);
+      JobLab lab = lab(bad, good);
+      bad.failsAll = true;
+      for (int i = 0; i < 8; i++) {
+        lab.submit(job("a" + i, step(1, 1, List.of())));
+        lab.run(1_000);
+      }
+      lab.run(2_000);
+      assertTrue(bad.starts.size() <= 5, "starts on the bad worker: " + bad.starts.size());
+      for (int i = 0; i < 8; i++) {
+        assertEquals(lab.phase(new JobId("a" + i)), JobPhase.COMPLETE);
+      }
+    }
+
+    /**
+     * A worker answers well and its runs stand still. They are stopped and tried elsewhere; without
+     * that their callers would wait for ever.
+     */
+    @Test
+    public void movesRunsThatStandStill() {
+      LabWorker bad = new LabWorker("w1", 32);
+      LabWorker good = new LabWorker("w2", 16);
+      JobLab lab = lab(bad, good);
+      bad.stalls = true;
+      JobSpec job = job("a", step(1, 1, List.of()));
+      lab.submit(job);
+      lab.run(8_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    private static JobEvent draining(LabWorker worker) {
+      WorkerInfo info = worker.info;
+      return new JobEvent.WorkerSeen(
+          new WorkerInfo(
+              info.id(),
+              info.pool(),
+              info.address(),
+              info.dataCentre(),
+              info.capacity(),
+              info.labels(),
+              true));
+    }
+
+    /**
+     * A worker is about to leave with tasks that last, and the leader changes right after. The new
+     * one would have to wait out the leases of a worker that it never reached, and the tasks would
+     * be away for all that time. They move while the worker drains, as far as there is room.
+     */
+    @Test
+    public void movesLastingTasksOffDrainingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 32);
+      JobLab lab = lab(leaving);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(3, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      assertEquals(leaving.count(), 3);
+      LabWorker other = new LabWorker("w2", 8);
+      lab.workers.put(other.info.id(), other);
+      lab.post(new JobEvent.WorkerSeen(other.info));
+      lab.post(draining(leaving));
+      lab.run(1_500);
+      assertEquals(other.count(), 2);
+      assertEquals(leaving.count(), 1);
+    }
+
+    /**
+     * The first order to stop is lost on its way to a worker that drains. It goes out again, and
+     * all lasting tasks leave in time.
+     */
+    @Test
+    public void lostStopsDoNotHoldLastingTasksOnDrainingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 16);
+      JobLab lab = lab(leaving);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(2, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      LabWorker other = new LabWorker("w2", 16);
+      lab.workers.put(other.info.id(), other);
+      lab.post(new JobEvent.WorkerSeen(other.info));
+      int[] stops = {0};
+      lab.lost =
+          effect -> {
+            boolean first = effect instanceof JobEffect.StopRun && stops[0] == 0;
+            stops[0] += first ? 1 : 0;
+            return first;
+          };
+      lab.post(draining(leaving));
+      lab.run(2_500);
+      assertEquals(other.count(), 2);
+    }
+
+    /**
+     * A job that can never run waits for ever. Lasting tasks still leave a worker that drains;
+     * otherwise one such job would tie all of them to workers that go.
+     */
+    @Test
+    public void hopelessJobsDoNotHoldLastingTasksOnDrainingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 16);
+      JobLab lab = lab(leaving);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(1, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.submit(job("never", step(1, 99, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      LabWorker other = new LabWorker("w2", 16);
+      lab.workers.put(other.info.id(), other);
+      lab.post(new JobEvent.WorkerSeen(other.info));
+      lab.post(draining(leaving));
+      lab.run(1_500);
+      assertTrue(other.runs(TaskName.parse("s.0.0.0")));
+    }
+
+    @Test
+    public void placesNothingOnDrainingWorkers() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.post(draining(worker));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+
+    @Test
+    public void placesNothingOnWorkersOfAnotherPool() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      JobQueue moved = new JobQueue("queue", "host", "/jobs/", "other", 0, 2, 1.5, 250, false);
+      lab.table(new JobTable(2, List.of(moved), List.of()));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+
+    @Test
+    public void forgetsWorkersThatLeftEmpty() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.post(new JobEvent.WorkerUnlisted(new WorkerId("w1")));
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 0);
+    }
+  }
+}
