Hold the lease whatever the holder's name; answer for progress that cannot be read

Cause: since leaders hand over, a lease text that begins with "free" counted as given back: an instance named freeport-1 lost the lead to each one that looked (holdsTheLeaseWhateverItsName failed before). A caller who asked for the state of a job with damaged progress got no answer, since the reading threw (found by reading; the test was written with the change and not run without it). Change: the whole word is compared; such a state is answered as not known, with an error in the log.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -135,12 +135,20 @@
           } else if (scan.rows().isEmpty()) {
             notStarted(id, done);
           } else {
-            JobPhase phase = ProgressText.phase(scan.rows().get(0).text());
-            done.accept(new State(true, Optional.of(phase)));
+            done.accept(stateOf(id, scan.rows().get(0).text()));
           }
         });
   }
 
+  private static State stateOf(JobId id, String progress) {
+    try {
+      return new State(true, Optional.of(ProgressText.phase(progress)));
+    } catch (IllegalArgumentException e) {
+      LOG.error("the progress of {} cannot be read", id, e);
+      return new State(false, Optional.empty());
+    }
+  }
+
   private void notStarted(JobId id, Consumer<State> done) {
     store.scan(
         JobTables.JOBS,
@@ -156,7 +164,7 @@
   /**
    * A job's state as the store tells it.
    *
-   * @param known false when the store gave no answer
+   * @param known false when the store gave no answer, or one that cannot be read
    * @param phase the phase, or nothing when there is no such job
    */
   public record State(boolean known, Optional<JobPhase> phase) {}
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -139,7 +139,7 @@
     if (held != null) {
       lease.observed(timers.now().mono(), held.version());
     }
-    boolean free = held == null || held.text().startsWith(FREE);
+    boolean free = held == null || givenBack(held.text());
     boolean open = free || heldByOurLastLife(held.text());
     if (open || lease.lapsed(0)) {
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
@@ -164,6 +164,11 @@
     return FREE + " " + dataCentre;
   }
 
+  /** Returns whether nobody holds the lease; a holder's name may begin with the same word. */
+  private static boolean givenBack(String text) {
+    return text.equals(FREE) || text.startsWith(freeFor(""));
+  }
+
   private void watch() {
     store.follow(
         JobTables.LEADER,
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -5,12 +5,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobPhase;
 import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.peer.Payload;
 import org.testng.annotations.Test;
 
 /**
@@ -146,6 +148,24 @@
       assertEquals(states.get(1), new Intake.State(true, Optional.of(JobPhase.QUEUED)));
     }
 
+    /**
+     * A job's progress is damaged. Its caller is told at once that the state is not known, and the
+     * job is not denied; without an answer the caller would wait for nothing.
+     */
+    @Test
+    public void answersBesideProgressThatItCannotRead() {
+      Lab lab = new Lab();
+      VirtualTimers.View process = lab.time.process();
+      Change change =
+          new Change(Map.of(), Map.of(JobTables.progress(ID), Payload.of("?")), List.of());
+      lab.store.seenBy(process, call -> true).commit(change, 1_000, answer -> {});
+      lab.time.run(100);
+      List<Intake.State> states = new ArrayList<>();
+      lab.instance().state(ID, states::add);
+      lab.time.run(100);
+      assertEquals(states, List.of(new Intake.State(false, Optional.empty())));
+    }
+
     /**
      * The store does not answer. An instance that denied a job then would lose it for its caller.
      */
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -187,6 +187,21 @@
       assertTrue(only.leadership.leading());
     }
 
+    /**
+     * The leader's name begins like the word that a lease given back holds. It leads all the same;
+     * taken for nobody, it would lose the lead to each instance that looks, again and again.
+     */
+    @Test
+    public void holdsTheLeaseWhateverItsName() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("freeport-1", 1);
+      lab.time.run(1_000);
+      Candidate second = lab.candidate("b", 1);
+      lab.time.run(5_000);
+      assertTrue(first.leadership.leading());
+      assertEquals(second.events, List.of());
+    }
+
     /** The leader is told to stop and gives its lease back; the next one need not wait for it. */
     @Test
     public void followsAtOnceWhenTheLeaderLeaves() {
