Say for how long the tasks of an unreachable worker have to wait

Cause: after a takeover a leader that never reaches a worker waits for leases of the leader before it, and no line says so; lasting tasks that wait for a place were not counted in the load line either. So the logs could not tell the hypotheses of the incident apart. Change: worker.awaited, once for each worker out of touch, with the milliseconds until its leases end; waitingServing in leader.load. Test: saysHowLongTasksOfLostWorkersWait. No change of decisions; nothing measured.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -57,6 +57,7 @@
 
   void tick(Worker worker) {
     boolean outOfTouch = worker.silent || !worker.heard;
+    noteWait(worker, outOfTouch);
     if (outOfTouch && term.now.mono() > worker.lapsedMillis()) {
       lapsed(worker);
     }
@@ -82,6 +83,19 @@
         .forEach(task -> orders.stop(worker, task.key()));
   }
 
+  /** Says once how long the tasks of a worker out of touch have to wait for its leases to end. */
+  private void noteWait(Worker worker, boolean outOfTouch) {
+    boolean waits = outOfTouch && !worker.placed.isEmpty();
+    if (waits && !worker.awaited) {
+      String detail =
+          "runs=%d registered=%s leasesEndInMillis=%d"
+              .formatted(
+                  worker.placed.size(), worker.registered, worker.lapsedMillis() - term.now.mono());
+      term.note("worker.awaited", worker.info.id(), detail);
+    }
+    worker.awaited = waits;
+  }
+
   /**
    * Moves a task that lasts off a worker that is about to leave. Were the leader to change just
    * after it left, the next one would wait out the leases of a worker that it never reached, and
--- a/core/src/main/java/org/cottontack/core/job/LoadText.java
+++ b/core/src/main/java/org/cottontack/core/job/LoadText.java
@@ -12,7 +12,7 @@
     long usable = workers.stream().filter(worker -> worker.usable(nowMillis)).count();
     long cores = workers.stream().mapToLong(w -> w.info.capacity().cpuMillis()).sum() / 1_000;
     return ("usable=%d of %d cores=%d serving=%d short=%d filling=%d paced=%d "
-            + "waitingShort=%d waitingFilling=%d")
+            + "waitingServing=%d waitingShort=%d waitingFilling=%d")
         .formatted(
             usable,
             workers.size(),
@@ -24,6 +24,7 @@
                 .flatMap(w -> w.placed.values().stream())
                 .filter(task -> task.pace < Task.FULL_PACE)
                 .count(),
+            waiting(jobs, task -> task.spec.serves()),
             waiting(jobs, LoadText::isShort),
             waiting(jobs, task -> task.spec.is(StepSpec.Trait.FILLS)));
   }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -37,6 +37,7 @@
   boolean heard;
   boolean silent;
   boolean looking;
+  boolean awaited;
   long pacedMillis;
   long lookedMillis = Long.MIN_VALUE / 2;
   long avoidUntilMillis;
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -74,6 +74,12 @@
     post(new JobEvent.JobArrived(job));
   }
 
+  /** The leader is killed; orders that it has sent are still carried out. */
+  void leaderDies() {
+    leader = null;
+    waitingSaves.clear();
+  }
+
   /** Another instance takes over with what is stored; the old leader hears nothing any more. */
   void takeOver() {
     epoch++;
@@ -95,13 +101,13 @@
   }
 
   private void post(JobScheduler to, JobEvent event) {
-    if (to == leader) {
+    if (to != null && to == leader) {
       leader.reduce(moment(), event).forEach(this::carryOut);
     }
   }
 
   private void tick(JobScheduler to) {
-    if (to == leader) {
+    if (to != null && to == leader) {
       post(to, new JobEvent.Tick());
       after(TICK_MILLIS, () -> tick(to));
     }
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.Test;
 
@@ -57,6 +58,43 @@
     }
   }
 
+  /** Workers that are lost. */
+  public static class Losing {
+
+    private static final TaskName TASK = TaskName.parse("s.0.0.0");
+
+    private static JobLab withLastingTask(LabWorker first, LabWorker second) {
+      JobLab lab = lab(first, second);
+      lab.workMillis = 60_000;
+      lab.submit(job("s", step(1, 4, List.of(), StepSpec.Trait.LASTS)));
+      lab.run(500);
+      return lab;
+    }
+
+    private static LabWorker holder(LabWorker... workers) {
+      return Stream.of(workers).filter(worker -> worker.runs(TASK)).findFirst().orElseThrow();
+    }
+
+    /** Logs tell for how long the tasks of a worker that nobody reaches have to wait. */
+    @Test
+    public void saysHowLongTasksOfLostWorkersWait() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = withLastingTask(first, second);
+      holder(first, second).dead = true;
+      lab.leaderDies();
+      lab.takeOver();
+      lab.run(500);
+      assertEquals(
+          lab.seen.stream()
+              .filter(JobEffect.Note.class::isInstance)
+              .map(JobEffect.Note.class::cast)
+              .filter(note -> note.name().equals("worker.awaited"))
+              .count(),
+          1);
+    }
+  }
+
   /** Workers that must get nothing. */
   public static class Shunning {
 
