--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -61,6 +61,12 @@
   /** Workers that are lost. */
   public static class Losing {
 
+    /** How long a leader is silent until the next one has read all jobs, in milliseconds. */
+    private static final long TAKEOVER_MILLIS = 2_500;
+
+    /** Longest time that callers bear a lasting task away after its leader's death. */
+    private static final long AWAY_MILLIS = 9_000;
+
     private static final TaskName TASK = TaskName.parse("s.0.0.0");
 
     private static JobLab withLastingTask(LabWorker first, LabWorker second) {
@@ -75,6 +81,50 @@
       return Stream.of(workers).filter(worker -> worker.runs(TASK)).findFirst().orElseThrow();
     }
 
+    /**
+     * A worker is lost without notice, and 0.5 s later the leader is killed, before it noticed. The
+     * next leader finds the task placed on a worker that it never reaches. It took the latest end
+     * that a lease of the dead leader could have, 14.5 s from the beginning of its own term, for
+     * the end of this one, and callers saw the task away for 17 s.
+     */
+    @Test
+    public void lastingTasksOfLostWorkersReturnSoonAfterTakeover() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = withLastingTask(first, second);
+      final LabWorker lost = holder(first, second);
+      final LabWorker other = lost == first ? second : first;
+      lab.run(5_000);
+      lost.dead = true;
+      lab.run(500);
+      lab.leaderDies();
+      lab.run(TAKEOVER_MILLIS);
+      lab.takeOver();
+      lab.run(AWAY_MILLIS - TAKEOVER_MILLIS);
+      assertTrue(other.runs(TASK));
+    }
+
+    /**
+     * The same, but the worker is only cut off and goes on. Nothing starts beside it: each step of
+     * the lab checks that no task runs twice.
+     */
+    @Test
+    public void lastingTasksOfWorkersCutOffNeverRunTwice() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = withLastingTask(first, second);
+      final LabWorker cut = holder(first, second);
+      final LabWorker other = cut == first ? second : first;
+      lab.run(5_000);
+      cut.reachable = false;
+      lab.run(100);
+      lab.leaderDies();
+      lab.run(TAKEOVER_MILLIS);
+      lab.takeOver();
+      lab.run(20_000);
+      assertTrue(other.runs(TASK));
+    }
+
     /** Logs tell for how long the tasks of a worker that nobody reaches have to wait. */
     @Test
     public void saysHowLongTasksOfLostWorkersWait() {
