End the leases of workers with the leader's own

Cause of the incident, and its class (a wait for the worst case of what a dead leader may have done, counted from the wrong moment): a leader went on to give leases of 8.5 s for 5.5 s after its last renewal, and the next leader counted these 14.5 s from the beginning of its own term, 2.4 s after the death. What was on a worker that nobody reached came back 17 s after the leader's death; with a second takeover in between the wait began anew. Ruled out: room (31 of 32 workers usable), reading the jobs (0.15 s), the list of registered workers as proof of death (a worker cut off from the store is not listed and works on). Change: no lease outlasts 8.5 s after the leader's last renewal, on the slowest clock of a worker; the next leader counts them from when it saw the lease row change. The row says how long its writer's grants last, so leaders of two versions wait for each other's. New with the tighter bound: the age of a renewal is the longer of steady clock and time of day, since the steady clock stands still while an instance is suspended. Price: a store away for all for over 8.5 s now ends all runs (14.5 s before), and looks leave a lease of 7 to 8.5 s (7.5 to 8.5 s before).

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -57,7 +57,7 @@
 
   void tick(Worker worker) {
     boolean outOfTouch = worker.silent || !worker.heard;
-    noteWait(worker, outOfTouch);
+    noteWait(worker);
     if (outOfTouch && term.now.mono() > worker.lapsedMillis()) {
       lapsed(worker);
     }
@@ -84,8 +84,8 @@
   }
 
   /** Says once how long the tasks of a worker out of touch have to wait for its leases to end. */
-  private void noteWait(Worker worker, boolean outOfTouch) {
-    boolean waits = outOfTouch && !worker.placed.isEmpty();
+  private void noteWait(Worker worker) {
+    boolean waits = (worker.silent || !worker.info.reachable()) && !worker.placed.isEmpty();
     if (waits && !worker.awaited) {
       String detail =
           "runs=%d registered=%s leasesEndInMillis=%d"
@@ -99,7 +99,7 @@
   /**
    * Moves a task that lasts off a worker that is about to leave. Were the leader to change just
    * after it left, the next one would wait out the leases of a worker that it never reached, and
-   * the task would be away for 15 s. One at a time, and only when none waits already: a task that
+   * the task would be away for 9 s. One at a time, and only when none waits already: a task that
    * finds no room elsewhere is better off where it is.
    */
   private void evacuate(Worker worker) {
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -1,5 +1,6 @@
 package org.cottontack.core.job;
 
+import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
 
 /** Something that happened: an input of {@link JobScheduler}. */
@@ -48,6 +49,10 @@
   /** The last {@link JobEffect.SaveProgress} is in the store. */
   record ProgressSaved() implements JobEvent {}
 
-  /** Time has passed. */
-  record Tick() implements JobEvent {}
+  /**
+   * Time has passed.
+   *
+   * @param renewal when the last renewal of the leader's lease that is in the store was sent
+   */
+  record Tick(Moment renewal) implements JobEvent {}
 }
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -28,12 +28,14 @@
    * @param timing waits and lease lengths
    * @param table the rules in force
    * @param start when the term began
+   * @param inheritedLapseMillis the steady time at which every lease that earlier leaders gave to
+   *     workers has ended
    */
-  public JobScheduler(JobTiming timing, JobTable table, Moment start) {
+  public JobScheduler(JobTiming timing, JobTable table, Moment start, long inheritedLapseMillis) {
     final Interference interference = new Interference();
     Estimates estimates = new Estimates();
     Urgency urgency = new Urgency(estimates);
-    term = new Term(timing, table, start);
+    term = new Term(timing, table, start, inheritedLapseMillis);
     orders = new Orders(term);
     lifecycle = new Lifecycle(term, orders, estimates, urgency);
     reports = new Reports(term, orders, lifecycle, interference, estimates);
@@ -88,7 +90,8 @@
       orders.paceLost(e);
     } else if (event instanceof JobEvent.ProgressSaved) {
       saver.saved();
-    } else if (event instanceof JobEvent.Tick) {
+    } else if (event instanceof JobEvent.Tick e) {
+      term.renewal = e.renewal();
       tick();
     } else if (event instanceof JobEvent.JobArrived e) {
       lifecycle.arrived(e.job());
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -45,7 +45,7 @@
             worker.info.address(),
             task.key(),
             task.job.spec.payload(),
-            worker.clock.leaseEnd(term.now.mono(), term.timing.taskLeaseMillis()),
+            worker.clock.leaseEnd(term.grantEndMillis()),
             task.checkpoint));
   }
 
@@ -147,8 +147,7 @@
     // A worker that does not answer may still receive this. Were its leases renewed as well, they
     // would never be sure to have ended, and its tasks would wait for it for ever.
     boolean renew = worker.clock.known() && !worker.silent;
-    long leaseEnd =
-        renew ? worker.clock.leaseEnd(term.now.mono(), term.timing.taskLeaseMillis()) : 0;
+    long leaseEnd = renew ? worker.clock.leaseEnd(term.grantEndMillis()) : 0;
     term.out.add(
         new JobEffect.LookAtWorker(
             worker.info.id(), worker.info.address(), leaseEnd, worker.acknowledgedEnd, waitMillis));
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -34,9 +34,8 @@
       return;
     }
     worker.looking = false;
-    if (!worker.heard) {
-      worker.heard(term.now.mono(), term.timing.taskLeaseMillis());
-    }
+    // From this answer on the worker refuses an earlier leader's orders.
+    worker.heard = true;
     worker.silent = false;
     worker.clock.observe(event.report().clockMillis(), term.now.mono());
     event.report().ended().stream()
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -33,22 +33,31 @@
   final Set<Job> dirty = new LinkedHashSet<>();
 
   JobTable table;
+
+  /** When the last renewal of the leader's lease was sent; set with the first tick. */
+  Moment renewal;
+
   boolean roomChanged;
   Moment now;
   List<JobEffect> out = new ArrayList<>();
 
-  Term(JobTiming timing, JobTable table, Moment start) {
+  Term(JobTiming timing, JobTable table, Moment start, long inheritedLapseMillis) {
     this.timing = timing;
     this.table = table;
     this.now = start;
     this.startMillis = start.mono();
-    this.inheritedLapseMillis = start.mono() + timing.inheritedLeaseMillis();
+    this.inheritedLapseMillis = inheritedLapseMillis;
   }
 
   void note(String name, Object subject, String detail) {
     out.add(new JobEffect.Note(name, subject.toString(), detail));
   }
 
+  /** Returns the latest end, on our steady clock, of leases that are given now; may be past. */
+  long grantEndMillis() {
+    return renewal == null ? startMillis : LeaderLease.grantEnd(renewal, now);
+  }
+
   Optional<Worker> worker(WorkerId id) {
     return Optional.ofNullable(id).map(workers::get);
   }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -41,10 +41,10 @@
   long pacedMillis;
   long lookedMillis = Long.MIN_VALUE / 2;
   long avoidUntilMillis;
+  private final long inheritedLapseMillis;
   private final Set<JobId> failedJobs = new HashSet<>();
   long seenEnd;
   long acknowledgedEnd;
-  long inheritedLapseMillis;
   Resources used = Resources.NONE;
   long servingCpu;
 
@@ -92,13 +92,6 @@
     return free().cpuMillis() - filling + (long) (IDLE_WHILE_SERVING * servingCpu);
   }
 
-  /** Takes in the first answer of this term: from now on an earlier leader's orders are refused. */
-  void heard(long nowMillis, long leaseMillis) {
-    heard = true;
-    long longest = nowMillis + (long) (leaseMillis / WorkerClock.SLOWEST);
-    inheritedLapseMillis = Math.min(inheritedLapseMillis, longest);
-  }
-
   /** Returns when all leases, our own and those of leaders before us, have certainly ended. */
   long lapsedMillis() {
     return Math.max(clock.allLapsedMillis(), inheritedLapseMillis);
--- a/core/src/main/java/org/cottontack/core/job/WorkerClock.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerClock.java
@@ -12,7 +12,7 @@
   private long clockMillis;
   private long receivedMillis;
   private boolean known;
-  private long longestEndMillis;
+  private long latestEndMillis;
 
   void observe(long clock, long received) {
     clockMillis = clock;
@@ -24,15 +24,17 @@
     return known;
   }
 
-  /** Returns the end on the worker's clock of a lease that begins now. */
-  long leaseEnd(long nowMillis, long leaseMillis) {
-    long end = clockMillis + (nowMillis - receivedMillis) + leaseMillis;
-    longestEndMillis = Math.max(longestEndMillis, end);
-    return end;
+  /**
+   * Returns the end, on the worker's clock, of a lease that is over on ours by the given time even
+   * if the worker's clock is the slowest. A faster one ends it up to 2 % sooner.
+   */
+  long leaseEnd(long untilMillis) {
+    latestEndMillis = Math.max(latestEndMillis, untilMillis);
+    return clockMillis + (long) (SLOWEST * (untilMillis - receivedMillis));
   }
 
-  /** Returns when, on our clock, every lease given so far has ended on the slowest worker clock. */
+  /** Returns when, on our clock, every lease given so far has ended. */
   long allLapsedMillis() {
-    return known ? receivedMillis + (long) ((longestEndMillis - clockMillis) / SLOWEST) : 0;
+    return latestEndMillis;
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -44,12 +44,13 @@
   private long orders;
   private JobScheduler leader;
   private JobTable table = JobTable.EMPTY;
+  private Moment renewal;
 
   JobLab(LabWorker... all) {
     for (LabWorker worker : all) {
       workers.put(worker.info.id(), worker);
     }
-    leader = new JobScheduler(JobTiming.STANDARD, table, moment());
+    leader = new JobScheduler(JobTiming.STANDARD, table, moment(), now);
     introduce();
     tick(leader);
   }
@@ -84,7 +85,8 @@
   void takeOver() {
     epoch++;
     waitingSaves.clear();
-    leader = new JobScheduler(JobTiming.STANDARD, table, moment());
+    long inherited = renewal.mono() + LeaderLease.GRANT_MILLIS;
+    leader = new JobScheduler(JobTiming.STANDARD, table, moment(), inherited);
     introduce();
     specs.values().forEach(this::recover);
     tick(leader);
@@ -108,7 +110,8 @@
 
   private void tick(JobScheduler to) {
     if (to != null && to == leader) {
-      post(to, new JobEvent.Tick());
+      renewal = storeAway ? renewal : moment();
+      post(to, new JobEvent.Tick(renewal));
       after(TICK_MILLIS, () -> tick(to));
     }
   }
--- a/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSchedulerTest.java
@@ -13,7 +13,7 @@
 /** Tests of a leader's decisions about jobs and their runs, in virtual time. */
 public class JobSchedulerTest {
 
-  private static final long LEASE_MILLIS = JobTiming.STANDARD.taskLeaseMillis();
+  private static final long LEASE_MILLIS = LeaderLease.GRANT_MILLIS;
 
   /** Steps, attempts and ends on a calm day. */
   public static class Course {
--- a/core/src/test/java/org/cottontack/core/job/LabWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -33,6 +33,10 @@
   boolean failsAll;
   boolean stalls;
   long token;
+
+  /** How fast its steady clock runs against ours. */
+  double speed = 1;
+
   private final Map<RunKey, Held> running = new HashMap<>();
   private final Map<TaskName, Integer> barred = new HashMap<>();
   private final List<WorkerReport.Ended> ended = new ArrayList<>();
@@ -76,7 +80,7 @@
     if (order.run().run() <= barred.getOrDefault(order.run().task(), 0)) {
       return StartResult.OLD;
     }
-    if (order.leaseEndMillis() <= now) {
+    if (order.leaseEndMillis() <= clock(now)) {
       return StartResult.LATE;
     }
     leaseEndMillis = Math.max(leaseEndMillis, order.leaseEndMillis());
@@ -108,7 +112,11 @@
                 run ->
                     new WorkerReport.Running(run.task(), run.run(), "", progress(now), load(run)))
             .toList();
-    return new WorkerReport(now, list, ended);
+    return new WorkerReport(clock(now), list, ended);
+  }
+
+  private long clock(long now) {
+    return (long) (speed * now);
   }
 
   /** Runs make progress all the time, unless they stand still. */
@@ -123,7 +131,7 @@
   /** Lets time pass: ends what is done, kills everything when the lease lapses. */
   void advance(long now, boolean fails) {
     Iterator<Held> held = List.copyOf(running.values()).iterator();
-    boolean lapsed = now > leaseEndMillis;
+    boolean lapsed = clock(now) > leaseEndMillis;
     held.forEachRemaining(
         run -> {
           if (lapsed || (!stalls && now >= run.doneMillis)) {
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/WorkerClockTest.java
@@ -0,0 +1,48 @@
+package org.cottontack.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of leases that are counted on the clock of a worker. */
+public class WorkerClockTest {
+
+  /** Ends of leases. */
+  public static class Ends {
+
+    private static final long READ_MILLIS = 20_000;
+    private static final long UNTIL_MILLIS = 30_000;
+
+    private static long end(long clock) {
+      WorkerClock seen = new WorkerClock();
+      seen.observe(clock, READ_MILLIS);
+      return seen.leaseEnd(UNTIL_MILLIS);
+    }
+
+    /**
+     * A worker's clock is 2 % slow. Counted on an even clock its lease of 10 s would last 0.2 s
+     * longer than the next leader waits, and a task could run twice for that time.
+     */
+    @Test
+    public void slowClocksEndLeasesInTime() {
+      long atUntil = 500 + (long) (WorkerClock.SLOWEST * (UNTIL_MILLIS - READ_MILLIS));
+      assertTrue(end(500) <= atUntil, "ends " + (end(500) - atUntil) + " ms late");
+    }
+
+    @Test
+    public void exactClocksLoseTwoPercent() {
+      assertEquals(end(500), 500 + 9_800);
+    }
+
+    /** A shorter lease after a longer one does not end what the longer one keeps alive. */
+    @Test
+    public void theLatestEndCounts() {
+      WorkerClock seen = new WorkerClock();
+      seen.observe(500, READ_MILLIS);
+      seen.leaseEnd(UNTIL_MILLIS);
+      seen.leaseEnd(UNTIL_MILLIS - 5_000);
+      assertEquals(seen.allLapsedMillis(), UNTIL_MILLIS);
+    }
+  }
+}
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -105,19 +105,20 @@
     }
 
     /**
-     * The same, but the worker is only cut off and goes on. Nothing starts beside it: each step of
-     * the lab checks that no task runs twice.
+     * The same, but the worker is only cut off and goes on, by the slowest clock that a worker may
+     * have. Nothing starts beside it: each step of the lab checks that no task runs twice.
      */
     @Test
     public void lastingTasksOfWorkersCutOffNeverRunTwice() {
       LabWorker first = new LabWorker("w1", 8);
       LabWorker second = new LabWorker("w2", 8);
+      first.speed = WorkerClock.SLOWEST;
+      second.speed = WorkerClock.SLOWEST;
       JobLab lab = withLastingTask(first, second);
       final LabWorker cut = holder(first, second);
       final LabWorker other = cut == first ? second : first;
       lab.run(5_000);
       cut.reachable = false;
-      lab.run(100);
       lab.leaderDies();
       lab.run(TAKEOVER_MILLIS);
       lab.takeOver();
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -161,7 +161,9 @@
 
   private void begin(ProgressStore.Found found) {
     final Map<JobId, String> progress = found.jobs();
-    JobScheduler made = new JobScheduler(JobTiming.STANDARD, table, timers.now());
+    JobScheduler made =
+        new JobScheduler(
+            JobTiming.STANDARD, table, timers.now(), leadership.inheritedLapseMillis());
     scheduler = made;
     post(new JobEvent.LearnedRecovered(found.learned()));
     registry.replay(this::post);
@@ -203,7 +205,7 @@
 
   private void tick() {
     if (!stopped) {
-      post(new JobEvent.Tick());
+      post(new JobEvent.Tick(leadership.renewal()));
       timers.after(TICK_MILLIS, this::tick);
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.Moment;
 import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.peer.Payload;
 
@@ -44,7 +46,6 @@
 
   private static final RowKey ELECTION = new RowKey(JobTables.LEADER, "leader", "election");
   private static final RowKey LEASE = new RowKey(JobTables.LEADER, "leader", "lease");
-  private static final String FREE = "free";
 
   /**
    * Head start of other data centres when a leader gives the lead away because it was cut off, in
@@ -68,6 +69,7 @@
   private long electionVersion;
   private long handedOverMillis = Long.MIN_VALUE / 2;
   private long renewals;
+  private long inheritedLapseMillis;
 
   /**
    * Creates a candidate that does nothing yet.
@@ -120,11 +122,24 @@
   }
 
   boolean mayStart() {
-    return leading && lease.mayStart(timers.now().mono());
+    return leading && lease.mayStart(timers.now());
   }
 
   boolean mayRenew() {
-    return leading && lease.mayRenew(timers.now().mono());
+    return leading && lease.mayRenew(timers.now());
+  }
+
+  /** Returns when the last renewal of this term that is in the store was sent. */
+  Moment renewal() {
+    return lease.renewal();
+  }
+
+  /**
+   * Returns the steady time, in milliseconds, at which all leases have ended that earlier leaders
+   * gave to workers: none lasts longer than its giver's last renewal allows.
+   */
+  long inheritedLapseMillis() {
+    return inheritedLapseMillis;
   }
 
   private void take(List<Row> news) {
@@ -139,11 +154,11 @@
     if (held != null) {
       lease.observed(timers.now().mono(), held.version());
     }
-    boolean free = held == null || givenBack(held.text());
-    boolean open = free || heldByOurLastLife(held.text());
+    Optional<LeaseText> text = Optional.ofNullable(held).map(row -> LeaseText.parse(row.text()));
+    boolean open = text.isEmpty() || text.get().isFree() || heldByOurLastLife(text.get().holder());
     if (open || lease.lapsed(0)) {
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
-      boolean cutOff = held != null && held.text().equals(freeFor(dataCentre));
+      boolean cutOff = text.isPresent() && text.get().cutOff().equals(dataCentre);
       long wait = (open ? spread / 10 : spread) + (cutOff ? HEAD_START_MILLIS : 0);
       timers.after(wait, () -> campaign(held == null ? 0 : held.version()));
     } else {
@@ -159,16 +174,6 @@
     return holder.startsWith(name + "/") && !holder.startsWith(self);
   }
 
-  /** Returns the lease's text after its holder, in a data centre, was cut off. */
-  private static String freeFor(String dataCentre) {
-    return FREE + " " + dataCentre;
-  }
-
-  /** Returns whether nobody holds the lease; a holder's name may begin with the same word. */
-  private static boolean givenBack(String text) {
-    return text.equals(FREE) || text.startsWith(freeFor(""));
-  }
-
   private void watch() {
     store.follow(
         JobTables.LEADER,
@@ -191,13 +196,15 @@
   private void campaign(long leaseVersion) {
     Row election = rows.get(ELECTION);
     long next = election == null ? 1 : Long.parseLong(election.text().split(" ", 2)[0]) + 1;
+    // The transaction holds only if nobody renewed after the row as we know it.
+    long grant = leaseVersion == 0 ? 0 : LeaseText.parse(rows.get(LEASE).text()).grantMillis();
+    inheritedLapseMillis = lease.changedMillis() + grant;
     Change change =
         new Change(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
-            Map.of(
-                ELECTION, Payload.of(next + " " + self), LEASE, Payload.of(self + " " + renewals)),
+            Map.of(ELECTION, Payload.of(next + " " + self), LEASE, held()),
             List.of());
-    long sent = timers.now().mono();
+    Moment sent = timers.now();
     store.commit(
         change,
         ANSWER_MILLIS,
@@ -212,7 +219,7 @@
   }
 
   /** A takeover whose answer was lost may still be in the store. */
-  private void afterLost(long next, long sent) {
+  private void afterLost(long next, Moment sent) {
     store.scan(
         JobTables.LEADER,
         ELECTION.part(),
@@ -233,7 +240,7 @@
         });
   }
 
-  private void won(long won, long version, long sent) {
+  private void won(long won, long version, Moment sent) {
     if (stopped) {
       return;
     }
@@ -252,17 +259,13 @@
       return;
     }
     renewals++;
-    Change change =
-        new Change(
-            Map.of(ELECTION, electionVersion),
-            Map.of(LEASE, Payload.of(self + " " + renewals)),
-            List.of());
-    long sent = timers.now().mono();
+    Change change = new Change(Map.of(ELECTION, electionVersion), Map.of(LEASE, held()), List.of());
+    Moment sent = timers.now();
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
     timers.after(RENEW_MILLIS, () -> renew(term));
   }
 
-  private void renewed(long term, long sent, CommitAnswer answer) {
+  private void renewed(long term, Moment sent, CommitAnswer answer) {
     if (!leading || epoch != term) {
       return;
     }
@@ -299,14 +302,23 @@
     if (leading && now - handedOverMillis >= HAND_OVER_GAP_MILLIS) {
       handedOverMillis = now;
       endTerm(reason);
-      giveBack(freeFor(dataCentre), answer -> timers.after(PAUSE_MILLIS, this::start));
+      giveBack(dataCentre, answer -> timers.after(PAUSE_MILLIS, this::start));
     }
   }
 
+  private Payload held() {
+    return Payload.of(LeaseText.held(self, renewals, grantMillis()));
+  }
+
+  /** Leases that an earlier leader of another version gave may outlast ours. */
+  private long grantMillis() {
+    return Math.max(LeaderLease.GRANT_MILLIS, inheritedLapseMillis - timers.now().mono());
+  }
+
   /** Gives the lease back, unless another instance has taken over meanwhile. */
-  private void giveBack(String text, Consumer<CommitAnswer> done) {
-    Change change =
-        new Change(Map.of(ELECTION, electionVersion), Map.of(LEASE, Payload.of(text)), List.of());
+  private void giveBack(String cutOff, Consumer<CommitAnswer> done) {
+    Payload free = Payload.of(LeaseText.free(cutOff, grantMillis()));
+    Change change = new Change(Map.of(ELECTION, electionVersion), Map.of(LEASE, free), List.of());
     store.commit(change, ANSWER_MILLIS, done);
   }
 
@@ -318,7 +330,7 @@
       return;
     }
     leading = false;
-    giveBack(FREE, answer -> done.run());
+    giveBack("", answer -> done.run());
   }
 
   private void log(String event, String detail) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -6,7 +6,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.cottontack.core.job.LeaderLease;
+import org.cottontack.core.peer.Payload;
 import org.testng.annotations.Test;
 
 /** Tests of the election of a leader through the store. */
@@ -103,6 +105,51 @@
       assertEquals(second.events, List.of("won 2"));
     }
 
+    /**
+     * The leader is killed with tasks on a worker that nobody reaches any more. The next one counts
+     * the longest lease that this worker may hold from the dead leader's last renewal: counted from
+     * the beginning of its own term, lasting tasks stayed away for 17 s.
+     */
+    @Test
+    public void countsInheritedLeasesFromTheLastRenewal() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(1_000);
+      final Candidate second = lab.candidate("b", 1);
+      lab.time.run(3_000);
+      first.timers.killed = true;
+      final long death = second.timers.now().mono();
+      lab.time.run(4_000);
+      assertTrue(second.leadership.leading());
+      long lapse = second.leadership.inheritedLapseMillis();
+      assertTrue(lapse <= death + LeaderLease.GRANT_MILLIS + 20, "after " + (lapse - death));
+      assertTrue(lapse >= death - 500 + LeaderLease.GRANT_MILLIS, "after " + (lapse - death));
+    }
+
+    /**
+     * A leader of an older version, whose leases last longer and whose row does not say so, is
+     * replaced. Its successor and the next one wait for its leases all the same.
+     */
+    @Test
+    public void waitsForLongerLeasesOfAnOlderVersion() {
+      Lab lab = new Lab();
+      RowKey row = new RowKey(JobTables.LEADER, "leader", "lease");
+      Change old = new Change(Map.of(), Map.of(row, Payload.of("old/1 17")), List.of());
+      lab.store.seenBy(lab.time.process(), call -> true).commit(old, 1_000, answer -> {});
+      lab.time.run(100);
+      Candidate first = lab.candidate("a", 1);
+      final long seen = first.timers.now().mono();
+      lab.time.run(4_000);
+      assertTrue(first.leadership.leading());
+      long lapse = first.leadership.inheritedLapseMillis();
+      assertTrue(lapse >= seen + LeaseText.UNSTATED_GRANT_MILLIS, "after " + (lapse - seen));
+      final Candidate second = lab.candidate("b", 1);
+      first.leadership.leave(() -> {});
+      lab.time.run(500);
+      assertTrue(second.leadership.leading());
+      assertTrue(second.leadership.inheritedLapseMillis() >= lapse);
+    }
+
     /** All instances lose power and come back; the last leader's next life leads at once. */
     @Test
     public void doesNotWaitForItsOwnLastLife() {
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaseTextTest.java
@@ -0,0 +1,49 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of what the lease row says. */
+public class LeaseTextTest {
+
+  /** Rows that this version writes. */
+  public static class Own {
+
+    @Test
+    public void readsWhatItsHolderWrote() {
+      LeaseText read = LeaseText.parse(LeaseText.held("a/1", 3, 8_500));
+      assertEquals(read, new LeaseText("a/1", "", 8_500));
+      assertFalse(read.isFree());
+    }
+
+    @Test
+    public void readsWhoGaveItBack() {
+      LeaseText cut = LeaseText.parse(LeaseText.free("sofia-1", 8_500));
+      assertEquals(cut, new LeaseText("", "sofia-1", 8_500));
+      assertTrue(cut.isFree());
+      assertEquals(LeaseText.parse(LeaseText.free("", 9_000)), new LeaseText("", "", 9_000));
+    }
+  }
+
+  /** Rows of other versions: whatever they say, the lease is held and waited for. */
+  public static class Foreign {
+
+    @Test
+    public void waitsLongestWhereNothingIsSaid() {
+      long longest = LeaseText.UNSTATED_GRANT_MILLIS;
+      assertEquals(LeaseText.parse("a/1 3"), new LeaseText("a/1", "", longest));
+      assertEquals(LeaseText.parse("free"), new LeaseText("", "", longest));
+      assertEquals(LeaseText.parse("free dc"), new LeaseText("", "dc", longest));
+      assertEquals(LeaseText.parse("a/1 3 soon"), new LeaseText("a/1", "", longest));
+      assertEquals(LeaseText.parse(""), new LeaseText("", "", longest));
+    }
+
+    @Test
+    public void takesNoNameForFreeThatBeginsLikeIt() {
+      assertEquals(LeaseText.parse("freeport-1/7 2 8500").holder(), "freeport-1/7");
+    }
+  }
+}
