A row that a follower's listener cannot take ends neither the follower nor the rows after it

Cause: a listener that throws broke the chain of calls. HttpClient.Exchange.end forgets its waiting consumer, then calls it; what it throws reaches exceptionCaught, which closes the connection; channelInactive finds nobody waiting. So the follower never asked again, and nothing said so. Ruled out: that the client tells the consumer a second time (read: waiting is null by then); catching in HttpClient, which would leave the follower's chain as broken, since only the follower knows to ask again. Change: Follower.tell logs the row and passes it over; the row counts as told until it changes. Conclusion: mended for every followed table.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -14,7 +14,8 @@
 /**
  * Keeps up with a table: reads all of it, then waits for changes, and reads all of it again
  * whenever the store has forgotten some. Every row reaches the listener in the order of its
- * versions, and removals that happened unseen are told too. Confined to the event loop.
+ * versions, and removals that happened unseen are told too. A row that the listener cannot take is
+ * logged and passed over. Confined to the event loop.
  */
 public final class Follower {
 
@@ -156,7 +157,14 @@
     } else {
       known.put(row.at(), row.version());
     }
-    listener.accept(row);
+    try {
+      listener.accept(row);
+    } catch (RuntimeException e) {
+      // Others write rows as well. One that the listener chokes on would end the chain of calls
+      // here, and the process would miss every later change. The row counts as told: it is taken
+      // up again when it changes, and logged once.
+      LOG.error("passing over a row that cannot be taken: {}", row.at(), e);
+    }
   }
 
   private void answered() {
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
@@ -0,0 +1,72 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cottontack.core.peer.Payload;
+import org.testng.annotations.Test;
+
+/** Tests of how a follower keeps up with a table in which others write too. */
+public class FollowerTest {
+
+  private static final String TABLE = "table";
+
+  /** One follower of one table; its listener throws at rows that it is told to choke on. */
+  private static final class Lab {
+    final VirtualTimers time = new VirtualTimers();
+    final FakeTableStore store = new FakeTableStore(time);
+    final VirtualTimers.View process = time.process();
+    final List<String> told = new ArrayList<>();
+    private final TableStore seen = store.seenBy(process, call -> true);
+
+    void follow() {
+      new Follower(seen, process, TABLE, List.of(""), this::tell, () -> {}).start();
+      time.run(200);
+    }
+
+    private void tell(Row row) {
+      if (row.text().equals("bad")) {
+        throw new IllegalArgumentException("a row that nobody can read");
+      }
+      told.add(row.key() + "=" + row.text());
+    }
+
+    void write(String key, String text) {
+      RowKey at = new RowKey(TABLE, "", key);
+      Change change = new Change(Map.of(), Map.of(at, Payload.of(text)), List.of());
+      seen.commit(change, 1_000, answer -> {});
+      time.run(200);
+    }
+  }
+
+  /** Rows that the listener cannot take. */
+  public static class Choking {
+
+    /**
+     * Another writer leaves a row that the listener chokes on. The exception ended the follower
+     * without a word: the process went on with the table as it was, and saw no change ever after.
+     */
+    @Test
+    public void goesOnAfterRowsThatCannotBeTaken() {
+      Lab lab = new Lab();
+      lab.follow();
+      lab.write("a", "bad");
+      lab.write("b", "good");
+      lab.write("a", "good");
+      assertEquals(lab.told, List.of("b=good", "a=good"));
+    }
+
+    /** The same row lies there already when the table is first read: the rows after it are told. */
+    @Test
+    public void tellsRowsBesideThoseThatCannotBeTaken() {
+      Lab lab = new Lab();
+      lab.write("a", "bad");
+      lab.write("b", "good");
+      lab.follow();
+      lab.write("c", "good");
+      assertEquals(lab.told, List.of("b=good", "c=good"));
+    }
+  }
+}
