--- a/wire/src/main/java/org/cottontack/wire/JobCodec.java
+++ b/wire/src/main/java/org/cottontack/wire/JobCodec.java
@@ -40,6 +40,10 @@
   public static JobSpec read(JobId id, byte[] bytes) {
     try {
       StoredJob stored = StoredJob.parseFrom(bytes);
+      if (stored.getStepsCount() == 0) {
+        // No bytes at all are a message as well; taken for a job it would wait for ever.
+        throw new IllegalArgumentException("a job without steps");
+      }
       StoredSchedule schedule = stored.getSchedule();
       return new JobSpec(
           id,
