Failing tests for the size of leaders; instances know what they have for leading

Cause: an election knows nothing of sizes. Change: Capacity (processor share x cores, link) from the settings, in Instance; nothing acts on it yet. Where the platform does not tell, all instances count as equal.

--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -36,8 +36,7 @@
   /**
    * Creates an instance that does nothing yet.
    *
-   * @param name the instance's name
-   * @param dataCentre where it is
+   * @param instance this instance
    * @param keepMillis how long the state of a job that ended stays readable
    * @param store the platform's store
    * @param timers the event loop's timers
@@ -46,8 +45,7 @@
    * @param workers orders to workers
    */
   public JobEntry(
-      String name,
-      String dataCentre,
+      Instance instance,
       long keepMillis,
       TableStore store,
       Timers timers,
@@ -61,8 +59,8 @@
     this.registry = registry;
     this.workers = workers;
     this.intake = new Intake(store, timers, metrics);
-    String self = name + "/" + UUID.randomUUID();
-    this.leadership = new Leadership(store, timers, name, self, dataCentre, this::won, this::lost);
+    String self = instance.name() + "/" + UUID.randomUUID();
+    this.leadership = new Leadership(store, timers, instance, self, this::won, this::lost);
   }
 
   /** Begins to follow the table and, once there is one, to stand for election. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -52,8 +52,7 @@
     TableStore store = adapter.store(http, settings.store());
     entry =
         new JobEntry(
-            settings.name(),
-            settings.dataCentre(),
+            new Instance(settings.name(), settings.dataCentre(), settings.capacity()),
             settings.keepMillis(),
             store,
             timers,
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -72,25 +72,23 @@
   /**
    * Creates a candidate that does nothing yet.
    *
-   * @param name this instance's name, the same in each of its lives
+   * @param instance this instance
    * @param self this incarnation: the name, a slash and what differs with each life
-   * @param dataCentre where this instance is
    * @param onWon called with the epoch of each term won
    * @param onLost called when a term ends before this process does
    */
   Leadership(
       TableStore store,
       Timers timers,
-      String name,
+      Instance instance,
       String self,
-      String dataCentre,
       LongConsumer onWon,
       Runnable onLost) {
     this.store = store;
     this.timers = timers;
-    this.name = name;
+    this.name = instance.name();
     this.self = self;
-    this.dataCentre = dataCentre;
+    this.dataCentre = instance.dataCentre();
     this.onWon = onWon;
     this.onLost = onLost;
   }
--- a/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import org.cottontack.adapters.Address;
+import org.cottontack.core.job.Capacity;
 
 /** The checked settings of an entry instance for jobs. */
 public final class JobSettings {
@@ -11,7 +12,8 @@
   /** Shortest time that a state stays readable: well over all retries of callers and the store. */
   private static final long LEAST_KEEP_MILLIS = 120_000;
 
-  private static final int SECONDS_TO_MILLIS = 3;
+  /** Decimal places from a unit to its thousandths. */
+  private static final int TO_THOUSANDTHS = 3;
 
   /** Every setting, with its place in the file, its unit, its range and its default. */
   private enum Key implements SettingName {
@@ -22,7 +24,10 @@
     LISTEN_METRICS(SettingRule.address("listen.metrics")),
     PLATFORM_STORE(SettingRule.address("platform.store")),
     KEEP(SettingRule.seconds("jobs.keepSeconds", "120", 0, 604_800)),
-    GRACE(SettingRule.seconds("stop.graceSeconds", "6", 0, 3_600));
+    GRACE(SettingRule.seconds("stop.graceSeconds", "6", 0, 3_600)),
+    PROCESSOR_SHARE(SettingRule.decimal("capacity.processorShare", "1", 0, 1_000, "cores")),
+    CORES(SettingRule.decimal("capacity.cores", "1", 0, 1_000, "cores")),
+    LINK(SettingRule.decimal("capacity.linkMbps", "1000", 0, 1_000_000, "Mbit/s"));
 
     private final SettingRule rule;
 
@@ -100,8 +105,22 @@
     return millis(Key.GRACE);
   }
 
+  /** Returns what the instance has for leading, by its processor and its link. */
+  public Capacity capacity() {
+    BigDecimal processor = number(Key.PROCESSOR_SHARE).multiply(number(Key.CORES));
+    return new Capacity(thousandths(processor), thousandths(number(Key.LINK)));
+  }
+
   private long millis(Key key) {
-    return new BigDecimal(values.get(key)).movePointRight(SECONDS_TO_MILLIS).longValue();
+    return thousandths(number(key));
+  }
+
+  private BigDecimal number(Key key) {
+    return new BigDecimal(values.get(key));
+  }
+
+  private static long thousandths(BigDecimal number) {
+    return number.movePointRight(TO_THOUSANDTHS).longValue();
   }
 
   @Override
--- a/daemon/src/main/java/org/cottontack/daemon/settings/SettingRule.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/SettingRule.java
@@ -56,15 +56,16 @@
         }
       }
     },
-    /** A number of seconds within bounds, whole or with a fraction. */
-    SECONDS {
+    /** A number within bounds, whole or with a fraction. */
+    DECIMAL {
       @Override
       Optional<String> fault(SettingRule rule, String value) {
         try {
-          long seconds = new BigDecimal(value).longValue();
-          return rule.outside(seconds) ? Optional.of(rule.outsideFault(value)) : Optional.empty();
+          long whole = new BigDecimal(value).longValue();
+          return rule.outside(whole) ? Optional.of(rule.outsideFault(value)) : Optional.empty();
         } catch (NumberFormatException e) {
-          return Optional.of("%s: '%s' is not a number of seconds".formatted(rule.path, value));
+          return Optional.of(
+              "%s: '%s' is not a number of %s".formatted(rule.path, value, rule.unit));
         }
       }
     };
@@ -85,7 +86,11 @@
   }
 
   static SettingRule seconds(String path, String fallback, long least, long most) {
-    return new SettingRule(path, Kind.SECONDS, Optional.of(fallback), least, most, "seconds");
+    return decimal(path, fallback, least, most, "seconds");
+  }
+
+  static SettingRule decimal(String path, String fallback, long least, long most, String unit) {
+    return new SettingRule(path, Kind.DECIMAL, Optional.of(fallback), least, most, unit);
   }
 
   /** Returns what is wrong with a value, or nothing when it is right. */
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -27,7 +27,7 @@
   }
 
   private static Intake intake(TableStore store, Timers timers) {
-    return new JobEntry("instance", "dc", 120_000, store, timers, null, null, null).intake();
+    return new JobEntry(TestJobs.INSTANCE, 120_000, store, timers, null, null, null).intake();
   }
 
   private static final class Lab {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -51,7 +51,7 @@
       process.killed = true;
       process = time.process();
       TableStore seen = store.seenBy(process, call -> !call.equals(hidden));
-      entry = new JobEntry("instance", "dc", 120_000, seen, process, rules(), this, this);
+      entry = new JobEntry(TestJobs.INSTANCE, 120_000, seen, process, rules(), this, this);
       entry.start();
       time.run(500);
     }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -6,28 +6,31 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.LeaderLease;
 import org.testng.annotations.Test;
 
 /** Tests of the election of a leader through the store. */
 public class LeadershipTest {
 
+  private static final Capacity SMALL = new Capacity(360, 10_000);
+  private static final Capacity LARGE = new Capacity(1_500, 200_000);
+
   private static final class Candidate {
     final VirtualTimers.View timers;
     final Leadership leadership;
     final List<String> events = new ArrayList<>();
     boolean reachesStore = true;
 
-    Candidate(VirtualTimers time, FakeTableStore store, String name, int life, String dataCentre) {
+    Candidate(VirtualTimers time, FakeTableStore store, Instance instance, int life) {
       timers = time.process();
       TableStore seen = store.seenBy(timers, call -> reachesStore);
       leadership =
           new Leadership(
               seen,
               timers,
-              name,
-              name + "/" + life,
-              dataCentre,
+              instance,
+              instance.name() + "/" + life,
               epoch -> events.add("won " + epoch),
               () -> events.add("lost"));
       leadership.start();
@@ -43,7 +46,11 @@
     }
 
     Candidate candidate(String name, int life, String dataCentre) {
-      return new Candidate(time, store, name, life, dataCentre);
+      return candidate(new Instance(name, dataCentre, SMALL), life);
+    }
+
+    Candidate candidate(Instance instance, int life) {
+      return new Candidate(time, store, instance, life);
     }
   }
 
@@ -216,4 +223,50 @@
       assertTrue(second.leadership.leading());
     }
   }
+
+  /** Instances of different sizes. */
+  public static class Sizes {
+
+    private static Candidate with(Lab lab, String name, String dataCentre, Capacity capacity) {
+      return lab.candidate(new Instance(name, dataCentre, capacity), 1);
+    }
+
+    /**
+     * The leader, a large instance, is killed. Small ones and a large one watch the lease; the
+     * large one leads next. A small one would read the open jobs for seconds, start too little
+     * meanwhile, and could lose the lease under the load.
+     */
+    @Test
+    public void largerInstancesLeadNext() {
+      for (int round = 0; round < 20; round++) {
+        Lab lab = new Lab();
+        final Candidate first = with(lab, "a", "dc", LARGE);
+        lab.time.run(1_000);
+        with(lab, "b", "dc", SMALL);
+        final Candidate large = with(lab, "c", "dc", LARGE);
+        lab.time.run(3_000);
+        first.timers.killed = true;
+        lab.time.run(3_500);
+        assertTrue(large.leadership.leading());
+        assertEquals(large.events, List.of("won 2"));
+      }
+    }
+
+    /**
+     * A small instance leads since no other lived. A large one starts, and soon has the lead: what
+     * the small one cannot carry would wait until its term ends some day.
+     */
+    @Test
+    public void smallLeadersMakeWayForLargerInstances() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      Candidate large = with(lab, "b", "dc", LARGE);
+      lab.time.run(2_000);
+      assertTrue(large.leadership.leading());
+      lab.time.run(40_000);
+      assertEquals(small.events, List.of("won 1", "lost"));
+      assertEquals(large.events, List.of("won 2"));
+    }
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/TestJobs.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/TestJobs.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobQueue;
 import org.cottontack.core.job.JobSpec;
@@ -14,6 +15,8 @@
   static final JobQueue QUEUE =
       new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
 
+  static final Instance INSTANCE = new Instance("instance", "dc", new Capacity(1_000, 100_000));
+
   private TestJobs() {}
 
   static JobSpec job(JobId id, int tasks) {
--- a/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import org.cottontack.core.job.Capacity;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -55,6 +56,30 @@
     }
   }
 
+  /** What an instance has for leading. */
+  public static class Sizes {
+
+    /** Share of a core, cores and link as text, and what follows from them. */
+    @DataProvider
+    public Object[][] values() {
+      return new Object[][] {
+        {"0.36", "1", "10.0", new Capacity(360, 10_000)},
+        {"0.75", "2", "200", new Capacity(1_500, 200_000)},
+        {"", "", "", new Capacity(1_000, 1_000_000)},
+      };
+    }
+
+    /** Where the platform does not tell, all instances count as equal and nobody stands back. */
+    @Test(dataProvider = "values")
+    public void followFromShareCoresAndLink(
+        String share, String cores, String link, Capacity capacity) {
+      String size =
+          "capacity:\n  processorShare: %s\n  cores: %s\n  linkMbps: %s\n"
+              .formatted(share, cores, link);
+      assertEquals(JobSettings.parse(GOOD + size).capacity(), capacity);
+    }
+  }
+
   /** Bad files. */
   public static class Faults {
 
