Larger instances lead: smaller ones stand back, and make way when asked

Cause: every instance campaigned alike, so 30 of 38 winners had 0.36 core and 10 Mbit/s. Ruled out: a fixed leader in the settings (may be the one cut off); a row for each instance (38 rows kept up to date to choose one). Change: a takeover writes what the leader has; an instance clearly smaller than the last leader stands back 0.4 s when the lead is free. While a clearly smaller one leads, a larger one writes a request, which the next renewal hears of at no call of its own; the lease is given back in the usual way, not more often than every 30 s, and not while the leader does not reach 40 % of the workers in that data centre. Nobody asks within 30 s of a request, of a hand-over of a leader that was cut off, or of an own term. Instances of equal size wait and write as before, but for one row of 15 bytes in the takeover's transaction.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.cottontack.core.Moment;
+import org.cottontack.core.id.DataCentreId;
 
 /**
  * The decisions of one leader's term: which task runs on which worker. A placement is stored before
@@ -77,6 +78,11 @@
     return term.out;
   }
 
+  /** Returns whether this leader reaches most workers of a data centre. */
+  public boolean reaches(DataCentreId dataCentre) {
+    return Reach.reaches(term.workers.values(), dataCentre);
+  }
+
   private void apply(JobEvent event) {
     if (event instanceof JobEvent.WorkerReported e) {
       reports.reported(e);
--- a/core/src/main/java/org/cottontack/core/job/Reach.java
+++ b/core/src/main/java/org/cottontack/core/job/Reach.java
@@ -28,4 +28,18 @@
     long silent = registered.stream().filter(worker -> worker.silent).count();
     return answering.size() == 1 && silent > MOST_SILENT * registered.size();
   }
+
+  /**
+   * Returns whether enough workers of a data centre have answered for it to be on this leader's
+   * side of a partition. An instance there that is on the other side reaches the store and could
+   * ask for the lead; given to it, most workers would get nothing new.
+   */
+  static boolean reaches(Collection<Worker> workers, DataCentreId dataCentre) {
+    List<Worker> there =
+        workers.stream()
+            .filter(worker -> worker.registered && worker.info.dataCentre().equals(dataCentre))
+            .toList();
+    long answering = there.stream().filter(worker -> worker.heard && !worker.silent).count();
+    return answering >= (1 - MOST_SILENT) * there.size();
+  }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -60,7 +60,7 @@
     this.workers = workers;
     this.intake = new Intake(store, timers, metrics);
     String self = instance.name() + "/" + UUID.randomUUID();
-    this.leadership = new Leadership(store, timers, instance, self, this::won, this::lost);
+    this.leadership = new Leadership(store, timers, instance, self, new Terms());
   }
 
   /** Begins to follow the table and, once there is one, to stand for election. */
@@ -88,14 +88,29 @@
     }
   }
 
-  private void won(long epoch) {
-    Retention retention = new Retention(store, timers, keepMillis);
-    leader =
-        new Leader(store, timers, workers, registry, leadership, metrics, retention, epoch, table);
-    leader.start();
+  private final class Terms implements Leadership.Listener {
+
+    @Override
+    public void won(long epoch) {
+      Retention retention = new Retention(store, timers, keepMillis);
+      leader =
+          new Leader(
+              store, timers, workers, registry, leadership, metrics, retention, epoch, table);
+      leader.start();
+    }
+
+    @Override
+    public void lost() {
+      endTerm();
+    }
+
+    @Override
+    public boolean reaches(String dataCentre) {
+      return leader != null && leader.reaches(dataCentre);
+    }
   }
 
-  private void lost() {
+  private void endTerm() {
     if (leader != null) {
       leader.stop();
       leader = null;
@@ -138,7 +153,7 @@
   public void stop(Runnable done) {
     stopping = true;
     LOG.info(new StringMapMessage().with("event", "instance.stopping"));
-    lost();
+    endTerm();
     leadership.leave(done);
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
 import org.cottontack.core.job.JobId;
@@ -91,6 +92,11 @@
     return epoch;
   }
 
+  /** Returns whether this leader knows that it reaches most workers of a data centre. */
+  boolean reaches(String dataCentre) {
+    return scheduler != null && scheduler.reaches(new DataCentreId(dataCentre));
+  }
+
   void start() {
     progressStore.takeOver(this::readRest);
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -57,8 +56,8 @@
   private final String name;
   private final String self;
   private final String dataCentre;
-  private final LongConsumer onWon;
-  private final Runnable onLost;
+  private final Listener listener;
+  private final Succession succession;
   private final Map<RowKey, Row> rows = new HashMap<>();
   private LeaderLease lease = new LeaderLease();
   private long position;
@@ -69,28 +68,34 @@
   private long handedOverMillis = Long.MIN_VALUE / 2;
   private long renewals;
 
+  /** What an election is about; called on the event loop. */
+  interface Listener {
+
+    /** A term was won. */
+    void won(long epoch);
+
+    /** A term ended before this process does. */
+    void lost();
+
+    /** Returns whether this leader reaches most workers of a data centre, and knows it. */
+    boolean reaches(String dataCentre);
+  }
+
   /**
    * Creates a candidate that does nothing yet.
    *
    * @param instance this instance
    * @param self this incarnation: the name, a slash and what differs with each life
-   * @param onWon called with the epoch of each term won
-   * @param onLost called when a term ends before this process does
+   * @param listener told of its terms
    */
-  Leadership(
-      TableStore store,
-      Timers timers,
-      Instance instance,
-      String self,
-      LongConsumer onWon,
-      Runnable onLost) {
+  Leadership(TableStore store, Timers timers, Instance instance, String self, Listener listener) {
     this.store = store;
     this.timers = timers;
     this.name = instance.name();
     this.self = self;
     this.dataCentre = instance.dataCentre();
-    this.onWon = onWon;
-    this.onLost = onLost;
+    this.listener = listener;
+    this.succession = new Succession(instance, HAND_OVER_GAP_MILLIS);
   }
 
   void start() {
@@ -133,6 +138,7 @@
     if (stopped || leading) {
       return;
     }
+    succession.observed(timers.now().mono(), rows);
     Row held = rows.get(LEASE);
     if (held != null) {
       lease.observed(timers.now().mono(), held.version());
@@ -143,12 +149,31 @@
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
       boolean cutOff = held != null && held.text().equals(freeFor(dataCentre));
       long wait = (open ? spread / 10 : spread) + (cutOff ? HEAD_START_MILLIS : 0);
-      timers.after(wait, () -> campaign(held == null ? 0 : held.version()));
+      long last = wait + succession.standBackMillis(rows);
+      timers.after(last, () -> campaign(held == null ? 0 : held.version()));
     } else {
+      askForLead();
       watch();
     }
   }
 
+  private void askForLead() {
+    Row election = rows.get(ELECTION);
+    if (election != null) {
+      succession
+          .ask(timers.now().mono(), rows, election, epochOf(election))
+          .ifPresent(
+              change -> {
+                log("leader.requested", "epoch=" + epochOf(election));
+                store.commit(change, ANSWER_MILLIS, answer -> {});
+              });
+    }
+  }
+
+  private static long epochOf(Row election) {
+    return Long.parseLong(election.text().split(" ", 2)[0]);
+  }
+
   /**
    * Returns whether the holder is an earlier process of this instance. That process has ended, so
    * its lease need not be waited out: after a loss of power everywhere this saves the whole wait.
@@ -188,12 +213,17 @@
 
   private void campaign(long leaseVersion) {
     Row election = rows.get(ELECTION);
-    long next = election == null ? 1 : Long.parseLong(election.text().split(" ", 2)[0]) + 1;
+    long next = election == null ? 1 : epochOf(election) + 1;
     Change change =
         new Change(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
             Map.of(
-                ELECTION, Payload.of(next + " " + self), LEASE, Payload.of(self + " " + renewals)),
+                ELECTION,
+                Payload.of(next + " " + self),
+                LEASE,
+                Payload.of(self + " " + renewals),
+                Succession.CAPACITY,
+                succession.taken()),
             List.of());
     long sent = timers.now().mono();
     store.commit(
@@ -241,7 +271,8 @@
     lease = new LeaderLease();
     lease.renewed(sent);
     log("leader.won", "epoch=" + epoch);
-    onWon.accept(won);
+    succession.began(rows);
+    listener.won(won);
     timers.after(RENEW_MILLIS, () -> renew(won));
   }
 
@@ -249,15 +280,19 @@
     if (!leading || epoch != term) {
       return;
     }
+    sendRenewal(term);
+    timers.after(RENEW_MILLIS, () -> renew(term));
+  }
+
+  private void sendRenewal(long term) {
     renewals++;
     Change change =
         new Change(
-            Map.of(ELECTION, electionVersion),
+            Map.of(ELECTION, electionVersion, Succession.REQUEST, succession.heardVersion()),
             Map.of(LEASE, Payload.of(self + " " + renewals)),
             List.of());
     long sent = timers.now().mono();
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
-    timers.after(RENEW_MILLIS, () -> renew(term));
   }
 
   private void renewed(long term, long sent, CommitAnswer answer) {
@@ -266,13 +301,46 @@
     }
     if (answer.outcome() == CommitAnswer.Outcome.DONE) {
       lease.renewed(sent);
+      makeWay();
     } else if (answer.outcome() == CommitAnswer.Outcome.CONFLICT) {
-      stepDown("another instance has taken over");
+      conflicted(term, answer);
     } else {
       log("leader.renewalFailed", answer.outcome().toString());
     }
   }
 
+  /**
+   * A renewal conflicts when another instance has taken over, and when one has asked for the lead.
+   */
+  private void conflicted(long term, CommitAnswer answer) {
+    if (answer.current(ELECTION).map(Row::version).orElse(0L) != electionVersion) {
+      stepDown("another instance has taken over");
+    } else if (succession.heard(term, answer.current(Succession.REQUEST))) {
+      makeWay();
+      if (leading) {
+        sendRenewal(term);
+      }
+    }
+  }
+
+  /**
+   * Gives the lead to a larger instance that asked for it. It has reached the store to ask; one
+   * whose data centre this leader does not reach may be cut off from most workers, and is not
+   * answered.
+   */
+  private void makeWay() {
+    succession
+        .heard()
+        .filter(request -> listener.reaches(request.dataCentre()))
+        .ifPresent(
+            request ->
+                handOver(
+                    "a larger instance asks",
+                    FREE,
+                    Succession.CAPACITY,
+                    request.capacity().text()));
+  }
+
   /** Ends this instance's term, if it leads, and watches the next leader. */
   void stepDown(String reason) {
     if (leading) {
@@ -285,7 +353,8 @@
     log("leader.lost", "epoch=" + epoch + " " + reason);
     leading = false;
     lease = new LeaderLease();
-    onLost.run();
+    succession.ended(timers.now().mono());
+    listener.lost();
   }
 
   /**
@@ -293,18 +362,22 @@
    * data centres: one nearby is probably cut off as well.
    */
   void handOver(String reason) {
+    handOver(reason, freeFor(dataCentre), Succession.REQUEST, epoch + " was cut off");
+  }
+
+  private void handOver(String reason, String text, RowKey also, String alsoText) {
     long now = timers.now().mono();
     if (leading && now - handedOverMillis >= HAND_OVER_GAP_MILLIS) {
       handedOverMillis = now;
       endTerm(reason);
-      giveBack(freeFor(dataCentre), answer -> timers.after(PAUSE_MILLIS, this::start));
+      Map<RowKey, Payload> writes = Map.of(LEASE, Payload.of(text), also, Payload.of(alsoText));
+      giveBack(writes, answer -> timers.after(PAUSE_MILLIS, this::start));
     }
   }
 
   /** Gives the lease back, unless another instance has taken over meanwhile. */
-  private void giveBack(String text, Consumer<CommitAnswer> done) {
-    Change change =
-        new Change(Map.of(ELECTION, electionVersion), Map.of(LEASE, Payload.of(text)), List.of());
+  private void giveBack(Map<RowKey, Payload> writes, Consumer<CommitAnswer> done) {
+    Change change = new Change(Map.of(ELECTION, electionVersion), writes, List.of());
     store.commit(change, ANSWER_MILLIS, done);
   }
 
@@ -316,7 +389,7 @@
       return;
     }
     leading = false;
-    giveBack(FREE, answer -> done.run());
+    giveBack(Map.of(LEASE, Payload.of(FREE)), answer -> done.run());
   }
 
   private void log(String event, String detail) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -16,25 +16,34 @@
   private static final Capacity SMALL = new Capacity(360, 10_000);
   private static final Capacity LARGE = new Capacity(1_500, 200_000);
 
-  private static final class Candidate {
+  private static final class Candidate implements Leadership.Listener {
     final VirtualTimers.View timers;
     final Leadership leadership;
     final List<String> events = new ArrayList<>();
     boolean reachesStore = true;
+    String hidden = "nowhere";
 
     Candidate(VirtualTimers time, FakeTableStore store, Instance instance, int life) {
       timers = time.process();
       TableStore seen = store.seenBy(timers, call -> reachesStore);
-      leadership =
-          new Leadership(
-              seen,
-              timers,
-              instance,
-              instance.name() + "/" + life,
-              epoch -> events.add("won " + epoch),
-              () -> events.add("lost"));
+      leadership = new Leadership(seen, timers, instance, instance.name() + "/" + life, this);
       leadership.start();
     }
+
+    @Override
+    public void won(long epoch) {
+      events.add("won " + epoch);
+    }
+
+    @Override
+    public void lost() {
+      events.add("lost");
+    }
+
+    @Override
+    public boolean reaches(String dataCentre) {
+      return !dataCentre.equals(hidden);
+    }
   }
 
   private static final class Lab {
@@ -268,5 +277,88 @@
       assertEquals(small.events, List.of("won 1", "lost"));
       assertEquals(large.events, List.of("won 2"));
     }
+
+    /**
+     * The last leader was large, and only small instances are left. One of them leads, later by the
+     * head start alone; were it to wait for larger ones, nobody would lead.
+     */
+    @Test
+    public void smallInstancesLeadWhenNoLargerOneLives() {
+      Lab lab = new Lab();
+      final Candidate first = with(lab, "a", "dc", LARGE);
+      lab.time.run(1_000);
+      final Candidate small = with(lab, "b", "dc", SMALL);
+      lab.time.run(3_000);
+      first.timers.killed = true;
+      lab.time.run(3_200);
+      assertTrue(small.leadership.leading());
+    }
+
+    /** Of equal instances none asks for the lead: the rows stay as the election wrote them. */
+    @Test
+    public void equalInstancesLeaveTheLeaderAlone() {
+      Lab lab = new Lab();
+      final Candidate first = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      with(lab, "b", "dc", SMALL);
+      lab.time.run(40_000);
+      assertEquals(first.events, List.of("won 1"));
+      assertFalse(lab.store.table(JobTables.LEADER).containsKey("request"));
+    }
+
+    /**
+     * A large instance asks from a data centre that the leader does not reach. Given the lead, it
+     * might reach the store and few workers. It gets the lead once the cut has healed.
+     */
+    @Test
+    public void keepsTheLeadFromInstancesThatMayBeCutOff() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "open", SMALL);
+      lab.time.run(1_000);
+      small.hidden = "cut";
+      final Candidate large = with(lab, "b", "cut", LARGE);
+      lab.time.run(5_000);
+      assertEquals(small.events, List.of("won 1"));
+      small.hidden = "nowhere";
+      lab.time.run(1_500);
+      assertTrue(large.leadership.leading());
+    }
+
+    /**
+     * A large leader was cut off and gave the lead away; only a small instance lives elsewhere.
+     * Were the lead asked back at once, it would come and go for as long as the cut lasts.
+     */
+    @Test
+    public void doesNotAskSoonAfterLeadersWereCutOff() {
+      Lab lab = new Lab();
+      Candidate large = with(lab, "a", "cut", LARGE);
+      lab.time.run(1_000);
+      final Candidate small = with(lab, "b", "open", SMALL);
+      lab.time.run(1_000);
+      large.leadership.handOver("cut off");
+      with(lab, "c", "cut", LARGE);
+      lab.time.run(25_000);
+      assertEquals(small.events, List.of("won 2"));
+      lab.time.run(10_000);
+      assertEquals(small.events, List.of("won 2", "lost"));
+    }
+
+    /**
+     * A small leader makes way, and the instance that asked dies before it has the lead. Another
+     * one leads soon, the old leader if need be.
+     */
+    @Test
+    public void leadsAgainWhenTheInstanceThatAskedHasDied() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      small.hidden = "dc";
+      Candidate large = with(lab, "b", "dc", LARGE);
+      lab.time.run(1_000);
+      large.timers.killed = true;
+      small.hidden = "nowhere";
+      lab.time.run(2_000);
+      assertEquals(small.events, List.of("won 1", "lost", "won 2"));
+    }
   }
 }
