--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.peer.Payload;
 import org.testng.annotations.Test;
@@ -14,26 +15,37 @@
 /** Tests of the election of a leader through the store. */
 public class LeadershipTest {
 
-  private static final class Candidate {
+  private static final Capacity SMALL = new Capacity(360, 10_000);
+  private static final Capacity LARGE = new Capacity(1_500, 200_000);
+
+  private static final class Candidate implements Leadership.Listener {
     final VirtualTimers.View timers;
     final Leadership leadership;
     final List<String> events = new ArrayList<>();
     boolean reachesStore = true;
+    String hidden = "nowhere";
 
-    Candidate(VirtualTimers time, FakeTableStore store, String name, int life, String dataCentre) {
+    Candidate(VirtualTimers time, FakeTableStore store, Instance instance, int life) {
       timers = time.process();
       TableStore seen = store.seenBy(timers, call -> reachesStore);
-      leadership =
-          new Leadership(
-              seen,
-              timers,
-              name,
-              name + "/" + life,
-              dataCentre,
-              epoch -> events.add("won " + epoch),
-              () -> events.add("lost"));
+      leadership = new Leadership(seen, timers, instance, instance.name() + "/" + life, this);
       leadership.start();
     }
+
+    @Override
+    public void won(long epoch) {
+      events.add("won " + epoch);
+    }
+
+    @Override
+    public void lost() {
+      events.add("lost");
+    }
+
+    @Override
+    public boolean reaches(String dataCentre) {
+      return !dataCentre.equals(hidden);
+    }
   }
 
   private static final class Lab {
@@ -45,7 +57,11 @@
     }
 
     Candidate candidate(String name, int life, String dataCentre) {
-      return new Candidate(time, store, name, life, dataCentre);
+      return candidate(new Instance(name, dataCentre, SMALL), life);
+    }
+
+    Candidate candidate(Instance instance, int life) {
+      return new Candidate(time, store, instance, life);
     }
   }
 
@@ -263,4 +279,133 @@
       assertTrue(second.leadership.leading());
     }
   }
+
+  /** Instances of different sizes. */
+  public static class Sizes {
+
+    private static Candidate with(Lab lab, String name, String dataCentre, Capacity capacity) {
+      return lab.candidate(new Instance(name, dataCentre, capacity), 1);
+    }
+
+    /**
+     * The leader, a large instance, is killed. Small ones and a large one watch the lease; the
+     * large one leads next. A small one would read the open jobs for seconds, start too little
+     * meanwhile, and could lose the lease under the load.
+     */
+    @Test
+    public void largerInstancesLeadNext() {
+      for (int round = 0; round < 20; round++) {
+        Lab lab = new Lab();
+        final Candidate first = with(lab, "a", "dc", LARGE);
+        lab.time.run(1_000);
+        with(lab, "b", "dc", SMALL);
+        final Candidate large = with(lab, "c", "dc", LARGE);
+        lab.time.run(3_000);
+        first.timers.killed = true;
+        lab.time.run(3_500);
+        assertTrue(large.leadership.leading());
+        assertEquals(large.events, List.of("won 2"));
+      }
+    }
+
+    /**
+     * A small instance leads since no other lived. A large one starts, and soon has the lead: what
+     * the small one cannot carry would wait until its term ends some day.
+     */
+    @Test
+    public void smallLeadersMakeWayForLargerInstances() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      Candidate large = with(lab, "b", "dc", LARGE);
+      lab.time.run(2_000);
+      assertTrue(large.leadership.leading());
+      lab.time.run(40_000);
+      assertEquals(small.events, List.of("won 1", "lost"));
+      assertEquals(large.events, List.of("won 2"));
+    }
+
+    /**
+     * The last leader was large, and only small instances are left. One of them leads, later by the
+     * head start alone; were it to wait for larger ones, nobody would lead.
+     */
+    @Test
+    public void smallInstancesLeadWhenNoLargerOneLives() {
+      Lab lab = new Lab();
+      final Candidate first = with(lab, "a", "dc", LARGE);
+      lab.time.run(1_000);
+      final Candidate small = with(lab, "b", "dc", SMALL);
+      lab.time.run(3_000);
+      first.timers.killed = true;
+      lab.time.run(3_200);
+      assertTrue(small.leadership.leading());
+    }
+
+    /** Of equal instances none asks for the lead: the rows stay as the election wrote them. */
+    @Test
+    public void equalInstancesLeaveTheLeaderAlone() {
+      Lab lab = new Lab();
+      final Candidate first = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      with(lab, "b", "dc", SMALL);
+      lab.time.run(40_000);
+      assertEquals(first.events, List.of("won 1"));
+      assertFalse(lab.store.table(JobTables.LEADER).containsKey("request"));
+    }
+
+    /**
+     * A large instance asks from a data centre that the leader does not reach. Given the lead, it
+     * might reach the store and few workers. It gets the lead once the cut has healed.
+     */
+    @Test
+    public void keepsTheLeadFromInstancesThatMayBeCutOff() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "open", SMALL);
+      lab.time.run(1_000);
+      small.hidden = "cut";
+      final Candidate large = with(lab, "b", "cut", LARGE);
+      lab.time.run(5_000);
+      assertEquals(small.events, List.of("won 1"));
+      small.hidden = "nowhere";
+      lab.time.run(1_500);
+      assertTrue(large.leadership.leading());
+    }
+
+    /**
+     * A large leader was cut off and gave the lead away; only a small instance lives elsewhere.
+     * Were the lead asked back at once, it would come and go for as long as the cut lasts.
+     */
+    @Test
+    public void doesNotAskSoonAfterLeadersWereCutOff() {
+      Lab lab = new Lab();
+      Candidate large = with(lab, "a", "cut", LARGE);
+      lab.time.run(1_000);
+      final Candidate small = with(lab, "b", "open", SMALL);
+      lab.time.run(1_000);
+      large.leadership.handOver("cut off");
+      with(lab, "c", "cut", LARGE);
+      lab.time.run(25_000);
+      assertEquals(small.events, List.of("won 2"));
+      lab.time.run(10_000);
+      assertEquals(small.events, List.of("won 2", "lost"));
+    }
+
+    /**
+     * A small leader makes way, and the instance that asked dies before it has the lead. Another
+     * one leads soon, the old leader if need be.
+     */
+    @Test
+    public void leadsAgainWhenTheInstanceThatAskedHasDied() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      small.hidden = "dc";
+      Candidate large = with(lab, "b", "dc", LARGE);
+      lab.time.run(1_000);
+      large.timers.killed = true;
+      small.hidden = "nowhere";
+      lab.time.run(2_000);
+      assertEquals(small.events, List.of("won 1", "lost", "won 2"));
+    }
+  }
 }
