A worker with a run that nobody wants is not idle

Cause: a new leader finds a run of a job that is no more. A stop of such a run goes out again only when a look shows the run once more; with an end on that worker that is not stored yet the next look waits for the save, and Fleet.tick took the worker for idle since nothing is placed there. With the store away and the first stop lost, the run went on for 5 s (JobTiming.idleLookMillis). Ruled out: looking at all idle workers more often, since each look is priced and the case needs none of it.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -65,7 +65,9 @@
       term.workers.remove(worker.info.id());
       return;
     }
-    boolean idle = worker.placed.isEmpty() && !outOfTouch;
+    // A stop of a run that nobody wants goes out again only after a look that shows the run. Were
+    // the worker idle then, a cancelled job's run would outlive a lost stop by seconds.
+    boolean idle = worker.placed.isEmpty() && worker.strays.isEmpty() && !outOfTouch;
     long gap = idle ? term.timing.idleLookMillis() : term.timing.lookAgainMillis();
     if (!worker.looking && term.now.mono() - worker.lookedMillis >= gap) {
       orders.look(worker, 0);
--- a/core/src/test/java/org/cottontack/core/job/LateOrdersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateOrdersTest.java
@@ -175,6 +175,8 @@
   /** How often a leader looks at workers on which a run may begin that nobody wants. */
   public static class Looking {
 
+    private static final TaskName GONE = TaskName.parse("gone.0.0.0");
+
     /**
      * A start and all stops after it are unanswered, and the job is cancelled. As long as the start
      * may still be carried out the worker is no idle one: it is looked at all the time, so that a
@@ -199,6 +201,36 @@
     private static int looks(JobLab lab) {
       return (int) lab.seen.stream().filter(JobEffect.LookAtWorker.class::isInstance).count();
     }
+
+    /**
+     * A new leader finds a run of a job that is no more, beside an end that it cannot store since
+     * the store went away. Its first stop is lost. The worker counted as idle, and was looked at,
+     * and the stop sent again, only 5 s later.
+     */
+    @Test
+    public void unwantedRunsKeepWorkersFromBeingIdle() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(300);
+      lab.leaderDies();
+      lab.run(1_000);
+      worker.start(order(lab, worker), lab.epoch, lab.now, 60_000, new Resources(1_000, 1, 0));
+      lab.storeAway = true;
+      long good = lab.now + 500;
+      lab.lost = effect -> effect instanceof JobEffect.StopRun && lab.now < good;
+      final Watch watch = new Watch(lab);
+      watch.cancelled.add(GONE.job());
+      lab.takeOver();
+      watch.run(10_000);
+      assertTrue(watch.longestMillis < BEARABLE_MILLIS, "ran for " + watch.longestMillis);
+    }
+
+    private static JobEffect.StartRun order(JobLab lab, LabWorker worker) {
+      WorkerInfo info = worker.info;
+      RunKey run = new RunKey(GONE, 1);
+      return new JobEffect.StartRun(info.id(), info.address(), run, "", lab.now + 9_000, "");
+    }
   }
 
   /** Days on which any order may be late. */
