Count inherited leases by the store's clock

After a loss of all instances the next leader saw the lease row for the first time 1.5 to 3 s after the renewal in it, and counted the leases of workers that it cannot reach from then: what lasted on a worker lost at the same moment was away for up to 12 s. Ruled out: believing our own clock (it says nothing of a time before the process began). Change: the row names the latest time that the store's clock can have shown when it was sent; answers about rows tell that clock. The next leader takes the earlier of that and of its own first sight. Conclusion: the wait is the same however late a process looks.

--- a/core/src/main/java/org/cottontack/core/job/LeaderLease.java
+++ b/core/src/main/java/org/cottontack/core/job/LeaderLease.java
@@ -80,14 +80,18 @@
     return renewal;
   }
 
-  /** Returns whether we may place and start work. */
+  /**
+   * Returns whether we may place and start work. By the steady clock alone a leader that was
+   * suspended through a takeover would go on as if its renewal were fresh, give leases that outlast
+   * the wait of the next one, and tasks would run twice; so the time of day counts as well.
+   */
   public boolean mayStart(Moment now) {
-    return age(renewal, now) < LEASE_MILLIS;
+    return now.longestSince(renewal) < LEASE_MILLIS;
   }
 
   /** Returns whether we may renew the leases of runs. */
   public boolean mayRenew(Moment now) {
-    return age(renewal, now) < GRANT_MILLIS;
+    return now.longestSince(renewal) < GRANT_MILLIS;
   }
 
   /**
@@ -97,16 +101,6 @@
    * @param now the time
    */
   static long grantEnd(Moment renewal, Moment now) {
-    return now.mono() + GRANT_MILLIS - age(renewal, now);
-  }
-
-  /**
-   * The steady clock stands still while an instance is suspended, and the time of day goes on. By
-   * the steady clock alone a leader that slept through a takeover would go on as if its renewal
-   * were fresh, give leases that outlast the wait of the next one, and tasks would run twice. A
-   * time of day that was set forward costs no more than a pause until the next renewal.
-   */
-  private static long age(Moment renewal, Moment now) {
-    return Math.max(now.mono() - renewal.mono(), now.wall() - renewal.wall());
+    return now.mono() + GRANT_MILLIS - now.longestSince(renewal);
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
@@ -9,8 +9,9 @@
  * @param outcome how it ended
  * @param version the version of the rows written, when done
  * @param current the expected rows as they are, after a conflict
+ * @param storeMillis the store's steady clock when it answered, in milliseconds; 0 when unknown
  */
-public record CommitAnswer(Outcome outcome, long version, List<Row> current) {
+public record CommitAnswer(Outcome outcome, long version, List<Row> current, long storeMillis) {
 
   /** How a transaction ends. */
   public enum Outcome {
@@ -31,7 +32,7 @@
 
   /** Returns an answer without rows. */
   public static CommitAnswer of(Outcome outcome) {
-    return new CommitAnswer(outcome, 0, List.of());
+    return new CommitAnswer(outcome, 0, List.of(), 0);
   }
 
   /** Returns a row as it stood at the time of the conflict. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -69,6 +69,7 @@
   private long handedOverMillis = Long.MIN_VALUE / 2;
   private long renewals;
   private long inheritedLapseMillis;
+  private final StoreClock clock = new StoreClock();
 
   /** What an election is about; called on the event loop. */
   interface Listener {
@@ -104,6 +105,7 @@
     if (stopped) {
       return;
     }
+    Moment asked = timers.now();
     store.scan(
         JobTables.LEADER,
         ELECTION.part(),
@@ -113,6 +115,7 @@
             timers.after(PAUSE_MILLIS, this::start);
             return;
           }
+          clock.told(asked, timers.now(), scan.storeMillis());
           take(scan.rows());
           position = scan.version();
           decide();
@@ -220,8 +223,7 @@
     Row election = rows.get(ELECTION);
     long next = election == null ? 1 : epochOf(election) + 1;
     // The transaction holds only if nobody renewed after the row as we know it.
-    long grant = leaseVersion == 0 ? 0 : LeaseText.parse(rows.get(LEASE).text()).grantMillis();
-    inheritedLapseMillis = lease.changedMillis() + grant;
+    inheritedLapseMillis = leaseVersion == 0 ? 0 : lapse(LeaseText.parse(rows.get(LEASE).text()));
     Change change =
         new Change(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
@@ -247,6 +249,20 @@
         });
   }
 
+  /**
+   * Returns the steady time at which all leases of the holder's workers have ended: counted from
+   * when the row was written, as far as the store's clock tells, at the latest from when we saw it
+   * first. A process that began after the holder's death saw the row late.
+   */
+  private long lapse(LeaseText text) {
+    long seen = lease.changedMillis() + text.grantMillis();
+    if (text.sentMillis() == 0) {
+      return seen;
+    }
+    long stated = clock.reached(text.sentMillis() + text.grantMillis()).orElse(seen);
+    return Math.min(seen, stated);
+  }
+
   /** A takeover whose answer was lost may still be in the store. */
   private void afterLost(long next, Moment sent) {
     store.scan(
@@ -307,6 +323,7 @@
     if (!leading || epoch != term) {
       return;
     }
+    clock.told(sent, timers.now(), answer.storeMillis());
     if (answer.outcome() == CommitAnswer.Outcome.DONE) {
       lease.renewed(sent);
       makeWay();
@@ -381,11 +398,11 @@
   }
 
   private Payload held() {
-    return Payload.of(LeaseText.held(self, renewals, grantMillis()));
+    return Payload.of(LeaseText.held(self, renewals, grantMillis(), clock.latest(timers.now())));
   }
 
   private Payload free(String cutOff) {
-    return Payload.of(LeaseText.free(cutOff, grantMillis()));
+    return Payload.of(LeaseText.free(cutOff, grantMillis(), clock.latest(timers.now())));
   }
 
   /** Leases that an earlier leader of another version gave may outlast ours. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
@@ -1,22 +1,30 @@
 package org.cottontack.daemon.job;
 
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+
 /**
  * The text of the lease row in the store: words parted by spaces. A holder writes its name, a
- * number that changes with each renewal, and its grants; a lease that was given back begins with
- * {@value #FREE} and may name a data centre.
+ * number that changes with each renewal, how long its grants last and when it wrote; a lease that
+ * was given back begins with {@value #FREE} and may name a data centre.
  *
  * @param holder the incarnation that holds the lease; empty when nobody does
  * @param cutOff the data centre whose leader gave the lease back because it was cut off, or empty
  * @param grantMillis how long after the holder's last renewal the leases may last that it gave to
  *     workers
+ * @param sentMillis a time on the store's clock at which the row had been sent already; 0 when the
+ *     writer did not know it
  */
-record LeaseText(String holder, String cutOff, long grantMillis) {
+record LeaseText(String holder, String cutOff, long grantMillis, long sentMillis) {
 
   /** What a row holds that does not say how long its writer's grants last: 5.5 s and 9 s of old. */
   static final long UNSTATED_GRANT_MILLIS = 14_500;
 
   private static final String FREE = "free";
   private static final String NOWHERE = "-";
+  private static final int GRANT = 2;
+  private static final int SENT = 3;
+  private static final Pattern NUMBER = Pattern.compile("\\d{1,15}");
 
   static LeaseText parse(String text) {
     String[] words = text.split(" ", -1);
@@ -25,22 +33,25 @@
     return new LeaseText(
         free ? "" : words[0],
         free && !second.equals(NOWHERE) ? second : "",
-        words.length > 2 ? grant(words[2]) : UNSTATED_GRANT_MILLIS);
+        number(words, GRANT, UNSTATED_GRANT_MILLIS),
+        number(words, SENT, 0));
   }
 
   /** A text of another version may say more or less; the longest wait is always safe. */
-  private static long grant(String word) {
-    return word.matches("\\d{1,9}") ? Long.parseLong(word) : UNSTATED_GRANT_MILLIS;
+  private static long number(String[] words, int at, long otherwise) {
+    boolean stated = words.length > at && NUMBER.matcher(words[at]).matches();
+    return stated ? Long.parseLong(words[at]) : otherwise;
   }
 
   /** Returns the text of a holder's renewal. */
-  static String held(String holder, long renewals, long grantMillis) {
-    return holder + " " + renewals + " " + grantMillis;
+  static String held(String holder, long renewals, long grantMillis, OptionalLong sentMillis) {
+    return holder + " " + renewals + " " + grantMillis + " " + sentMillis.orElse(0);
   }
 
   /** Returns the text of a lease given back, of no data centre or of one that was cut off. */
-  static String free(String cutOff, long grantMillis) {
-    return FREE + " " + (cutOff.isEmpty() ? NOWHERE : cutOff) + " " + grantMillis;
+  static String free(String cutOff, long grantMillis, OptionalLong sentMillis) {
+    String where = cutOff.isEmpty() ? NOWHERE : cutOff;
+    return FREE + " " + where + " " + grantMillis + " " + sentMillis.orElse(0);
   }
 
   /** Returns whether nobody holds the lease; a holder's name may begin with the same word. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
@@ -24,11 +24,12 @@
    * @param answered false when the store gave no answer
    * @param rows the rows, by key
    * @param version the newest version of the store when the rows were read
+   * @param storeMillis the store's steady clock when it answered, in milliseconds; 0 when unknown
    */
-  record Scan(boolean answered, List<Row> rows, long version) {
+  record Scan(boolean answered, List<Row> rows, long version, long storeMillis) {
 
     /** No answer. */
-    public static final Scan FAILED = new Scan(false, List.of(), 0);
+    public static final Scan FAILED = new Scan(false, List.of(), 0, 0);
 
     /** Keeps the list immutable. */
     public Scan {
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -113,7 +113,8 @@
                           .filter(row -> row.at().part().equals(part))
                           .filter(row -> row.key().startsWith(prefix))
                           .toList(),
-                      version)));
+                      version,
+                      clock())));
     }
 
     @Override
@@ -148,13 +149,21 @@
     if (!holds) {
       List<Row> current = change.expected().keySet().stream().map(rows::get).toList();
       return new CommitAnswer(
-          CommitAnswer.Outcome.CONFLICT, 0, current.stream().filter(Objects::nonNull).toList());
+          CommitAnswer.Outcome.CONFLICT,
+          0,
+          current.stream().filter(Objects::nonNull).toList(),
+          clock());
     }
     version++;
     change.writes().forEach((at, value) -> put(new Row(at, value, version, false)));
     change.removals().forEach(at -> put(new Row(at, Payload.EMPTY, version, true)));
     List.copyOf(waiting).forEach(this::tell);
-    return new CommitAnswer(CommitAnswer.Outcome.DONE, version, List.of());
+    return new CommitAnswer(CommitAnswer.Outcome.DONE, version, List.of(), clock());
+  }
+
+  /** The store's own steady clock: it began long before the instances. */
+  private long clock() {
+    return 7_000_000 + self.now().mono();
   }
 
   private long versionOf(RowKey at) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -142,6 +142,26 @@
       assertTrue(lapse >= death - 500 + LeaderLease.GRANT_MILLIS, "after " + (lapse - death));
     }
 
+    /**
+     * All instances are killed, and one is back 3 s later. It counts inherited leases from the dead
+     * leader's last renewal, by the store's clock, and not from its own first look.
+     */
+    @Test
+    public void countsInheritedLeasesFromBeforeItsOwnLife() {
+      Lab lab = new Lab();
+      Candidate first = lab.candidate("a", 1);
+      lab.time.run(4_000);
+      first.timers.killed = true;
+      final long death = lab.time.process().now().mono();
+      lab.time.run(3_000);
+      Candidate next = lab.candidate("b", 1);
+      lab.time.run(4_000);
+      assertTrue(next.leadership.leading());
+      long lapse = next.leadership.inheritedLapseMillis();
+      assertTrue(lapse <= death + LeaderLease.GRANT_MILLIS + 20, "after " + (lapse - death));
+      assertTrue(lapse >= death - 500 + LeaderLease.GRANT_MILLIS, "after " + (lapse - death));
+    }
+
     /**
      * A leader of an older version, whose leases last longer and whose row does not say so, is
      * replaced. Its successor and the next one wait for its leases all the same.
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaseTextTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaseTextTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.OptionalLong;
 import org.testng.annotations.Test;
 
 /** Tests of what the lease row says. */
@@ -14,17 +15,18 @@
 
     @Test
     public void readsWhatItsHolderWrote() {
-      LeaseText read = LeaseText.parse(LeaseText.held("a/1", 3, 8_500));
-      assertEquals(read, new LeaseText("a/1", "", 8_500));
+      LeaseText read = LeaseText.parse(LeaseText.held("a/1", 3, 8_500, OptionalLong.of(77)));
+      assertEquals(read, new LeaseText("a/1", "", 8_500, 77));
       assertFalse(read.isFree());
     }
 
     @Test
     public void readsWhoGaveItBack() {
-      LeaseText cut = LeaseText.parse(LeaseText.free("sofia-1", 8_500));
-      assertEquals(cut, new LeaseText("", "sofia-1", 8_500));
+      LeaseText cut = LeaseText.parse(LeaseText.free("sofia-1", 8_500, OptionalLong.of(77)));
+      assertEquals(cut, new LeaseText("", "sofia-1", 8_500, 77));
       assertTrue(cut.isFree());
-      assertEquals(LeaseText.parse(LeaseText.free("", 9_000)), new LeaseText("", "", 9_000));
+      LeaseText left = LeaseText.parse(LeaseText.free("", 9_000, OptionalLong.empty()));
+      assertEquals(left, new LeaseText("", "", 9_000, 0));
     }
   }
 
@@ -34,11 +36,11 @@
     @Test
     public void waitsLongestWhereNothingIsSaid() {
       long longest = LeaseText.UNSTATED_GRANT_MILLIS;
-      assertEquals(LeaseText.parse("a/1 3"), new LeaseText("a/1", "", longest));
-      assertEquals(LeaseText.parse("free"), new LeaseText("", "", longest));
-      assertEquals(LeaseText.parse("free dc"), new LeaseText("", "dc", longest));
-      assertEquals(LeaseText.parse("a/1 3 soon"), new LeaseText("a/1", "", longest));
-      assertEquals(LeaseText.parse(""), new LeaseText("", "", longest));
+      assertEquals(LeaseText.parse("a/1 3"), new LeaseText("a/1", "", longest, 0));
+      assertEquals(LeaseText.parse("free"), new LeaseText("", "", longest, 0));
+      assertEquals(LeaseText.parse("free dc"), new LeaseText("", "dc", longest, 0));
+      assertEquals(LeaseText.parse("a/1 3 soon"), new LeaseText("a/1", "", longest, 0));
+      assertEquals(LeaseText.parse(""), new LeaseText("", "", longest, 0));
     }
 
     @Test
