--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -211,8 +211,8 @@
 
   private void tick() {
     if (!stopped) {
-      post(new JobEvent.Tick(leadership.renewal()));
       timers.after(TICK_MILLIS, this::tick);
+      post(new JobEvent.Tick(leadership.renewal()));
     }
   }
 
