A request outlives its leader; leaders make way while they take over

Change: small instances stand back also for who asked the last leader in vain; a request keeps others quiet in its own term only, and the row says when a leader gave the lead away, which keeps all quiet as before; a leader that has not begun makes way at once, as any election does without knowing who reaches which workers. Ruled out: a longer stand-back (the large ones were turned away for 2.8 s); waiting until the new leader has heard of its workers (3 to 5 s on a small one, in which nothing starts). Tests: standsBackForInstancesThatAskedInVain, asksAgainInTheNextTerm and makesWayWhileTakingOver failed on the commit before and pass.

--- a/core/src/main/java/org/cottontack/core/job/Candidacy.java
+++ b/core/src/main/java/org/cottontack/core/job/Candidacy.java
@@ -15,13 +15,17 @@
   private final Capacity own;
   private final long gapMillis;
   private long requestVersion;
+  private long requestEpoch;
+  private long requestUntilMillis;
+  private long handOverVersion;
   private long quietUntilMillis = Long.MIN_VALUE;
 
   /**
    * Creates the candidacy of an instance that has seen no request for the lead.
    *
    * @param own what the instance has for leading
-   * @param gapMillis least time from a request, a hand-over or an own term to the next request
+   * @param gapMillis least time from a hand-over, an own term, or a request in the same term to the
+   *     next request
    */
   public Candidacy(Capacity own, long gapMillis) {
     this.own = own;
@@ -29,23 +33,43 @@
   }
 
   /**
-   * Returns how long this instance leaves a free lead to others, in milliseconds. It goes by the
-   * last leader: where no larger instance is left, that wait is paid once.
+   * Returns how long this instance leaves a free lead to another, in milliseconds. The other is the
+   * last leader, or who asked it for the lead: where no larger instance is left, the wait is paid
+   * once.
    */
-  public long standBackMillis(Capacity lastLeader) {
-    return lastLeader.clearlyLargerThan(own) ? STAND_BACK_MILLIS : 0;
+  public long standBackMillis(Capacity other) {
+    return other.clearlyLargerThan(own) ? STAND_BACK_MILLIS : 0;
   }
 
   /**
-   * Takes in a look at the row that changes with each request for the lead and each hand-over of a
-   * leader that was cut off.
+   * Takes in a request that lies in the store.
    *
    * @param nowMillis our steady clock
-   * @param version the row's version, 0 while there is none
+   * @param version its version
+   * @param epoch the term that it holds for
    */
-  public void observed(long nowMillis, long version) {
+  public void requested(long nowMillis, long version, long epoch) {
     if (version != requestVersion) {
       requestVersion = version;
+      asking(nowMillis, epoch);
+    }
+  }
+
+  /** Takes in that this instance asks for the lead in a term. */
+  public void asking(long nowMillis, long epoch) {
+    requestEpoch = epoch;
+    requestUntilMillis = nowMillis + gapMillis;
+  }
+
+  /**
+   * Takes in a hand-over that lies in the store.
+   *
+   * @param nowMillis our steady clock
+   * @param version its version
+   */
+  public void handedOver(long nowMillis, long version) {
+    if (version != handOverVersion) {
+      handOverVersion = version;
       keepQuiet(nowMillis);
     }
   }
@@ -53,14 +77,21 @@
   /**
    * Asks for nothing for a while. An instance that has just lost the lead would get it back, lose
    * it again for the same reason, and each change stops all starts: nothing would run for most of
-   * the time. The same holds for one that was not answered.
+   * the time.
    */
   public void keepQuiet(long nowMillis) {
     quietUntilMillis = nowMillis + gapMillis;
   }
 
-  /** Returns whether this instance should ask for the lead. */
-  public boolean mayAsk(long nowMillis, Capacity leader) {
-    return nowMillis >= quietUntilMillis && own.clearlyLargerThan(leader);
+  /**
+   * Returns whether this instance should ask for the lead.
+   *
+   * @param nowMillis our steady clock
+   * @param epoch the leader's term; one request a term is enough, and a new leader has none yet
+   * @param leader what the leader has
+   */
+  public boolean mayAsk(long nowMillis, long epoch, Capacity leader) {
+    boolean asked = epoch == requestEpoch && nowMillis < requestUntilMillis;
+    return !asked && nowMillis >= quietUntilMillis && own.clearlyLargerThan(leader);
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/CandidacyTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CandidacyTest.java
@@ -62,22 +62,32 @@
 
     @Test
     public void asksSmallerLeadersOnly() {
-      assertTrue(new Candidacy(LARGE, GAP).mayAsk(0, SMALL));
-      assertFalse(new Candidacy(LARGE, GAP).mayAsk(0, LARGE));
-      assertFalse(new Candidacy(SMALL, GAP).mayAsk(0, LARGE));
+      assertTrue(new Candidacy(LARGE, GAP).mayAsk(0, 1, SMALL));
+      assertFalse(new Candidacy(LARGE, GAP).mayAsk(0, 1, LARGE));
+      assertFalse(new Candidacy(SMALL, GAP).mayAsk(0, 1, LARGE));
     }
 
     /**
-     * Another instance has asked, or a leader gave the lead away: one change of leader is enough.
+     * Another instance has asked the leader of this term; the next leader has not been asked yet.
      */
     @Test
-    public void keepsQuietAfterOthersHaveAsked() {
+    public void keepsQuietAfterOthersHaveAskedInTheSameTerm() {
       Candidacy large = new Candidacy(LARGE, GAP);
-      large.observed(0, 0);
-      large.observed(1_000, 7);
-      large.observed(20_000, 7);
-      assertFalse(large.mayAsk(1_000 + GAP - 1, SMALL));
-      assertTrue(large.mayAsk(1_000 + GAP, SMALL));
+      large.requested(1_000, 7, 3);
+      large.requested(20_000, 7, 3);
+      assertFalse(large.mayAsk(1_000 + GAP - 1, 3, SMALL));
+      assertTrue(large.mayAsk(1_000, 4, SMALL));
+      assertTrue(large.mayAsk(1_000 + GAP, 3, SMALL));
+    }
+
+    /** A leader gave the lead away: for a while one change of leader is enough, in any term. */
+    @Test
+    public void keepsQuietAfterLeadersHaveHandedOver() {
+      Candidacy large = new Candidacy(LARGE, GAP);
+      large.handedOver(1_000, 7);
+      large.handedOver(20_000, 7);
+      assertFalse(large.mayAsk(1_000 + GAP - 1, 4, SMALL));
+      assertTrue(large.mayAsk(1_000 + GAP, 4, SMALL));
     }
 
     /**
@@ -85,11 +95,11 @@
      * and forth for as long as the reason lasts.
      */
     @Test
-    public void keepsQuietAfterAnOwnTerm() {
+    public void keepsQuietAfterTermsOfItsOwn() {
       Candidacy large = new Candidacy(LARGE, GAP);
       large.keepQuiet(1_000);
-      assertFalse(large.mayAsk(1_000 + GAP - 1, SMALL));
-      assertTrue(large.mayAsk(1_000 + GAP, SMALL));
+      assertFalse(large.mayAsk(1_000 + GAP - 1, 4, SMALL));
+      assertTrue(large.mayAsk(1_000 + GAP, 4, SMALL));
     }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ReachTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ReachTest.java
@@ -41,25 +41,29 @@
     return Reach.reaches(Stream.concat(here.stream(), there.stream()).toList(), THERE);
   }
 
-  /**
-   * A data centre is cut off. Its instances may reach the store and ask for the lead; the leader,
-   * whom none or few of the workers there answer, keeps it.
-   */
-  @Test
-  public void doesNotReachWhereMostAreSilent() {
-    assertFalse(reaches(workers("there", 1, 4, 0)));
-    assertTrue(reaches(workers("there", 4, 1, 0)));
-  }
+  /** Data centres beside the leader's own. */
+  public static class Others {
 
-  /** A new leader has asked and has no answers yet: it cannot tell who is cut off. */
-  @Test
-  public void doesNotReachWhomItHasNotHeard() {
-    assertFalse(reaches(workers("there", 0, 0, 5)));
-  }
+    /**
+     * A data centre is cut off. Its instances may reach the store and ask for the lead; the leader,
+     * whom none or few of the workers there answer, keeps it.
+     */
+    @Test
+    public void doesNotReachWhereMostAreSilent() {
+      assertFalse(reaches(workers("there", 1, 4, 0)));
+      assertTrue(reaches(workers("there", 4, 1, 0)));
+    }
+
+    /** A new leader has asked and has no answers yet: it cannot tell who is cut off. */
+    @Test
+    public void doesNotReachWhomItHasNotHeard() {
+      assertFalse(reaches(workers("there", 0, 0, 5)));
+    }
 
-  /** Instances may live where no worker is. */
-  @Test
-  public void reachesWhereThereIsNobody() {
-    assertTrue(reaches(List.of()));
+    /** Instances may live where no worker is. */
+    @Test
+    public void reachesWhereThereIsNobody() {
+      assertTrue(reaches(List.of()));
+    }
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -92,9 +92,12 @@
     return epoch;
   }
 
-  /** Returns whether this leader knows that it reaches most workers of a data centre. */
+  /**
+   * Returns whether this leader reaches most workers of a data centre. While it takes over it asks
+   * none, and says yes: a small instance needs seconds for that, in which nothing starts.
+   */
   boolean reaches(String dataCentre) {
-    return scheduler != null && scheduler.reaches(new DataCentreId(dataCentre));
+    return scheduler == null || scheduler.reaches(new DataCentreId(dataCentre));
   }
 
   void start() {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -77,7 +77,10 @@
     /** A term ended before this process does. */
     void lost();
 
-    /** Returns whether this leader reaches most workers of a data centre, and knows it. */
+    /**
+     * Returns whether this leader reaches most workers of a data centre. One that has not begun
+     * knows as little of that as any election, and says yes.
+     */
     boolean reaches(String dataCentre);
   }
 
@@ -149,7 +152,9 @@
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
       boolean cutOff = held != null && held.text().equals(freeFor(dataCentre));
       long wait = (open ? spread / 10 : spread) + (cutOff ? HEAD_START_MILLIS : 0);
-      long last = wait + succession.standBackMillis(rows);
+      Row election = rows.get(ELECTION);
+      long last =
+          wait + (election == null ? 0 : succession.standBackMillis(rows, epochOf(election)));
       timers.after(last, () -> campaign(held == null ? 0 : held.version()));
     } else {
       askForLead();
@@ -336,9 +341,13 @@
             request ->
                 handOver(
                     "a larger instance asks",
-                    FREE,
-                    Succession.CAPACITY,
-                    request.capacity().text()));
+                    Map.of(
+                        LEASE,
+                        Payload.of(FREE),
+                        Succession.CAPACITY,
+                        Payload.of(request.capacity().text()),
+                        Succession.REQUEST,
+                        Succession.handedOver(epoch))));
   }
 
   /** Ends this instance's term, if it leads, and watches the next leader. */
@@ -362,15 +371,20 @@
    * data centres: one nearby is probably cut off as well.
    */
   void handOver(String reason) {
-    handOver(reason, freeFor(dataCentre), Succession.REQUEST, epoch + " was cut off");
+    handOver(
+        reason,
+        Map.of(
+            LEASE,
+            Payload.of(freeFor(dataCentre)),
+            Succession.REQUEST,
+            Succession.handedOver(epoch)));
   }
 
-  private void handOver(String reason, String text, RowKey also, String alsoText) {
+  private void handOver(String reason, Map<RowKey, Payload> writes) {
     long now = timers.now().mono();
     if (leading && now - handedOverMillis >= HAND_OVER_GAP_MILLIS) {
       handedOverMillis = now;
       endTerm(reason);
-      Map<RowKey, Payload> writes = Map.of(LEASE, Payload.of(text), also, Payload.of(alsoText));
       giveBack(writes, answer -> timers.after(PAUSE_MILLIS, this::start));
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.cottontack.core.job.Candidacy;
 import org.cottontack.core.job.Capacity;
 import org.cottontack.core.peer.Payload;
@@ -16,7 +17,10 @@
   /** What the leader has; written with each takeover, and for the next one when it makes way. */
   static final RowKey CAPACITY = new RowKey(JobTables.LEADER, "leader", "capacity");
 
-  /** Who asked last; each renewal expects it unchanged, so that the leader hears of a change. */
+  /**
+   * Who asked last, or that a leader gave the lead away since. Each renewal expects it unchanged:
+   * so the leader hears of a request, and no renewal under way takes back what was given.
+   */
   static final RowKey REQUEST = new RowKey(JobTables.LEADER, "leader", "request");
 
   private static final int PARTS = 4;
@@ -68,12 +72,31 @@
 
   /** Takes in the rows as they are watched. */
   void observed(long nowMillis, Map<RowKey, Row> rows) {
-    candidacy.observed(nowMillis, version(rows.get(REQUEST)));
+    Row row = rows.get(REQUEST);
+    if (row != null) {
+      request(rows)
+          .ifPresentOrElse(
+              request -> candidacy.requested(nowMillis, row.version(), request.epoch()),
+              () -> candidacy.handedOver(nowMillis, row.version()));
+    }
   }
 
-  /** Returns how long to leave a free lead to larger instances, in milliseconds. */
-  long standBackMillis(Map<RowKey, Row> rows) {
-    return capacity(rows.get(CAPACITY)).map(candidacy::standBackMillis).orElse(0L);
+  private static Optional<Request> request(Map<RowKey, Row> rows) {
+    return Optional.ofNullable(rows.get(REQUEST)).map(Row::text).flatMap(Request::parse);
+  }
+
+  /**
+   * Returns how long to leave a free lead to larger instances, in milliseconds: the last leader,
+   * and one that asked it in vain.
+   */
+  long standBackMillis(Map<RowKey, Row> rows, long epoch) {
+    Optional<Capacity> asked =
+        request(rows).filter(request -> request.epoch() == epoch).map(Request::capacity);
+    return Stream.of(capacity(rows.get(CAPACITY)), asked)
+        .flatMap(Optional::stream)
+        .mapToLong(candidacy::standBackMillis)
+        .max()
+        .orElse(0);
   }
 
   /** Returns what a takeover writes. */
@@ -92,10 +115,10 @@
     Row held = rows.get(CAPACITY);
     // Another version of the product that took over has not written the row, and hears no requests.
     boolean hears = held != null && held.version() == election.version();
-    if (!hears || capacity(held).filter(own -> candidacy.mayAsk(nowMillis, own)).isEmpty()) {
+    if (!hears || !mayAsk(nowMillis, epoch, held)) {
       return Optional.empty();
     }
-    candidacy.keepQuiet(nowMillis);
+    candidacy.asking(nowMillis, epoch);
     Request request = new Request(epoch, instance.capacity(), instance.dataCentre());
     return Optional.of(
         new Change(
@@ -104,6 +127,10 @@
             List.of()));
   }
 
+  private boolean mayAsk(long nowMillis, long epoch, Row held) {
+    return capacity(held).filter(leader -> candidacy.mayAsk(nowMillis, epoch, leader)).isPresent();
+  }
+
   private static Optional<Capacity> capacity(Row row) {
     return Optional.ofNullable(row).map(Row::text).flatMap(Capacity::parse);
   }
@@ -142,6 +169,11 @@
     return heard;
   }
 
+  /** Returns what a leader writes that gives the lead away; it is no request. */
+  static Payload handedOver(long epoch) {
+    return Payload.of(epoch + " handed over");
+  }
+
   /** Ends a term. */
   void ended(long nowMillis) {
     heard = Optional.empty();
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
 import org.cottontack.core.job.JobId;
@@ -257,4 +258,43 @@
       assertEquals(lab.entry.leadingEpoch(), 1);
     }
   }
+
+  /** Larger instances that ask for the lead. */
+  public static class MakingWay {
+
+    private static final class Asking implements Leadership.Listener {
+      final List<Long> won = new ArrayList<>();
+
+      @Override
+      public void won(long epoch) {
+        won.add(epoch);
+      }
+
+      @Override
+      public void lost() {}
+
+      @Override
+      public boolean reaches(String dataCentre) {
+        return true;
+      }
+    }
+
+    /**
+     * A leader still reads the open jobs when a larger instance asks it for the lead. It makes way
+     * at once: to read on would take a small one seconds, in which nothing starts.
+     */
+    @Test
+    public void makesWayWhileTakingOver() {
+      Lab lab = new Lab();
+      lab.hidden = "scan " + JobTables.PROGRESS;
+      lab.restart();
+      Asking large = new Asking();
+      VirtualTimers.View process = lab.time.process();
+      Instance instance = new Instance("large", "dc", new Capacity(4_000, 400_000));
+      TableStore store = lab.store.seenBy(process, call -> true);
+      new Leadership(store, process, instance, "large/1", large).start();
+      lab.time.run(1_500);
+      assertEquals(large.won, List.of(3L));
+    }
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -360,5 +360,44 @@
       lab.time.run(2_000);
       assertEquals(small.events, List.of("won 1", "lost", "won 2"));
     }
+
+    /**
+     * A large instance has asked a small leader, which dies before it answers. Small instances
+     * leave the next term to large ones; one of them would only be asked again.
+     */
+    @Test
+    public void standsBackForInstancesThatAskedInVain() {
+      for (int round = 0; round < 20; round++) {
+        Lab lab = new Lab();
+        final Candidate first = with(lab, "a", "dc", SMALL);
+        lab.time.run(1_000);
+        first.hidden = "dc";
+        final Candidate large = with(lab, "b", "dc", LARGE);
+        with(lab, "c", "dc", SMALL);
+        lab.time.run(3_000);
+        first.timers.killed = true;
+        lab.time.run(3_500);
+        assertEquals(large.events, List.of("won 2"));
+      }
+    }
+
+    /**
+     * A small leader has not answered a request when its process ends; its next life leads at once.
+     * It is asked anew: the request on file was for the term before.
+     */
+    @Test
+    public void asksAgainInTheNextTerm() {
+      Lab lab = new Lab();
+      final Candidate small = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      small.hidden = "dc";
+      final Candidate large = with(lab, "b", "dc", LARGE);
+      lab.time.run(2_000);
+      small.timers.killed = true;
+      Candidate next = lab.candidate(new Instance("a", "dc", SMALL), 2);
+      lab.time.run(2_500);
+      assertEquals(next.events, List.of("won 2", "lost"));
+      assertEquals(large.events, List.of("won 3"));
+    }
   }
 }
