--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -57,7 +57,7 @@
 
   void tick(Worker worker) {
     boolean outOfTouch = worker.silent || !worker.heard;
-    noteWait(worker, outOfTouch);
+    noteWait(worker);
     if (outOfTouch && term.now.mono() > worker.lapsedMillis()) {
       lapsed(worker);
     }
@@ -65,7 +65,9 @@
       term.workers.remove(worker.info.id());
       return;
     }
-    boolean idle = worker.placed.isEmpty() && !outOfTouch;
+    // A stop of a run that nobody wants goes out again only after a look that shows the run. Were
+    // the worker idle then, a cancelled job's run would outlive a lost stop by seconds.
+    boolean idle = worker.placed.isEmpty() && worker.strays.isEmpty() && !outOfTouch;
     long gap = idle ? term.timing.idleLookMillis() : term.timing.lookAgainMillis();
     if (!worker.looking && term.now.mono() - worker.lookedMillis >= gap) {
       orders.look(worker, 0);
@@ -84,8 +86,8 @@
   }
 
   /** Says once how long the tasks of a worker out of touch have to wait for its leases to end. */
-  private void noteWait(Worker worker, boolean outOfTouch) {
-    boolean waits = outOfTouch && !worker.placed.isEmpty();
+  private void noteWait(Worker worker) {
+    boolean waits = (worker.silent || !worker.info.reachable()) && !worker.placed.isEmpty();
     if (waits && !worker.awaited) {
       String detail =
           "runs=%d registered=%s leasesEndInMillis=%d"
@@ -99,7 +101,7 @@
   /**
    * Moves a task that lasts off a worker that is about to leave. Were the leader to change just
    * after it left, the next one would wait out the leases of a worker that it never reached, and
-   * the task would be away for 15 s. One at a time, and only when none waits already: a task that
+   * the task would be away for 9 s. One at a time, and only when none waits already: a task that
    * finds no room elsewhere is better off where it is.
    */
   private void evacuate(Worker worker) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -3,11 +3,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.Moment;
 import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.peer.Payload;
 
@@ -43,7 +45,6 @@
 
   private static final RowKey ELECTION = new RowKey(JobTables.LEADER, "leader", "election");
   private static final RowKey LEASE = new RowKey(JobTables.LEADER, "leader", "lease");
-  private static final String FREE = "free";
 
   /**
    * Head start of other data centres when a leader gives the lead away because it was cut off, in
@@ -67,6 +68,8 @@
   private long electionVersion;
   private long handedOverMillis = Long.MIN_VALUE / 2;
   private long renewals;
+  private long inheritedLapseMillis;
+  private final StoreClock clock = new StoreClock();
 
   /** What an election is about; called on the event loop. */
   interface Listener {
@@ -105,6 +108,7 @@
     if (stopped) {
       return;
     }
+    Moment asked = timers.now();
     store.scan(
         JobTables.LEADER,
         ELECTION.part(),
@@ -114,6 +118,7 @@
             timers.after(PAUSE_MILLIS, this::start);
             return;
           }
+          clock.told(asked, timers.now(), scan.storeMillis());
           take(scan.rows());
           position = scan.version();
           decide();
@@ -126,11 +131,24 @@
   }
 
   boolean mayStart() {
-    return leading && lease.mayStart(timers.now().mono());
+    return leading && lease.mayStart(timers.now());
   }
 
   boolean mayRenew() {
-    return leading && lease.mayRenew(timers.now().mono());
+    return leading && lease.mayRenew(timers.now());
+  }
+
+  /** Returns when the last renewal of this term that is in the store was sent. */
+  Moment renewal() {
+    return lease.renewal();
+  }
+
+  /**
+   * Returns the steady time, in milliseconds, at which all leases have ended that earlier leaders
+   * gave to workers: none lasts longer than its giver's last renewal allows.
+   */
+  long inheritedLapseMillis() {
+    return inheritedLapseMillis;
   }
 
   private void take(List<Row> news) {
@@ -146,11 +164,11 @@
     if (held != null) {
       lease.observed(timers.now().mono(), held.version());
     }
-    boolean free = held == null || givenBack(held.text());
-    boolean open = free || heldByOurLastLife(held.text());
+    Optional<LeaseText> text = Optional.ofNullable(held).map(row -> LeaseText.parse(row.text()));
+    boolean open = text.isEmpty() || text.get().isFree() || heldByOurLastLife(text.get().holder());
     if (open || lease.lapsed(0)) {
       long spread = ThreadLocalRandom.current().nextLong(SPREAD_MILLIS);
-      boolean cutOff = held != null && held.text().equals(freeFor(dataCentre));
+      boolean cutOff = text.isPresent() && text.get().cutOff().equals(dataCentre);
       long wait = (open ? spread / 10 : spread) + (cutOff ? HEAD_START_MILLIS : 0);
       Row election = rows.get(ELECTION);
       long last =
@@ -187,16 +205,6 @@
     return holder.startsWith(name + "/") && !holder.startsWith(self);
   }
 
-  /** Returns the lease's text after its holder, in a data centre, was cut off. */
-  private static String freeFor(String dataCentre) {
-    return FREE + " " + dataCentre;
-  }
-
-  /** Returns whether nobody holds the lease; a holder's name may begin with the same word. */
-  private static boolean givenBack(String text) {
-    return text.equals(FREE) || text.startsWith(freeFor(""));
-  }
-
   private void watch() {
     store.follow(
         JobTables.LEADER,
@@ -219,6 +227,8 @@
   private void campaign(long leaseVersion) {
     Row election = rows.get(ELECTION);
     long next = election == null ? 1 : epochOf(election) + 1;
+    // The transaction holds only if nobody renewed after the row as we know it.
+    inheritedLapseMillis = leaseVersion == 0 ? 0 : lapse(LeaseText.parse(rows.get(LEASE).text()));
     Change change =
         new Change(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
@@ -226,11 +236,11 @@
                 ELECTION,
                 Payload.of(next + " " + self),
                 LEASE,
-                Payload.of(self + " " + renewals),
+                held(),
                 Succession.CAPACITY,
                 succession.taken()),
             List.of());
-    long sent = timers.now().mono();
+    Moment sent = timers.now();
     store.commit(
         change,
         ANSWER_MILLIS,
@@ -244,8 +254,22 @@
         });
   }
 
+  /**
+   * Returns the steady time at which all leases of the holder's workers have ended: counted from
+   * when the row was written, as far as the store's clock tells, at the latest from when we saw it
+   * first. A process that began after the holder's death saw the row late.
+   */
+  private long lapse(LeaseText text) {
+    long seen = lease.changedMillis() + text.grantMillis();
+    if (text.sentMillis() == 0) {
+      return seen;
+    }
+    long stated = clock.reached(text.sentMillis() + text.grantMillis()).orElse(seen);
+    return Math.min(seen, stated);
+  }
+
   /** A takeover whose answer was lost may still be in the store. */
-  private void afterLost(long next, long sent) {
+  private void afterLost(long next, Moment sent) {
     store.scan(
         JobTables.LEADER,
         ELECTION.part(),
@@ -266,7 +290,7 @@
         });
   }
 
-  private void won(long won, long version, long sent) {
+  private void won(long won, long version, Moment sent) {
     if (stopped) {
       return;
     }
@@ -294,16 +318,17 @@
     Change change =
         new Change(
             Map.of(ELECTION, electionVersion, Succession.REQUEST, succession.heardVersion()),
-            Map.of(LEASE, Payload.of(self + " " + renewals)),
+            Map.of(LEASE, held()),
             List.of());
-    long sent = timers.now().mono();
+    Moment sent = timers.now();
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
   }
 
-  private void renewed(long term, long sent, CommitAnswer answer) {
+  private void renewed(long term, Moment sent, CommitAnswer answer) {
     if (!leading || epoch != term) {
       return;
     }
+    clock.told(sent, timers.now(), answer.storeMillis());
     if (answer.outcome() == CommitAnswer.Outcome.DONE) {
       lease.renewed(sent);
       makeWay();
@@ -343,7 +368,7 @@
                     "a larger instance asks",
                     Map.of(
                         LEASE,
-                        Payload.of(FREE),
+                        free(""),
                         Succession.CAPACITY,
                         Payload.of(request.capacity().text()),
                         Succession.REQUEST,
@@ -372,12 +397,7 @@
    */
   void handOver(String reason) {
     handOver(
-        reason,
-        Map.of(
-            LEASE,
-            Payload.of(freeFor(dataCentre)),
-            Succession.REQUEST,
-            Succession.handedOver(epoch)));
+        reason, Map.of(LEASE, free(dataCentre), Succession.REQUEST, Succession.handedOver(epoch)));
   }
 
   private void handOver(String reason, Map<RowKey, Payload> writes) {
@@ -389,6 +409,19 @@
     }
   }
 
+  private Payload held() {
+    return Payload.of(LeaseText.held(self, renewals, grantMillis(), clock.latest(timers.now())));
+  }
+
+  private Payload free(String cutOff) {
+    return Payload.of(LeaseText.free(cutOff, grantMillis(), clock.latest(timers.now())));
+  }
+
+  /** Leases that an earlier leader of another version gave may outlast ours. */
+  private long grantMillis() {
+    return Math.max(LeaderLease.GRANT_MILLIS, inheritedLapseMillis - timers.now().mono());
+  }
+
   /** Gives the lease back, unless another instance has taken over meanwhile. */
   private void giveBack(Map<RowKey, Payload> writes, Consumer<CommitAnswer> done) {
     Change change = new Change(Map.of(ELECTION, electionVersion), writes, List.of());
@@ -403,7 +436,7 @@
       return;
     }
     leading = false;
-    giveBack(Map.of(LEASE, Payload.of(FREE)), answer -> done.run());
+    giveBack(Map.of(LEASE, free("")), answer -> done.run());
   }
 
   private void log(String event, String detail) {
