--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -87,15 +87,14 @@
 
   /** Says once how long the tasks of a worker out of touch have to wait for its leases to end. */
   private void noteWait(Worker worker) {
-    boolean waits = (worker.silent || !worker.info.reachable()) && !worker.placed.isEmpty();
-    if (waits && !worker.awaited) {
+    if (worker.awaited() && !worker.awaitNoted) {
       String detail =
           "runs=%d registered=%s leasesEndInMillis=%d"
               .formatted(
                   worker.placed.size(), worker.registered, worker.lapsedMillis() - term.now.mono());
       term.note("worker.awaited", worker.info.id(), detail);
     }
-    worker.awaited = waits;
+    worker.awaitNoted = worker.awaited();
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -80,9 +80,14 @@
     return term.out;
   }
 
-  /** Returns whether this leader reaches most workers of a data centre. */
-  public boolean reaches(DataCentreId dataCentre) {
-    return Reach.reaches(term.workers.values(), dataCentre);
+  /**
+   * Returns whether an instance of a data centre may lead in place of this one: it is on our side
+   * of any partition, and no tasks wait for the leases of a worker out of touch to end. The next
+   * leader would begin that wait anew, from this one's last renewal.
+   */
+  public boolean mayMakeWay(DataCentreId dataCentre) {
+    return Reach.reaches(term.workers.values(), dataCentre)
+        && term.workers.values().stream().noneMatch(Worker::awaited);
   }
 
   private void apply(JobEvent event) {
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -8,6 +8,12 @@
  */
 final class Orders {
 
+  /**
+   * Least lease of a run that starts, in milliseconds: over the longest wait for the next look at
+   * its worker, 2 s, and for a takeover after that.
+   */
+  private static final long LEAST_START_LEASE_MILLIS = 5_500;
+
   private final Term term;
 
   Orders(Term term) {
@@ -45,10 +51,20 @@
             worker.info.address(),
             task.key(),
             task.job.spec.payload(),
-            worker.clock.leaseEnd(term.grantEndMillis()),
+            worker.clock.leaseEnd(startLeaseEnd(worker)),
             task.checkpoint));
   }
 
+  /**
+   * Returns the end, on our clock, of the lease that a start brings: that of the last look, while
+   * it lasts. Orders to a worker that is lost, sent before that is noticed, would otherwise put off
+   * the end of its leases, by 0.9 s in a replay, and with it the return of all that ran there.
+   */
+  private long startLeaseEnd(Worker worker) {
+    long given = worker.clock.allLapsedMillis();
+    return given - term.now.mono() > LEAST_START_LEASE_MILLIS ? given : term.grantEndMillis();
+  }
+
   void stop(Worker worker, RunKey run) {
     Long last = worker.stopsSent.get(run);
     if (worker.info.reachable()
@@ -147,7 +163,8 @@
     // A worker that does not answer may still receive this. Were its leases renewed as well, they
     // would never be sure to have ended, and its tasks would wait for it for ever.
     boolean renew = worker.clock.known() && !worker.silent;
-    long leaseEnd = renew ? worker.clock.leaseEnd(term.grantEndMillis()) : 0;
+    long until = term.grantEndMillis();
+    long leaseEnd = renew && until > term.now.mono() ? worker.clock.leaseEnd(until) : 0;
     term.out.add(
         new JobEffect.LookAtWorker(
             worker.info.id(), worker.info.address(), leaseEnd, worker.acknowledgedEnd, waitMillis));
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -25,6 +25,15 @@
    */
   private static final int MOST_DOUBLINGS = 3;
 
+  /** What clocks of instances and of the store may differ by in a lease, in milliseconds. */
+  private static final long LAPSE_MARGIN_MILLIS = 100;
+
+  /**
+   * Age from which on failures are forgotten, in milliseconds: twice the longest pause. Lasting
+   * tasks are never done, so where only they run nothing else would ever clear a worker.
+   */
+  private static final long FAILURES_KEPT_MILLIS = 32_000;
+
   WorkerInfo info;
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
@@ -37,12 +46,13 @@
   boolean heard;
   boolean silent;
   boolean looking;
-  boolean awaited;
+  boolean awaitNoted;
   long pacedMillis;
   long lookedMillis = Long.MIN_VALUE / 2;
   long avoidUntilMillis;
   private final long inheritedLapseMillis;
   private final Set<JobId> failedJobs = new HashSet<>();
+  private long failedMillis;
   long seenEnd;
   long acknowledgedEnd;
   Resources used = Resources.NONE;
@@ -69,6 +79,10 @@
    * doubles.
    */
   void failed(JobId job, long nowMillis) {
+    if (nowMillis - failedMillis > FAILURES_KEPT_MILLIS) {
+      failedJobs.clear();
+    }
+    failedMillis = nowMillis;
     if (failedJobs.add(job) && failedJobs.size() >= FAILED_JOBS) {
       int doublings = Math.min(failedJobs.size() - FAILED_JOBS, MOST_DOUBLINGS);
       avoidUntilMillis = Math.max(avoidUntilMillis, nowMillis + (FIRST_PAUSE_MILLIS << doublings));
@@ -94,7 +108,12 @@
 
   /** Returns when all leases, our own and those of leaders before us, have certainly ended. */
   long lapsedMillis() {
-    return Math.max(clock.allLapsedMillis(), inheritedLapseMillis);
+    return Math.max(clock.allLapsedMillis(), inheritedLapseMillis) + LAPSE_MARGIN_MILLIS;
+  }
+
+  /** Returns whether tasks here wait until the leases of this worker, out of touch, have ended. */
+  boolean awaited() {
+    return (silent || !info.reachable()) && !placed.isEmpty();
   }
 
   /** Returns what decides whether one more task that fills may join. */
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.cottontack.core.Moment;
+import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
 
 /**
@@ -267,6 +268,11 @@
         });
   }
 
+  /** Returns whether the leader may give the lead to an instance of a data centre. */
+  boolean mayMakeWay(String dataCentre) {
+    return leader.mayMakeWay(new DataCentreId(dataCentre));
+  }
+
   JobPhase phase(JobId job) {
     String progress = stored.get(job);
     return progress == null ? JobPhase.QUEUED : ProgressText.phase(progress);
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -4,6 +4,7 @@
 import static org.cottontack.core.job.JobFixtures.lab;
 import static org.cottontack.core.job.JobFixtures.step;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -126,6 +127,53 @@
       assertTrue(other.runs(TASK));
     }
 
+    private static long millisAway(boolean busy) {
+      LabWorker first = new LabWorker("w1", 64);
+      LabWorker second = new LabWorker("w2", 64);
+      JobLab lab = withLastingTask(first, second);
+      final LabWorker lost = holder(first, second);
+      final LabWorker other = lost == first ? second : first;
+      lab.workMillis = 200;
+      lab.run(5_000);
+      lost.dead = true;
+      final long from = lab.now;
+      for (int i = 0; !other.runs(TASK) && lab.now < from + 20_000; i++) {
+        if (busy && i % 5 == 0) {
+          lab.submit(job("b" + i, step(4, 2, List.of())));
+        }
+        lab.run(10);
+      }
+      return lab.now - from;
+    }
+
+    /**
+     * A worker is lost and gets orders until that is noticed, 0.9 s later. They reach nobody, but
+     * each brought a lease that might have: callers saw the lasting task there away for 0.9 s more.
+     */
+    @Test
+    public void ordersToLostWorkersDoNotLengthenTheWait() {
+      long calm = millisAway(false);
+      long busy = millisAway(true);
+      assertTrue(busy <= calm + 100, "calm " + calm + ", busy " + busy);
+    }
+
+    /**
+     * A worker is lost, and a larger instance asks for the lead. It would count the leases of that
+     * worker anew, from the last renewal of this leader; so it gets the lead once they have ended.
+     */
+    @Test
+    public void keepsTheLeadWhileLeasesOfLostWorkersLast() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = withLastingTask(first, second);
+      assertTrue(lab.mayMakeWay("dc"));
+      holder(first, second).dead = true;
+      lab.run(1_500);
+      assertFalse(lab.mayMakeWay("dc"));
+      lab.run(9_000);
+      assertTrue(lab.mayMakeWay("dc"));
+    }
+
     /** Logs tell for how long the tasks of a worker that nobody reaches have to wait. */
     @Test
     public void saysHowLongTasksOfLostWorkersWait() {
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -105,8 +105,8 @@
     }
 
     @Override
-    public boolean reaches(String dataCentre) {
-      return leader != null && leader.reaches(dataCentre);
+    public boolean mayMakeWay(String dataCentre) {
+      return leader != null && leader.mayMakeWay(dataCentre);
     }
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -93,11 +93,12 @@
   }
 
   /**
-   * Returns whether this leader reaches most workers of a data centre. While it takes over it asks
-   * none, and says yes: a small instance needs seconds for that, in which nothing starts.
+   * Returns whether nothing speaks against an instance of a data centre leading in place of this
+   * one. While it takes over it asks no worker, and says yes: a small instance needs seconds for
+   * that, in which nothing starts.
    */
-  boolean reaches(String dataCentre) {
-    return scheduler == null || scheduler.reaches(new DataCentreId(dataCentre));
+  boolean mayMakeWay(String dataCentre) {
+    return scheduler == null || scheduler.mayMakeWay(new DataCentreId(dataCentre));
   }
 
   void start() {
@@ -169,6 +170,7 @@
   }
 
   private void begin(ProgressStore.Found found) {
+    leadership.begin();
     final Map<JobId, String> progress = found.jobs();
     JobScheduler made =
         new JobScheduler(
@@ -299,11 +301,7 @@
 
   private void look(JobEffect.LookAtWorker look) {
     long sent = timers.now().mono();
-    workers.look(
-        look,
-        epoch,
-        () -> !stopped && leadership.mayRenew(),
-        answer -> post(lookEnded(look, sent, answer)));
+    workers.look(look, epoch, () -> !stopped, answer -> post(lookEnded(look, sent, answer)));
   }
 
   private JobEvent lookEnded(JobEffect.LookAtWorker look, long sent, WorkerCalls.Look answer) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -67,7 +68,12 @@
   private long epoch;
   private long electionVersion;
   private long handedOverMillis = Long.MIN_VALUE / 2;
+  private boolean begun;
   private long renewals;
+  private long leaseVersion;
+  private boolean leaseKnown;
+  private long campaignEpoch;
+  private Moment campaignSent;
   private long inheritedLapseMillis;
   private final StoreClock clock = new StoreClock();
 
@@ -81,10 +87,10 @@
     void lost();
 
     /**
-     * Returns whether this leader reaches most workers of a data centre. One that has not begun
-     * knows as little of that as any election, and says yes.
+     * Returns whether nothing speaks against an instance of a data centre leading in place of this
+     * one. A leader that has not begun knows as little of that as any election, and says yes.
      */
-    boolean reaches(String dataCentre);
+    boolean mayMakeWay(String dataCentre);
   }
 
   /**
@@ -134,8 +140,9 @@
     return leading && lease.mayStart(timers.now());
   }
 
-  boolean mayRenew() {
-    return leading && lease.mayRenew(timers.now());
+  /** Takes in that from now on this leader gives leases to workers. */
+  void begin() {
+    begun = true;
   }
 
   /** Returns when the last renewal of this term that is in the store was sent. */
@@ -227,6 +234,14 @@
   private void campaign(long leaseVersion) {
     Row election = rows.get(ELECTION);
     long next = election == null ? 1 : epochOf(election) + 1;
+    // All attempts at an epoch write the same name. One that is found in the store may be the
+    // first,
+    // and a lease counted from the last would outlive what other instances wait for.
+    if (next != campaignEpoch) {
+      campaignEpoch = next;
+      campaignSent = timers.now();
+    }
+    final Moment sent = campaignSent;
     // The transaction holds only if nobody renewed after the row as we know it.
     inheritedLapseMillis = leaseVersion == 0 ? 0 : lapse(LeaseText.parse(rows.get(LEASE).text()));
     Change change =
@@ -236,11 +251,10 @@
                 ELECTION,
                 Payload.of(next + " " + self),
                 LEASE,
-                held(),
+                held(sent, clock.latest(sent)),
                 Succession.CAPACITY,
                 succession.taken()),
             List.of());
-    Moment sent = timers.now();
     store.commit(
         change,
         ANSWER_MILLIS,
@@ -295,8 +309,11 @@
       return;
     }
     leading = true;
+    begun = false;
     epoch = won;
     electionVersion = version;
+    leaseVersion = version;
+    leaseKnown = true;
     lease = new LeaderLease();
     lease.renewed(sent);
     log("leader.won", "epoch=" + epoch);
@@ -315,12 +332,20 @@
 
   private void sendRenewal(long term) {
     renewals++;
-    Change change =
-        new Change(
-            Map.of(ELECTION, electionVersion, Succession.REQUEST, succession.heardVersion()),
-            Map.of(LEASE, held()),
-            List.of());
-    Moment sent = timers.now();
+    final Moment sent = timers.now();
+    Map<RowKey, Long> expected = new HashMap<>();
+    expected.put(ELECTION, electionVersion);
+    expected.put(Succession.REQUEST, succession.heardVersion());
+    // An unanswered copy that is carried out late would put its old time over a newer one, and the
+    // next leader would not wait for all leases. So a renewal says its time only where it expects
+    // the row as our last one left it; any other says none.
+    boolean stated = leaseKnown;
+    if (stated) {
+      expected.put(LEASE, leaseVersion);
+    }
+    leaseKnown = false;
+    Payload text = held(sent, stated ? clock.latest(sent) : OptionalLong.empty());
+    Change change = new Change(expected, Map.of(LEASE, text), List.of());
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, sent, answer));
   }
 
@@ -331,6 +356,8 @@
     clock.told(sent, timers.now(), answer.storeMillis());
     if (answer.outcome() == CommitAnswer.Outcome.DONE) {
       lease.renewed(sent);
+      leaseVersion = Math.max(leaseVersion, answer.version());
+      leaseKnown = true;
       makeWay();
     } else if (answer.outcome() == CommitAnswer.Outcome.CONFLICT) {
       conflicted(term, answer);
@@ -350,6 +377,9 @@
       if (leading) {
         sendRenewal(term);
       }
+    } else {
+      // Only the lease row differs, by a late copy of ours. Sent again it expects nothing of it.
+      sendRenewal(term);
     }
   }
 
@@ -361,7 +391,7 @@
   private void makeWay() {
     succession
         .heard()
-        .filter(request -> listener.reaches(request.dataCentre()))
+        .filter(request -> listener.mayMakeWay(request.dataCentre()))
         .ifPresent(
             request ->
                 handOver(
@@ -409,17 +439,26 @@
     }
   }
 
-  private Payload held() {
-    return Payload.of(LeaseText.held(self, renewals, grantMillis(), clock.latest(timers.now())));
+  private Payload held(Moment sent, OptionalLong sentMillis) {
+    long grant = Math.max(LeaderLease.GRANT_MILLIS, inheritedMillis(sent));
+    return Payload.of(LeaseText.held(self, renewals, grant, sentMillis));
   }
 
+  /**
+   * A leader that has not begun has given no leases itself. Were its short term counted like any
+   * other, making way at once would begin the wait for lost workers anew: their lasting tasks were
+   * away for 12 s after the death of the leader before, in place of 8.5 s.
+   */
   private Payload free(String cutOff) {
-    return Payload.of(LeaseText.free(cutOff, grantMillis(), clock.latest(timers.now())));
+    Moment now = timers.now();
+    long own = begun ? LeaderLease.GRANT_MILLIS : 0;
+    long grant = Math.max(own, inheritedMillis(now));
+    return Payload.of(LeaseText.free(cutOff, grant, clock.latest(now)));
   }
 
-  /** Leases that an earlier leader of another version gave may outlast ours. */
-  private long grantMillis() {
-    return Math.max(LeaderLease.GRANT_MILLIS, inheritedLapseMillis - timers.now().mono());
+  /** Returns how long leases may still last that leaders before this one gave. */
+  private long inheritedMillis(Moment now) {
+    return inheritedLapseMillis - now.mono();
   }
 
   /** Gives the lease back, unless another instance has taken over meanwhile. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
@@ -22,6 +22,10 @@
 
   private static final String FREE = "free";
   private static final String NOWHERE = "-";
+
+  /** Holds the lease that cannot be read: taken for nobody, it would lose the lead at once. */
+  private static final String UNKNOWN = "?";
+
   private static final int GRANT = 2;
   private static final int SENT = 3;
   private static final Pattern NUMBER = Pattern.compile("\\d{1,15}");
@@ -31,7 +35,7 @@
     boolean free = words[0].equals(FREE);
     String second = words.length > 1 ? words[1] : NOWHERE;
     return new LeaseText(
-        free ? "" : words[0],
+        free ? "" : words[0].isEmpty() ? UNKNOWN : words[0],
         free && !second.equals(NOWHERE) ? second : "",
         number(words, GRANT, UNSTATED_GRANT_MILLIS),
         number(words, SENT, 0));
