A request for the lead that cannot be read ends no watch

Cause: a row in the place of requests whose first word is no number threw in the middle of watching the lease; the instance would have watched no more, and never led. Found by reading. Test: watchesOnBesideRowsThatCannotBeRead failed (NumberFormatException) and passes. Nothing else changed; nothing measured.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
@@ -36,7 +36,9 @@
 
     private static Optional<Request> parse(String text) {
       String[] parts = text.split(" ", PARTS);
-      if (parts.length < PARTS) {
+      // Others may write here. A row that ended the watch would keep this instance from ever
+      // leading.
+      if (parts.length < PARTS || !parts[0].matches("\\d{1,18}")) {
         return Optional.empty();
       }
       return Capacity.parse(parts[1] + " " + parts[2])
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeadershipTest.java
@@ -509,5 +509,26 @@
       assertEquals(next.events, List.of("won 2", "lost"));
       assertEquals(large.events, List.of("won 3"));
     }
+
+    /**
+     * A row beside the lease holds what no instance can have written there. The watch goes on, and
+     * an instance leads when the leader dies; were it to end, nobody would ever lead again.
+     */
+    @Test
+    public void watchesOnBesideRowsThatCannotBeRead() {
+      Lab lab = new Lab();
+      final Candidate first = with(lab, "a", "dc", SMALL);
+      lab.time.run(1_000);
+      final Candidate next = with(lab, "b", "dc", LARGE);
+      Map<RowKey, Payload> odd =
+          Map.of(
+              Succession.REQUEST, Payload.of("x 1 2 dc"), Succession.CAPACITY, Payload.of("x 1"));
+      TableStore other = lab.store.seenBy(lab.time.process(), call -> true);
+      other.commit(new Change(Map.of(), odd, List.of()), 1_000, answer -> {});
+      lab.time.run(3_000);
+      first.timers.killed = true;
+      lab.time.run(3_500);
+      assertEquals(next.events, List.of("won 2"));
+    }
   }
 }
