Answer callers at once while the store is away, and ask a slow one once

Cause: an instance that cannot reach the store held a submission through three connection attempts of 1 s or waits of 0.4, 0.8 and 1.6 s, and said "not stored" or "unknown" after 3.1 s, when the caller had no time left for another instance. A store that was 34 times slower was asked again after 0.4 s; each copy took a turn of its partition, which does some four transactions a second then, and kept other callers' jobs out.

Ruled out: callers that do not come back (they do, 0.1 s after "unknown" and 0.9 s after "not stored, come back in 1 s", while their 3 s last).

Change: all calls to the store go through WatchedStore, which knows whether the store serves this instance (no answer for 0.7 s while one is due: away) and how long recent answers took. While it is away callers are refused at once, nothing having been sent; a call under way is answered "unknown" as soon as that is known; readiness goes off. A late call is repeated after four times what recent answers took, the first copy being waited for beside it. Removals of waiting rows wait for the last one of their partition. Progress is saved with the same patience.

Tests: a cut for 12 s with a caller each 100 ms, and a store that does two transactions a second in a partition.

--- a/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
@@ -30,6 +30,11 @@
     current = List.copyOf(current);
   }
 
+  /** Returns whether the store took the transaction up; a refusal may come from nearer by. */
+  public boolean served() {
+    return outcome == Outcome.DONE || outcome == Outcome.CONFLICT;
+  }
+
   /** Returns an answer without rows. */
   public static CommitAnswer of(Outcome outcome) {
     return new CommitAnswer(outcome, 0, List.of(), 0);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -32,14 +32,17 @@
   /** Time kept back for the way of the answer to the caller, in milliseconds. */
   private static final long ANSWER_MILLIS = 150;
 
-  /** First wait for an answer of the store, in milliseconds: some 20 times its usual answer. */
-  private static final long FIRST_WAIT_MILLIS = 400;
+  /** Time between two looks at a call that has no answer, in milliseconds. */
+  private static final long LOOK_MILLIS = 100;
 
-  /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
-  private static final long LONGEST_WAIT_MILLIS = 2_000;
+  /**
+   * Time after which a call without an answer makes us ask whether the store answers at all, in
+   * milliseconds: a read takes as long at a store that is 60 times slower than usual.
+   */
+  private static final long PROBE_MILLIS = 250;
 
-  /** Pause before a refused call is made again, in milliseconds. */
-  private static final long REFUSED_PAUSE_MILLIS = 60;
+  /** Pause before a call that was refused or broken off is made again, in milliseconds. */
+  private static final long PAUSE_MILLIS = 60;
 
   /** Tries of a call that the store refuses each time before the caller is told so. */
   private static final int REFUSED_TRIES = 3;
@@ -56,12 +59,12 @@
     ABSENT
   }
 
-  private final TableStore store;
+  private final WatchedStore store;
   private final Timers timers;
   private final JobMetrics metrics;
 
   /** Uses a store. */
-  Intake(TableStore store, Timers timers, JobMetrics metrics) {
+  Intake(WatchedStore store, Timers timers, JobMetrics metrics) {
     this.store = store;
     this.timers = timers;
     this.metrics = metrics;
@@ -86,7 +89,23 @@
                 Payload.of(job.queue().name())),
             List.of());
     Consumer<Answer> logged = logged("job.submitted", job.id(), done);
-    new Attempt(change, untilMillis(patienceMillis), logged).send();
+    long untilMillis = untilMillis(patienceMillis);
+    ifReached(
+        () -> new Attempt(change, untilMillis, logged).start(),
+        () -> logged.accept(Answer.REJECTED));
+  }
+
+  /**
+   * Turns a caller away at once while the store serves nothing here. Held until its time was up, it
+   * had none left for another instance; nothing has been sent, so "not stored" is true. After a
+   * pause of the process answers may lie unread, so those are taken in first.
+   */
+  private void ifReached(Runnable call, Runnable refusal) {
+    if (!store.away()) {
+      call.run();
+      return;
+    }
+    timers.soon(() -> (store.away() ? refusal : call).run());
   }
 
   private long untilMillis(OptionalLong patienceMillis) {
@@ -101,19 +120,23 @@
   public void cancel(JobId id, OptionalLong patienceMillis, Consumer<Answer> done) {
     long untilMillis = untilMillis(patienceMillis);
     Consumer<Answer> logged = logged("job.cancelled", id, done);
+    ifReached(() -> cancel(id, untilMillis, logged), () -> logged.accept(Answer.REJECTED));
+  }
+
+  private void cancel(JobId id, long untilMillis, Consumer<Answer> done) {
     store.scan(
         JobTables.JOBS,
         JobTables.job(id).part(),
         id.value(),
         scan -> {
           if (!scan.answered()) {
-            logged.accept(Answer.UNKNOWN);
+            done.accept(Answer.UNKNOWN);
           } else if (scan.rows().isEmpty()) {
-            logged.accept(Answer.ABSENT);
+            done.accept(Answer.ABSENT);
           } else {
             Change change =
                 new Change(Map.of(), Map.of(JobTables.cancel(id), Payload.of("1")), List.of());
-            new Attempt(change, untilMillis, logged).send();
+            new Attempt(change, untilMillis, done).start();
           }
         });
   }
@@ -125,6 +148,10 @@
    *     is no such job
    */
   public void state(JobId id, Consumer<State> done) {
+    ifReached(() -> read(id, done), () -> done.accept(new State(false, Optional.empty())));
+  }
+
+  private void read(JobId id, Consumer<State> done) {
     store.scan(
         JobTables.PROGRESS,
         JobTables.PROGRESS_PART,
@@ -171,7 +198,9 @@
 
   /** Counts the jobs of a queue that wait for their first start; nothing when the store is away. */
   public void waiting(String queue, Consumer<OptionalLong> done) {
-    count(queue, JobTables.intakeParts(), 0, done);
+    ifReached(
+        () -> count(queue, JobTables.intakeParts(), 0, done),
+        () -> done.accept(OptionalLong.empty()));
   }
 
   private void count(String queue, List<String> parts, long sum, Consumer<OptionalLong> done) {
@@ -208,15 +237,24 @@
     };
   }
 
-  /** One transaction, sent until it has a certain answer or the caller has gone. */
+  /**
+   * One transaction, sent until it has a certain answer, the caller has gone, or the store is away.
+   * A copy that is late is waited for beside the next one: at a store that is slow each copy takes
+   * its turn in the partition's queue, so copies sent early hold up those of other callers.
+   */
   private final class Attempt {
 
     private final Change change;
     private final long untilMillis;
     private final Consumer<Answer> done;
-    private long waitMillis = FIRST_WAIT_MILLIS;
+    private final long beganMillis = timers.now().mono();
+    private long sentMillis;
+    private int copies;
     private int refusals;
+    private int open;
     private boolean uncertain;
+    private boolean probed;
+    private boolean ended;
 
     Attempt(Change change, long untilMillis, Consumer<Answer> done) {
       this.change = change;
@@ -224,35 +262,78 @@
       this.done = done;
     }
 
-    void send() {
+    void start() {
+      send();
+      look();
+    }
+
+    private void send() {
       long left = untilMillis - timers.now().mono();
-      if (left <= 0) {
-        done.accept(uncertain ? Answer.UNKNOWN : Answer.REJECTED);
+      if (ended || left <= 0) {
         return;
       }
-      store.commit(change, Math.min(waitMillis, left), this::ended);
+      sentMillis = timers.now().mono();
+      copies++;
+      open++;
+      store.commit(change, left, this::answered);
     }
 
-    private void ended(CommitAnswer answer) {
+    private void look() {
+      if (ended) {
+        return;
+      }
+      long now = timers.now().mono();
+      if (now >= untilMillis || store.away()) {
+        giveUp();
+        return;
+      }
+      if (!probed && now - beganMillis >= PROBE_MILLIS && !store.heardSince(beganMillis)) {
+        probed = true;
+        store.probe();
+      }
+      if (store.heardSince(beganMillis) && now - sentMillis >= copies * store.patienceMillis()) {
+        send();
+      }
+      timers.after(LOOK_MILLIS, this::look);
+    }
+
+    private void answered(CommitAnswer answer) {
+      open--;
       switch (answer.outcome()) {
         // A conflict says that the row is there: an earlier copy of this submission wrote it.
-        case DONE, CONFLICT -> done.accept(Answer.STORED);
+        case DONE, CONFLICT -> end(Answer.STORED);
         case UNKNOWN -> {
           uncertain = true;
-          waitMillis = Math.min(2 * waitMillis, LONGEST_WAIT_MILLIS);
-          send();
+          sendSoon();
+        }
+        case REFUSED -> {
+          refusals++;
+          sendSoon();
         }
-        case REFUSED -> refused();
         default -> throw new IllegalStateException("no such outcome: " + answer.outcome());
       }
     }
 
-    private void refused() {
-      refusals++;
+    /** Sends again what has neither been answered nor is under way. */
+    private void sendSoon() {
+      if (open > 0) {
+        return;
+      }
       if (!uncertain && refusals >= REFUSED_TRIES) {
-        done.accept(Answer.REJECTED);
+        end(Answer.REJECTED);
       } else {
-        timers.after(REFUSED_PAUSE_MILLIS, this::send);
+        timers.after(PAUSE_MILLIS, this::send);
+      }
+    }
+
+    private void giveUp() {
+      end(uncertain || open > 0 ? Answer.UNKNOWN : Answer.REJECTED);
+    }
+
+    private void end(Answer answer) {
+      if (!ended) {
+        ended = true;
+        done.accept(answer);
       }
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -15,16 +15,16 @@
   private static final Logger LOG = LogManager.getLogger(JobEntry.class);
 
   /**
-   * How long ago the store may have answered last for this instance to take callers, in
+   * How long ago the rules may have been told last for this instance to take callers, in
    * milliseconds: over two unanswered waits of 1 s for news.
    */
-  private static final long STORE_SILENCE_MILLIS = 2_500;
+  private static final long RULES_AGE_MILLIS = 2_500;
 
   private final Timers timers;
   private final RuleSource rules;
   private final Intake intake;
   private final Leadership leadership;
-  private final TableStore store;
+  private final WatchedStore store;
   private final WorkerCalls workers;
   private final long keepMillis;
   private final WorkerRegistry registry;
@@ -47,7 +47,7 @@
   public JobEntry(
       Instance instance,
       long keepMillis,
-      TableStore store,
+      WatchedStore store,
       Timers timers,
       RuleSource rules,
       WorkerRegistry registry,
@@ -139,9 +139,8 @@
 
   /** Returns whether this instance should get new callers. */
   public boolean ready() {
-    return !stopping
-        && table.version() >= 0
-        && timers.now().mono() - rules.contactMillis() < STORE_SILENCE_MILLIS;
+    boolean rulesAreNew = timers.now().mono() - rules.contactMillis() < RULES_AGE_MILLIS;
+    return !stopping && table.version() >= 0 && rulesAreNew && !store.away();
   }
 
   /** Returns whether this instance is about to stop. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -49,7 +49,7 @@
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     timers = new LoopTimers(group.next());
     HttpClient http = new HttpClient(group);
-    TableStore store = adapter.store(http, settings.store());
+    WatchedStore store = new WatchedStore(adapter.store(http, settings.store()), timers);
     entry =
         new JobEntry(
             new Instance(settings.name(), settings.dataCentre(), settings.capacity()),
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
@@ -16,6 +16,9 @@
   /** Jobs no task of which has started: written with the job, removed by the leader. */
   static final String WAITING = "waiting";
 
+  /** The one partition of rows about leading. */
+  static final String LEADER_PART = "leader";
+
   /** Progress of jobs, written by the leader. */
   static final String PROGRESS = "progress";
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -44,7 +44,7 @@
   /** Longest pause between decisions, in milliseconds: a fifth of the tightest objective. */
   private static final long LONGEST_PAUSE_MILLIS = 50;
 
-  private final TableStore store;
+  private final WatchedStore store;
   private final Timers timers;
   private final WorkerCalls workers;
   private final WorkerRegistry registry;
@@ -66,7 +66,7 @@
   private long pauseMillis;
 
   Leader(
-      TableStore store,
+      WatchedStore store,
       Timers timers,
       WorkerCalls workers,
       WorkerRegistry registry,
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -44,8 +44,9 @@
    */
   private static final long HAND_OVER_GAP_MILLIS = 30_000;
 
-  private static final RowKey ELECTION = new RowKey(JobTables.LEADER, "leader", "election");
-  private static final RowKey LEASE = new RowKey(JobTables.LEADER, "leader", "lease");
+  private static final RowKey ELECTION =
+      new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "election");
+  private static final RowKey LEASE = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "lease");
 
   /**
    * Head start of other data centres when a leader gives the lead away because it was cut off, in
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -16,9 +16,6 @@
  */
 final class ProgressStore {
 
-  /** First wait for an answer of the store, in milliseconds. */
-  private static final long FIRST_WAIT_MILLIS = 300;
-
   /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
   private static final long LONGEST_WAIT_MILLIS = 2_400;
 
@@ -33,7 +30,7 @@
    */
   record Found(Map<JobId, String> jobs, String learned) {}
 
-  private final TableStore store;
+  private final WatchedStore store;
   private final Timers timers;
   private final long epoch;
   private final Consumer<String> onDeposed;
@@ -47,7 +44,7 @@
    * @param epoch the leader's epoch
    * @param onDeposed called with the reason when a newer leader is found
    */
-  ProgressStore(TableStore store, Timers timers, long epoch, Consumer<String> onDeposed) {
+  ProgressStore(WatchedStore store, Timers timers, long epoch, Consumer<String> onDeposed) {
     this.store = store;
     this.timers = timers;
     this.epoch = epoch;
@@ -131,7 +128,7 @@
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
     Change change = new Change(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
-    commit(change, FIRST_WAIT_MILLIS, onSaved);
+    commit(change, store.patienceMillis(), onSaved);
   }
 
   /**
--- a/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Succession.java
@@ -15,13 +15,13 @@
 final class Succession {
 
   /** What the leader has; written with each takeover, and for the next one when it makes way. */
-  static final RowKey CAPACITY = new RowKey(JobTables.LEADER, "leader", "capacity");
+  static final RowKey CAPACITY = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "capacity");
 
   /**
    * Who asked last, or that a leader gave the lead away since. Each renewal expects it unchanged:
    * so the leader hears of a request, and no renewal under way takes back what was given.
    */
-  static final RowKey REQUEST = new RowKey(JobTables.LEADER, "leader", "request");
+  static final RowKey REQUEST = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "request");
 
   private static final int PARTS = 4;
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
@@ -61,6 +61,11 @@
       rows = List.copyOf(rows);
     }
 
+    /** Returns whether the store answered. */
+    public boolean answered() {
+      return outcome != Outcome.FAILED;
+    }
+
     /** Returns an answer without rows. */
     public static News of(Outcome outcome) {
       return new News(outcome, List.of(), 0);
--- a/daemon/src/main/java/org/cottontack/daemon/job/WaitingRows.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WaitingRows.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cottontack.core.job.JobId;
 
 /**
@@ -24,6 +26,13 @@
   private final TableStore store;
   private final Timers timers;
   private final Map<String, List<RowKey>> begun = new HashMap<>();
+
+  /**
+   * Partitions with a removal under way. A store that is slow does a few transactions a second in
+   * each partition; removals sent without waiting for the last one would keep new jobs out.
+   */
+  private final Set<String> busy = new HashSet<>();
+
   private boolean stopped;
 
   WaitingRows(TableStore store, Timers timers) {
@@ -43,8 +52,7 @@
   /** Begins to remove rows. */
   void start() {
     if (!stopped) {
-      List.copyOf(begun.values()).forEach(this::remove);
-      begun.clear();
+      begun.keySet().stream().filter(part -> !busy.contains(part)).toList().forEach(this::remove);
       timers.after(REMOVE_MILLIS, this::start);
     }
   }
@@ -54,13 +62,18 @@
     stopped = true;
   }
 
-  private void remove(List<RowKey> rows) {
-    for (int from = 0; from < rows.size(); from += REMOVE_ROWS) {
-      List<RowKey> some =
-          List.copyOf(rows.subList(from, Math.min(rows.size(), from + REMOVE_ROWS)));
-      store.commit(
-          new Change(Map.of(), Map.of(), some), ANSWER_MILLIS, answer -> removed(some, answer));
-    }
+  private void remove(String part) {
+    List<RowKey> rows = begun.remove(part);
+    List<RowKey> some = List.copyOf(rows.subList(0, Math.min(rows.size(), REMOVE_ROWS)));
+    rows.stream().skip(some.size()).forEach(this::add);
+    busy.add(part);
+    store.commit(
+        new Change(Map.of(), Map.of(), some),
+        ANSWER_MILLIS,
+        answer -> {
+          busy.remove(part);
+          removed(some, answer);
+        });
   }
 
   /** A row that stays would count its job as waiting for good, so a removal is tried until done. */
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -1,6 +1,7 @@
 package org.cottontack.daemon.job;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.cottontack.core.peer.Payload;
 
 /** The platform's store in virtual time: versions, conditions, lost and late answers. */
@@ -37,6 +39,12 @@
   private long version = 1;
   Function<Change, Fate> fate = change -> Fate.GOOD;
 
+  /** How long a transaction takes; one partition does one after the other. */
+  long transactionMillis = ANSWER_MILLIS;
+
+  private final Map<String, Long> partFreeMillis = new HashMap<>();
+  int transactions;
+
   FakeTableStore(VirtualTimers time) {
     this.self = time.process();
   }
@@ -71,13 +79,23 @@
         return;
       }
       switch (fate.apply(change)) {
-        case GOOD ->
-            self.after(
-                ANSWER_MILLIS,
-                () -> {
-                  CommitAnswer answer = apply(change);
-                  process.after(0, () -> done.accept(answer));
-                });
+        case GOOD -> {
+          boolean[] told = {false};
+          Consumer<CommitAnswer> once =
+              answer -> {
+                if (!told[0]) {
+                  told[0] = true;
+                  done.accept(answer);
+                }
+              };
+          self.after(
+              turnMillis(change),
+              () -> {
+                CommitAnswer answer = apply(change);
+                process.after(0, () -> once.accept(answer));
+              });
+          process.after(timeoutMillis, () -> once.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
+        }
         case REFUSED ->
             process.after(ANSWER_MILLIS, () -> done.accept(answer(CommitAnswer.Outcome.REFUSED)));
         case ANSWER_LOST -> {
@@ -143,6 +161,19 @@
     }
   }
 
+  private long turnMillis(Change change) {
+    transactions++;
+    String part =
+        Stream.concat(change.writes().keySet().stream(), change.removals().stream())
+            .map(RowKey::part)
+            .findFirst()
+            .orElse("");
+    long now = self.now().mono();
+    long end = Math.max(now, partFreeMillis.getOrDefault(part, 0L)) + transactionMillis;
+    partFreeMillis.put(part, end);
+    return end - now;
+  }
+
   private CommitAnswer apply(Change change) {
     boolean holds =
         change.expected().entrySet().stream().allMatch(e -> versionOf(e.getKey()) == e.getValue());
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -27,7 +27,8 @@
   }
 
   private static Intake intake(TableStore store, Timers timers) {
-    return new JobEntry(TestJobs.INSTANCE, 120_000, store, timers, null, null, null).intake();
+    WatchedStore watched = new WatchedStore(store, timers);
+    return new JobEntry(TestJobs.INSTANCE, 120_000, watched, timers, null, null, null).intake();
   }
 
   private static final class Lab {
@@ -130,6 +131,115 @@
     }
   }
 
+  /** Submissions while the store is out of reach or slow, each 100 ms. */
+  public static class Submitting100MillisApart {
+
+    private static final long CALLERS_MILLIS = 3_000;
+
+    /** What one caller got, and when. */
+    private record Told(long askedMillis, long afterMillis, Intake.Answer answer) {}
+
+    private static final class Callers {
+      final Lab lab = new Lab();
+      final VirtualTimers.View process = lab.time.process();
+      final List<Told> told = new ArrayList<>();
+      private final WatchedStore store;
+      private final Intake intake;
+      private int callers;
+      boolean cut;
+
+      Callers() {
+        store = new WatchedStore(lab.store.seenBy(process, call -> !cut), process);
+        intake =
+            new JobEntry(TestJobs.INSTANCE, 120_000, store, process, null, null, null).intake();
+        new Follower(store, process, "op", List.of(""), row -> {}, () -> {}).start();
+      }
+
+      void run(long millis) {
+        for (long at = 0; at < millis; at += 100) {
+          long asked = lab.time.process().now().mono();
+          callers++;
+          intake.submit(
+              TestJobs.job(new JobId(String.format("%016x", callers)), 2),
+              OptionalLong.of(CALLERS_MILLIS),
+              answer -> told.add(new Told(asked, process.now().mono() - asked, answer)));
+          lab.time.run(100);
+        }
+      }
+
+      List<Told> askedAfter(long millis) {
+        return told.stream().filter(t -> t.askedMillis() >= millis).toList();
+      }
+    }
+
+    /**
+     * An instance is cut off from the store while callers go on to come. The first of them are told
+     * within a second that it is not known, the later ones at once that it is not stored: all have
+     * most of their time left to try elsewhere. Held until their time was up, they had none.
+     */
+    @Test
+    public void leavesCallersTheirTimeWhileCutOff() {
+      Callers callers = new Callers();
+      callers.run(1_000);
+      callers.cut = true;
+      long cutMillis = callers.process.now().mono();
+      callers.run(12_000);
+      List<Told> told = callers.askedAfter(cutMillis);
+      assertEquals(told.size(), 120);
+      assertTrue(told.stream().allMatch(t -> t.afterMillis() <= 1_000));
+      assertTrue(
+          callers.askedAfter(cutMillis + 900).stream()
+              .allMatch(t -> t.answer() == Intake.Answer.REJECTED && t.afterMillis() < 100));
+      assertTrue(told.stream().noneMatch(t -> t.answer() == Intake.Answer.STORED));
+    }
+
+    /** What was turned away while the instance was cut off has not been stored, then or later. */
+    @Test
+    public void storesNothingThatItTurnedAway() {
+      Callers callers = new Callers();
+      callers.cut = true;
+      callers.run(3_000);
+      callers.cut = false;
+      callers.lab.time.run(10_000);
+      assertTrue(callers.lab.store.table(JobTables.JOBS).isEmpty());
+    }
+
+    /** The cut ends: callers are served again within two waits for news. */
+    @Test
+    public void takesJobsInSoonAfterTheCut() {
+      Callers callers = new Callers();
+      callers.cut = true;
+      callers.run(5_000);
+      callers.cut = false;
+      callers.run(4_000);
+      long lastSecond = callers.process.now().mono() - 1_000;
+      assertTrue(
+          callers.askedAfter(lastSecond).stream()
+              .allMatch(t -> t.answer() == Intake.Answer.STORED));
+    }
+
+    /**
+     * The store becomes 50 times slower: a partition does two transactions a second, and each
+     * caller's is done within its time if none is sent twice. Copies of calls that were only late
+     * would take the turns of others, and callers of a partition with a queue would go unserved.
+     */
+    @Test
+    public void asksSlowStoresOnce() {
+      Callers callers = new Callers();
+      callers.run(1_000);
+      callers.lab.store.transactionMillis = 500;
+      final int before = callers.lab.store.transactions;
+      for (int caller = 0; caller < 20; caller++) {
+        callers.run(100);
+        callers.lab.time.run(400);
+      }
+      callers.lab.time.run(4_000);
+      assertEquals(callers.told.size(), 30);
+      assertTrue(callers.told.stream().allMatch(t -> t.answer() == Intake.Answer.STORED));
+      assertTrue(callers.lab.store.transactions - before <= 24);
+    }
+  }
+
   /** States and cancellations. */
   public static class Asking {
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -52,7 +52,8 @@
       process.killed = true;
       process = time.process();
       TableStore seen = store.seenBy(process, call -> !call.equals(hidden));
-      entry = new JobEntry(TestJobs.INSTANCE, 120_000, seen, process, rules(), this, this);
+      WatchedStore watched = new WatchedStore(seen, process);
+      entry = new JobEntry(TestJobs.INSTANCE, 120_000, watched, process, rules(), this, this);
       entry.start();
       time.run(500);
     }
