Keep room for short tasks when new services want to begin

Cause: on a full fleet whatever becomes free goes to services that wait (first for good after 10 s), and they keep it for minutes.

Ruled out: waiting behind filling work (that has no reservation).

Change: ShortRoom remembers the most processor time that short tasks held and waited for, halved each 20 s; a service that never ran begins only where that much stays free in whole tasks, or where under 60 % is reserved. One that ran returns at once.

--- a/core/src/main/java/org/cottontack/core/job/Placer.java
+++ b/core/src/main/java/org/cottontack/core/job/Placer.java
@@ -10,6 +10,7 @@
   private final Term term;
   private final Placement placement;
   private final Urgency urgency;
+  private final ShortRoom shortRoom = new ShortRoom();
 
   Placer(Term term, Placement placement, Urgency urgency) {
     this.term = term;
@@ -24,6 +25,7 @@
     term.roomChanged = false;
     NoRoom noRoom = new NoRoom();
     placement.begin(term.workers.values());
+    shortRoom.begin(term.workers.values(), term.hungry, term.table, term.now.mono());
     urgency.order(term.hungry, term.now.mono()).forEach(job -> placeJob(job, noRoom));
   }
 
@@ -36,14 +38,11 @@
       if (refused.isPresent() && refused.get().equals(task.name.step())) {
         continue;
       }
-      Optional<Worker> worker =
-          noRoom.covers(task.spec, queue) && !placement.anywhere(job, queue)
-              ? Optional.empty()
-              : placement.choose(task, queue, term.workers.values(), term.now.mono());
+      Optional<Worker> worker = choose(task, queue, noRoom);
       if (worker.isPresent()) {
         placeTask(task, worker.get());
+        shortRoom.placed(task, queue.pool());
       } else {
-        noRoom.add(task.spec, queue);
         refused = Optional.of(task.name.step());
         all = false;
       }
@@ -54,6 +53,18 @@
     notePlaced(job, ready);
   }
 
+  private Optional<Worker> choose(Task task, JobQueue queue, NoRoom noRoom) {
+    boolean hopeless = noRoom.covers(task.spec, queue) && !placement.anywhere(task.job, queue);
+    if (hopeless || !shortRoom.admits(task, queue.pool())) {
+      return Optional.empty();
+    }
+    Optional<Worker> worker = placement.choose(task, queue, term.workers.values(), term.now.mono());
+    if (worker.isEmpty()) {
+      noRoom.add(task.spec, queue);
+    }
+    return worker;
+  }
+
   private void notePlaced(Job job, List<Task> ready) {
     List<Task> placed = ready.stream().filter(task -> task.phase == Task.Phase.PLACED).toList();
     if (!placed.isEmpty()) {
