Count the store's silence in looks of our own, not by the clock alone

Change: WatchedStore looks each 0.1 s at what is due; a look counts 0.15 s of silence at most, as the lease does with sleep.

Test: takesJobsInAfterPause; the cut is noticed as soon as before (the bounds of leavesCallersTheirTimeWhileCutOff hold unchanged).

--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -97,15 +97,10 @@
 
   /**
    * Turns a caller away at once while the store serves nothing here. Held until its time was up, it
-   * had none left for another instance; nothing has been sent, so "not stored" is true. After a
-   * pause of the process answers may lie unread, so those are taken in first.
+   * had none left for another instance; nothing has been sent, so "not stored" is true.
    */
   private void ifReached(Runnable call, Runnable refusal) {
-    if (!store.away()) {
-      call.run();
-      return;
-    }
-    timers.soon(() -> (store.away() ? refusal : call).run());
+    (store.away() ? refusal : call).run();
   }
 
   private long untilMillis(OptionalLong patienceMillis) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/WatchedStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WatchedStore.java
@@ -36,6 +36,16 @@
   /** Time in which half of a slow answer is forgotten, in milliseconds. */
   private static final double FORGET_MILLIS = 2_000;
 
+  /** Time between two looks at what is due, in milliseconds. */
+  private static final long LOOK_MILLIS = 100;
+
+  /**
+   * Longest time between two looks that counts as silence, in milliseconds. A process that was
+   * paused, or that starts on little processor time, has answers unread; counted in full, it turned
+   * callers away for seconds though the store had answered.
+   */
+  private static final long LONGEST_GAP_MILLIS = 150;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   private final TableStore store;
@@ -45,6 +55,8 @@
   private long missedMillis = NEVER;
   private double slowMillis;
   private long slowAtMillis;
+  private long lookedMillis;
+  private long silentMillis;
   private boolean away;
 
   /** Watches a store. */
@@ -52,6 +64,31 @@
     this.store = store;
     this.timers = timers;
     this.heardMillis = timers.now().mono();
+    this.lookedMillis = heardMillis;
+    timers.after(LOOK_MILLIS, this::look);
+  }
+
+  private void look() {
+    long now = timers.now().mono();
+    long due = open.stream().mapToLong(call -> call.dueMillis).min().orElse(NEVER);
+    long silentSince = Math.max(Math.min(due, missedMillis), heardMillis);
+    long passed = Math.min(now - Math.max(lookedMillis, silentSince), LONGEST_GAP_MILLIS);
+    silentMillis = silentSince < now ? silentMillis + passed : 0;
+    lookedMillis = now;
+    tell(silentMillis >= SILENCE_MILLIS);
+    timers.after(LOOK_MILLIS, this::look);
+  }
+
+  private void tell(boolean next) {
+    if (next == away) {
+      return;
+    }
+    away = next;
+    LOG.info(
+        new StringMapMessage()
+            .with("event", next ? "store.away" : "store.back")
+            .with("silentMillis", timers.now().mono() - heardMillis)
+            .with("open", open.size()));
   }
 
   /** A call under way, with the time at which its answer is due. */
@@ -69,7 +106,6 @@
         heard(timers.now().mono());
       } else {
         missedMillis = Math.min(missedMillis, dueMillis);
-        away();
       }
     }
 
@@ -78,7 +114,8 @@
       slowAtMillis = nowMillis;
       heardMillis = nowMillis;
       missedMillis = NEVER;
-      away();
+      silentMillis = 0;
+      tell(false);
     }
   }
 
@@ -111,18 +148,7 @@
 
   /** Returns whether the store serves no call of this instance, as far as that is known. */
   public boolean away() {
-    long due = open.stream().mapToLong(call -> call.dueMillis).min().orElse(NEVER);
-    long since = Math.max(Math.min(due, missedMillis), heardMillis);
-    boolean now = since < NEVER && timers.now().mono() - since > SILENCE_MILLIS;
-    if (now != away) {
-      away = now;
-      LOG.info(
-          new StringMapMessage()
-              .with("event", now ? "store.away" : "store.back")
-              .with("silentMillis", timers.now().mono() - heardMillis)
-              .with("open", open.size()));
-    }
-    return now;
+    return away;
   }
 
   /** Asks for next to nothing, to see whether an answer comes. */
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -193,6 +193,25 @@
       assertTrue(told.stream().noneMatch(t -> t.answer() == Intake.Answer.STORED));
     }
 
+    /**
+     * The process is paused for 5 s, or gets next to no processor time, and the store's answers lie
+     * unread. Callers who come then are served: it is not the store that was silent.
+     */
+    @Test
+    public void takesJobsInAfterPause() {
+      Callers callers = new Callers();
+      callers.run(1_000);
+      callers.process.lateMillis = 5_000;
+      callers.run(500);
+      callers.process.lateMillis = 0;
+      long resumedMillis = callers.process.now().mono();
+      callers.run(2_000);
+      callers.lab.time.run(10_000);
+      assertTrue(
+          callers.askedAfter(resumedMillis).stream()
+              .allMatch(t -> t.answer() == Intake.Answer.STORED));
+    }
+
     /** What was turned away while the instance was cut off has not been stored, then or later. */
     @Test
     public void storesNothingThatItTurnedAway() {
