Take reports as rough as they are, and move runs by what it costs

A line for each report, played once, shows why: they differ from what is predicted by 0.23 of headroom with nothing beside, 0.3 in all, and the same half second is reported several times when runs end. The replay had exact reports; with rough ones (0.12 of the logarithm) it shows the same loss.

Change: a report is learned once; only what is missing beyond 0.3 is made up for at once; headroom is judged 0.3 s ahead, not 0.6; paces drop by 25 at least; 0.16 of headroom is kept, not 0.12. A run at low pace is stopped when it has missed what its stop would lose (unsaved work and 0.3 s), not after a time: checkpoints are 0.5 s apart in one place, 2 s in another.

Its tests now play three seeds, bounds unchanged: outcomes differ by hundredths between processes.

--- a/core/src/main/java/org/cottontack/core/job/Crowding.java
+++ b/core/src/main/java/org/cottontack/core/job/Crowding.java
@@ -15,9 +15,9 @@
 record Crowding(boolean alarmed, long leftover, double tolerance, List<Neighbour> neighbours) {
 
   /** How far ahead a place is judged, in milliseconds: later, paces follow the load. */
-  private static final long SOON_MILLIS = 400;
+  private static final long SOON_MILLIS = 200;
 
-  private static final long LATER_MILLIS = 700;
+  private static final long LATER_MILLIS = 500;
 
   /** Headroom taken that does not count: less than reports differ by. */
   static final double LEAST_EFFECT = 0.02;
--- a/core/src/main/java/org/cottontack/core/job/Interference.java
+++ b/core/src/main/java/org/cottontack/core/job/Interference.java
@@ -47,7 +47,7 @@
   private static final long ECHO_MILLIS = 500;
 
   /** Headroom kept: reports are rough, and a bound that is just met is missed half of the time. */
-  private static final double MARGIN = 0.12;
+  private static final double MARGIN = 0.16;
 
   private static final int AT_WORK = 100;
 
@@ -90,6 +90,7 @@
         .serving()
         .filter(task -> task.progress == AT_WORK && task.load > 0)
         .filter(task -> task.load < STANDSTILL * task.spec.targetMillis())
+        .filter(task -> task.news(nowMillis))
         .forEach(task -> learn(task, shares, nowMillis - REPORT_AGE_MILLIS));
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -28,18 +28,28 @@
   /** Share of the bound under which a tail is surely within it. */
   private static final double CALM_SHARE = 0.75;
 
-  /** How far ahead headroom is shared out, in milliseconds: until the next report's orders act. */
-  private static final long AHEAD_MILLIS = 600;
+  /**
+   * How far ahead headroom is shared out, in milliseconds: the middle of the time until the next
+   * report's orders act.
+   */
+  private static final long AHEAD_MILLIS = 300;
+
+  /**
+   * Headroom by which reports differ from what was predicted though nothing is wrong: their
+   * standard deviation is 0.25 to 0.3. Only what is missing beyond that is made up for at once.
+   * Purpose: fewer paces and moves for nothing; replayed with rough reports, jobs that fill earn
+   * 0.78 of their value in place of 0.74.
+   */
+  private static final double ROUGH = 0.3;
 
   /** Time over the bound after which all are halted, in milliseconds: half of what is allowed. */
   private static final long PATIENCE_MILLIS = 1_800;
 
   /**
-   * Time at low pace after which a task should rather run elsewhere, in milliseconds: the next
-   * report shows that it cannot have its pace back. Purpose: jobs that fill in time. Worth 0.646
-   * with 600, 0.668 with 300 (six plays, the same days and seeds).
+   * Work that a move costs beside what is not saved, in milliseconds: the order, the start, and the
+   * way back to a checkpoint.
    */
-  private static final long STUCK_MILLIS = 300;
+  private static final long MOVE_MILLIS = 300;
 
   /** Progress up to which a run that keeps no checkpoints is given up, in percent. */
   private static final int LITTLE_PROGRESS = 50;
@@ -48,7 +58,7 @@
   private static final int STEP = 5;
 
   /** Least change that is worth an order, in percent. */
-  private static final int LEAST_DROP = 10;
+  private static final int LEAST_DROP = 25;
 
   private static final int LEAST_RISE = 20;
 
@@ -118,7 +128,7 @@
     if (ratio(serving) > FAR_OVER) {
       return 0;
     }
-    return interference.roomFor(serving, millis) - Math.max(0, serving.excess);
+    return interference.roomFor(serving, millis) - Math.max(0, serving.excess - ROUGH);
   }
 
   /** Returns the headroom that a task takes from the worst-off service for each core. */
@@ -165,15 +175,16 @@
   }
 
   /**
-   * Returns a task that fills, has been held at a low pace for long, and would lose little by being
-   * stopped.
+   * Returns a task that fills and has missed as much at a low pace as its stop would cost it. How
+   * long it will stay slow is not known; waiting for just that loses at most twice what knowing
+   * would. Where checkpoints are far apart a move is dear, where they are close it is not.
    */
   Optional<Task> stuck(Worker worker, long nowMillis) {
     return worker
         .filling()
         .filter(task -> task.order == Task.Order.CONFIRMED && task.pace < Task.LOW_PACE)
         .filter(Pacing::losesLittle)
-        .filter(task -> nowMillis - task.slowSinceMillis > STUCK_MILLIS)
+        .filter(task -> task.missedMillis(nowMillis) > MOVE_MILLIS + task.unsavedMillis(nowMillis))
         .max(Comparator.comparingDouble(task -> harm(worker, task)));
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -103,7 +103,9 @@
       return key;
     }
     orders.confirm(task);
-    task.checkpoint = running.checkpoint().isEmpty() ? task.checkpoint : running.checkpoint();
+    if (!running.checkpoint().isEmpty() && !running.checkpoint().equals(task.checkpoint)) {
+      task.saved(running.checkpoint(), term.now.mono());
+    }
     if (task.progress != running.progress() || task.pace == 0) {
       task.progressMillis = term.now.mono();
     }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -51,6 +51,9 @@
   /** Pace of a run at its start, in percent. */
   static final int FULL_PACE = 100;
 
+  /** What a reported load covers, in milliseconds. */
+  private static final long REPORT_MILLIS = 500;
+
   /** Paces below this are low, in percent. */
   static final int LOW_PACE = 50;
 
@@ -79,8 +82,11 @@
   long pacedMillis;
   private double slowedMillis;
 
-  /** Since when the present run has been at a low pace. */
-  long slowSinceMillis;
+  private double slowedBeforeMillis;
+  private double toldLoad;
+  private long toldMillis;
+  private long savedMillis;
+  private double slowedWhenSavedMillis;
 
   long overSinceMillis;
   double load;
@@ -118,16 +124,18 @@
     pace = FULL_PACE;
     pacedMillis = nowMillis;
     slowedMillis = 0;
+    slowedBeforeMillis = 0;
+    saved(checkpoint, nowMillis);
     overSinceMillis = 0;
     load = 0;
   }
 
   /** Takes in that the run was ordered to another pace. */
   void paced(int percent, long nowMillis) {
-    if (pace >= LOW_PACE && percent < LOW_PACE) {
-      slowSinceMillis = nowMillis;
-    }
     slowedMillis = slowedMillis(nowMillis);
+    if (pace >= LOW_PACE) {
+      slowedBeforeMillis = slowedMillis;
+    }
     pace = percent;
     pacedMillis = nowMillis;
   }
@@ -139,6 +147,37 @@
     return slowedMillis + (nowMillis - pacedMillis) * (1 - pace / (double) FULL_PACE);
   }
 
+  /**
+   * Returns whether the load says anything new, and takes it as told. A worker is looked at
+   * whenever a run there ends, some times in a row, and shows the same half second each time;
+   * learned anew each time, rough reports counted for more than they tell.
+   */
+  boolean news(long nowMillis) {
+    if (load == toldLoad && nowMillis - toldMillis < REPORT_MILLIS) {
+      return false;
+    }
+    toldLoad = load;
+    toldMillis = nowMillis;
+    return true;
+  }
+
+  /** Takes in the state that the run would go on from elsewhere; empty for none. */
+  void saved(String state, long nowMillis) {
+    checkpoint = state;
+    savedMillis = nowMillis;
+    slowedWhenSavedMillis = slowedMillis(nowMillis);
+  }
+
+  /** Returns the work that has been missed since the pace became low, in milliseconds. */
+  double missedMillis(long nowMillis) {
+    return slowedMillis(nowMillis) - slowedBeforeMillis;
+  }
+
+  /** Returns the work that would be lost if the run ended now, in milliseconds. */
+  double unsavedMillis(long nowMillis) {
+    return nowMillis - savedMillis - (slowedMillis(nowMillis) - slowedWhenSavedMillis);
+  }
+
   void release() {
     phase = Phase.WAITING;
     worker = null;
--- a/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
+++ b/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
@@ -140,19 +140,20 @@
 
     private static final double SERVICES = 0.8;
     private static final double HARMFUL = 0.6;
+    private static final int SEEDS = 3;
 
     /**
      * Services hold 80 % of the processors, and six images in ten do much harm beside them, in
-     * phases, while the services' own load swings. Jobs that fill lose less than a fifth of their
-     * value, and the users of services a tenth. With weights learned for the logarithm of the tail
-     * they lost 26 % and 22 %: a pair that is mild at rest breaks the bound at the top of a swing.
+     * phases, while the services' own load swings and reports are rough. Jobs that fill lose less
+     * than a fifth of their value, and the users of services a tenth. With weights learned for the
+     * logarithm of the tail services lost 16 %: a pair that is mild at rest breaks the bound at the
+     * top of a swing.
      */
     @Test
     public void fillsWithoutHarmWhileServicesSwing() {
-      ReplayLoad.Shape shape = ReplayLoad.Shape.usual(1).with(SERVICES, HARMFUL);
-      Replay.Outcome outcome = new Replay(new ReplayLoad(shape)).run();
-      assertTrue(outcome.serving() > 0.9, outcome.toString());
-      assertTrue(outcome.fills() > 0.8, outcome.toString());
+      Replay.Outcome mean = Replay.mean(ReplayLoad.Shape.usual(0).with(SERVICES, HARMFUL), SEEDS);
+      assertTrue(mean.serving() > 0.9, mean.toString());
+      assertTrue(mean.fills() > 0.8, mean.toString());
     }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/Replay.java
+++ b/core/src/test/java/org/cottontack/core/job/Replay.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
 
@@ -280,23 +282,41 @@
     return owed == 0 ? 1 : earned / owed;
   }
 
-  /** Plays seeds one after the other and prints each outcome: for comparing decisions by hand. */
+  /**
+   * Returns the mean outcome of a load drawn from seeds 1 to a number. Collections without an order
+   * make single outcomes differ by some hundredths between processes.
+   */
+  static Outcome mean(ReplayLoad.Shape shape, int seeds) {
+    List<Outcome> all =
+        LongStream.rangeClosed(1, seeds)
+            .mapToObj(seed -> new Replay(new ReplayLoad(shape.seeded(seed))).run())
+            .toList();
+    return new Outcome(
+        mean(all, Outcome::serving),
+        mean(all, Outcome::fills),
+        mean(all, Outcome::shorts),
+        mean(all, Outcome::largest),
+        mean(all, Outcome::over),
+        Math.round(mean(all, Outcome::moves)),
+        Math.round(mean(all, Outcome::paces)));
+  }
+
+  private static double mean(List<Outcome> all, ToDoubleFunction<Outcome> part) {
+    return all.stream().mapToDouble(part).average().orElse(0);
+  }
+
+  /**
+   * Plays a load and prints what comes of it: for comparing decisions by hand.
+   *
+   * @param args the share that services reserve, that of harmful pairs, the number of seeds and, if
+   *     any, of workers that are lost
+   */
   public static void main(String[] args) {
-    double serving = Double.parseDouble(args[0]);
-    double heavy = Double.parseDouble(args[1]);
     int lost = args.length > 3 ? Integer.parseInt(args[3]) : 0;
-    List<Outcome> all = new ArrayList<>();
-    for (int seed = 1; seed <= Integer.parseInt(args[2]); seed++) {
-      ReplayLoad.Shape shape = ReplayLoad.Shape.usual(seed).with(serving, heavy).losing(lost);
-      all.add(new Replay(new ReplayLoad(shape)).run());
-      System.out.println(seed + " " + all.get(all.size() - 1));
-    }
-    System.out.printf(
-        Locale.ROOT,
-        "mean serving %.3f fills %.3f shorts %.3f largest %.3f%n",
-        all.stream().mapToDouble(Outcome::serving).average().orElse(0),
-        all.stream().mapToDouble(Outcome::fills).average().orElse(0),
-        all.stream().mapToDouble(Outcome::shorts).average().orElse(0),
-        all.stream().mapToDouble(Outcome::largest).average().orElse(0));
+    ReplayLoad.Shape shape =
+        ReplayLoad.Shape.usual(0)
+            .with(Double.parseDouble(args[0]), Double.parseDouble(args[1]))
+            .losing(lost);
+    System.out.println("mean " + mean(shape, Integer.parseInt(args[2])));
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ReplayLoad.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayLoad.java
@@ -65,6 +65,19 @@
           lengthMillis);
     }
 
+    /** Returns the same drawn from another seed. */
+    Shape seeded(long other) {
+      return new Shape(
+          other,
+          workers,
+          serving,
+          shortsPerSecond,
+          fillsPerSecond,
+          heavy,
+          lostWorkers,
+          lengthMillis);
+    }
+
     /** Returns the same with some workers lost at once after a quarter of the time. */
     Shape losing(int count) {
       return new Shape(
--- a/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
@@ -23,6 +23,9 @@
   /** A tail that grows without bound is reported as this many milliseconds. */
   private static final double LONGEST_TAIL = 10_000;
 
+  /** Standard deviation of the logarithm of a reported tail. */
+  private static final double ROUGHNESS = 0.12;
+
   private static final long STARTUP_MILLIS = 500;
   private static final long SAVED_MILLIS = 500;
 
@@ -95,6 +98,7 @@
 
   private final ReplayLoad load;
   private final List<WorkerReport.Ended> ended = new ArrayList<>();
+  private final Random noise = new Random(5);
   private long ends;
 
   ReplayWorker(String id, long cores, String dataCentre, ReplayLoad load) {
@@ -148,11 +152,15 @@
                         run.run.run(),
                         run.checkpoint(),
                         progress(run, now),
-                        run.spec.serves() ? Math.round(run.mean()) : run.mean()))
+                        run.spec.serves() ? Math.round(rough(run.mean())) : run.mean()))
             .toList();
     return new WorkerReport(now, list, ended);
   }
 
+  private double rough(double tail) {
+    return tail * Math.exp(ROUGHNESS * noise.nextGaussian());
+  }
+
   private static int progress(Running run, long now) {
     if (run.spec.is(StepSpec.Trait.LASTS)) {
       return run.atWork(now) ? Task.FULL_PROGRESS : 0;
--- a/core/src/test/java/org/cottontack/core/job/ShortRoomTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ShortRoomTest.java
@@ -125,6 +125,7 @@
 
     private static final double SERVICES = 0.95;
     private static final double HARMFUL = 0.35;
+    private static final int SEEDS = 3;
 
     /**
      * Services ask for 95 % of the processors, short jobs for 5 % and more. Nine in ten of the
@@ -133,10 +134,9 @@
      */
     @Test
     public void shortJobsFindRoomBesideServices() {
-      ReplayLoad.Shape shape = ReplayLoad.Shape.usual(1).with(SERVICES, HARMFUL);
-      Replay.Outcome outcome = new Replay(new ReplayLoad(shape)).run();
-      assertTrue(outcome.shorts() > 0.9, outcome.toString());
-      assertTrue(outcome.serving() > 0.9, outcome.toString());
+      Replay.Outcome mean = Replay.mean(ReplayLoad.Shape.usual(0).with(SERVICES, HARMFUL), SEEDS);
+      assertTrue(mean.shorts() > 0.9, mean.toString());
+      assertTrue(mean.serving() > 0.9, mean.toString());
     }
   }
 }
