--- a/core/src/main/java/org/cottontack/core/job/Interference.java
+++ b/core/src/main/java/org/cottontack/core/job/Interference.java
@@ -51,7 +51,7 @@
 
   private static final int AT_WORK = 100;
 
-  /** Services remembered: more than one leader serves at a time. */
+  /** Services remembered: over twice as many as are to run at a time; the quietest makes room. */
   private static final int MOST_SERVICES = 4_096;
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/ShortRoom.java
+++ b/core/src/main/java/org/cottontack/core/job/ShortRoom.java
@@ -30,15 +30,26 @@
   private static final double NEWEST = 0.05;
 
   private final Map<String, Pool> pools = new HashMap<>();
+  private long beganMillis;
 
   /** What is known of a pool of workers; processor time in thousandths of a core. */
   private static final class Pool {
+    /** What a short task asks for, on average. */
     double usualTask;
+
+    /** The most that short tasks held and waited for, fading. */
     double peak;
+
+    /** What is free in pieces that hold a usual short task; smaller ones are of no use to them. */
     double pieces;
+
     long capacity;
     long used;
+
+    /** What short tasks hold. */
     long held;
+
+    /** What short tasks wait for. */
     long waiting;
 
     void clear() {
@@ -62,8 +73,6 @@
     }
   }
 
-  private long beganMillis;
-
   /** Takes in what is used and what waits before a pass over what waits. */
   void begin(Collection<Worker> workers, Collection<Job> hungry, JobTable table, long nowMillis) {
     final double kept = Math.pow(0.5, (nowMillis - beganMillis) / HALF_LIFE_MILLIS);
