--- a/core/src/main/java/org/cottontack/core/job/ShortRoom.java
+++ b/core/src/main/java/org/cottontack/core/job/ShortRoom.java
@@ -16,7 +16,7 @@
 
   /**
    * Time in which half of a peak is forgotten, in milliseconds: bursts come some tens of seconds
-   * apart, and a service that waits for longer has lost its users.
+   * apart, and no service should wait for one that was a minute ago.
    */
   private static final double HALF_LIFE_MILLIS = 20_000;
 
