Name each run that is lost with its worker

Cause: worker.reborn and worker.lapsed said only how many runs were there, so that nobody could tell which of them a crash followed. Change: one line run.lost for each, with how far its order had come, how long it was placed and for how long the worker listed it; what becomes of lost runs moved from Orders and Fleet to Losses, behaviour as before. Log lines are counted by their event in the metrics.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -9,16 +9,18 @@
 
   private final Term term;
   private final Orders orders;
+  private final Losses losses;
   private final Placement placement;
 
-  Fleet(Term term, Orders orders, Placement placement) {
+  Fleet(Term term, Orders orders, Losses losses, Placement placement) {
     this.term = term;
     this.orders = orders;
+    this.losses = losses;
     this.placement = placement;
   }
 
   void seen(WorkerInfo info) {
-    livesAt(info).filter(other -> !other.registered).toList().forEach(orders::reborn);
+    livesAt(info).filter(other -> !other.registered).toList().forEach(losses::reborn);
     Worker worker =
         term.workers.computeIfAbsent(info.id(), id -> new Worker(info, term.inheritedLapseMillis));
     worker.info = info;
@@ -32,7 +34,7 @@
   void unlisted(Worker worker) {
     worker.registered = false;
     if (livesAt(worker.info).anyMatch(other -> other.registered)) {
-      orders.reborn(worker);
+      losses.reborn(worker);
     }
   }
 
@@ -59,7 +61,7 @@
     boolean outOfTouch = worker.silent || !worker.heard;
     noteWait(worker);
     if (outOfTouch && term.now.mono() > worker.lapsedMillis()) {
-      lapsed(worker);
+      losses.lapsed(worker);
     }
     if (!worker.registered && worker.placed.isEmpty() && worker.strays.isEmpty()) {
       term.workers.remove(worker.info.id());
@@ -127,12 +129,4 @@
     JobQueue queue = term.table.current(task.job.spec.queue());
     return placement.choose(task, queue, term.workers.values(), term.now.mono());
   }
-
-  private void lapsed(Worker worker) {
-    if (worker.placed.isEmpty()) {
-      return;
-    }
-    term.note("worker.lapsed", worker.info.id(), "runs=" + worker.placed.size());
-    List.copyOf(worker.placed.values()).forEach(term::release);
-  }
 }
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -18,6 +18,7 @@
   private final Orders orders;
   private final Lifecycle lifecycle;
   private final Reports reports;
+  private final Losses losses;
   private final Fleet fleet;
   private final Placer placer;
   private final Saver saver;
@@ -41,7 +42,8 @@
     lifecycle = new Lifecycle(term, orders, estimates, urgency);
     reports = new Reports(term, orders, lifecycle, interference, estimates);
     Placement placement = new Placement(interference);
-    fleet = new Fleet(term, orders, placement);
+    losses = new Losses(term);
+    fleet = new Fleet(term, orders, losses, placement);
     placer = new Placer(term, placement, urgency);
     saver = new Saver(term, orders, new LearnedText(interference, estimates));
   }
@@ -94,7 +96,7 @@
     if (event instanceof JobEvent.WorkerReported e) {
       reports.reported(e);
     } else if (event instanceof JobEvent.StartEnded e) {
-      orders.startEnded(e);
+      started(e);
     } else if (event instanceof JobEvent.StopEnded e) {
       orders.stopEnded(e);
     } else if (event instanceof JobEvent.PaceLost e) {
@@ -119,12 +121,18 @@
     } else if (event instanceof JobEvent.WorkerSilent e) {
       term.worker(e.worker()).ifPresent(fleet::silent);
     } else if (event instanceof JobEvent.WorkerReborn e) {
-      term.worker(e.worker()).ifPresent(orders::reborn);
+      term.worker(e.worker()).ifPresent(losses::reborn);
     } else if (event instanceof JobEvent.TableChanged e) {
       term.table = e.table();
     }
   }
 
+  private void started(JobEvent.StartEnded event) {
+    if (orders.startEnded(event)) {
+      term.worker(event.worker()).ifPresent(losses::reborn);
+    }
+  }
+
   private void tick() {
     term.timed.stream().filter(job -> job.advance(term.now.wall())).forEach(term.hungry::add);
     term.roomChanged = true;
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -1,7 +1,5 @@
 package org.cottontack.core.job;
 
-import java.util.List;
-
 /**
  * Orders to workers and their answers. An order without an answer may be carried out later, after
  * newer ones, so a place counts as taken until a worker's lists say otherwise.
@@ -74,11 +72,16 @@
     }
   }
 
-  void startEnded(JobEvent.StartEnded event) {
+  /**
+   * Takes in the answer to a start.
+   *
+   * @return whether it says that the worker's life has ended
+   */
+  boolean startEnded(JobEvent.StartEnded event) {
     Worker worker = term.workers.get(event.worker());
     Task task = term.find(event.run().task());
     if (worker == null || task == null || !task.runsAs(event.worker(), event.run().run())) {
-      return;
+      return false;
     }
     task.uncertain |= !event.result().certain();
     if (event.result() != StartResult.STARTED) {
@@ -88,10 +91,13 @@
       case STARTED, OLD -> confirm(task);
       case LATE, NOT_SENT, UNKNOWN -> task.order = Task.Order.RESEND;
       case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> elsewhere(worker, task);
-      case REBORN -> reborn(worker);
       case FENCED -> term.out.add(new JobEffect.StepDown("a worker has seen a newer leader"));
+      case REBORN -> {
+        return true;
+      }
       default -> throw new IllegalStateException("no such result: " + event.result());
     }
+    return false;
   }
 
   /** Sends an unanswered order again: the worker takes an order for the same run as the same. */
@@ -168,10 +174,4 @@
   long waitMillis(Worker worker) {
     return worker.contended() ? term.timing.contendedWaitMillis() : term.timing.lookWaitMillis();
   }
-
-  void reborn(Worker worker) {
-    term.note("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
-    List.copyOf(worker.placed.values()).forEach(term::release);
-    term.workers.remove(worker.info.id());
-  }
 }
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -103,6 +103,7 @@
       return key;
     }
     orders.confirm(task);
+    task.listedMillis = term.now.mono();
     if (!running.checkpoint().isEmpty() && !running.checkpoint().equals(task.checkpoint)) {
       task.saved(running.checkpoint(), term.now.mono());
     }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -74,6 +74,10 @@
   Order order = Order.UNSAVED;
   long confirmedMillis;
   long placedMillis;
+
+  /** When the worker last listed the present run; 0 if it never did. */
+  long listedMillis;
+
   boolean uncertain;
   int progress;
   long progressMillis;
@@ -119,6 +123,7 @@
     order = Order.UNSAVED;
     uncertain = false;
     placedMillis = nowMillis;
+    listedMillis = 0;
     progress = 0;
     progressMillis = nowMillis;
     pace = FULL_PACE;
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -82,6 +82,30 @@
       return Stream.of(workers).filter(worker -> worker.runs(TASK)).findFirst().orElseThrow();
     }
 
+    /**
+     * A worker is lost with a run that it had listed for some time. Without a line for the run
+     * nobody can tell afterwards which of the runs there made the worker crash.
+     */
+    @Test
+    public void namesRunsThatAreLostWithTheirWorker() {
+      LabWorker first = new LabWorker("w1", 8);
+      LabWorker second = new LabWorker("w2", 8);
+      JobLab lab = withLastingTask(first, second);
+      LabWorker lost = holder(first, second);
+      lab.run(4_000);
+      lab.post(new JobEvent.WorkerReborn(lost.info.id()));
+      List<String> lines =
+          lab.seen.stream()
+              .filter(JobEffect.Note.class::isInstance)
+              .map(JobEffect.Note.class::cast)
+              .filter(note -> note.name().equals("run.lost"))
+              .map(note -> note.subject() + " " + note.detail())
+              .toList();
+      assertEquals(lines.size(), 1);
+      String line = "s\\.0\\.0\\.0#1 %s order=CONFIRMED placed=4\\d{3} listed=[34]\\d{3}";
+      assertTrue(lines.get(0).matches(line.formatted(lost.info.id())), lines.get(0));
+    }
+
     /**
      * A worker is lost without notice, and 0.5 s later the leader is killed, before it noticed. The
      * next leader finds the task placed on a worker that it never reaches. It took the latest end
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -35,8 +35,11 @@
     count("events." + event.getClass().getSimpleName());
   }
 
-  /** Counts an effect of the leader. */
+  /** Counts an effect of the leader, and log lines by their event: those are few and fixed. */
   void effect(JobEffect effect) {
+    if (effect instanceof JobEffect.Note note) {
+      count("events." + note.name());
+    }
     count("effects." + effect.getClass().getSimpleName());
   }
 
