Give up tasks under which worker after worker crashes

Cause: only ends that workers report as failed counted against a job; a crash is reported by nobody, and what ran there was released as if it had never started. Change: Losses counts crashes for each run that was or may have been on the worker, in the job's progress; CrashBlame says which task is to be given up; suspects run apart. Why it holds: the count is written with the placement that follows it, so no start is without it, also over takeovers, where the worker was gone before the term, and where its old entry is still listed.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -42,7 +42,7 @@
     lifecycle = new Lifecycle(term, orders, estimates, urgency);
     reports = new Reports(term, orders, lifecycle, interference, estimates);
     Placement placement = new Placement(interference);
-    losses = new Losses(term);
+    losses = new Losses(term, lifecycle);
     fleet = new Fleet(term, orders, losses, placement);
     placer = new Placer(term, placement, urgency);
     saver = new Saver(term, orders, new LearnedText(interference, estimates));
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -107,6 +107,14 @@
     }
   }
 
+  /** Ends a job one task of which crashes its workers. */
+  void givenUp(Task task) {
+    if (!task.job.phase.terminal()) {
+      term.note("job.givenUp", task.job.spec.id(), task.name + " crashes=" + task.crashes);
+      end(task.job, JobPhase.FAILED);
+    }
+  }
+
   void failed(Task task) {
     task.failures++;
     if (task.failures >= term.table.current(task.job.spec.queue()).maxAttempts()) {
--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -2,19 +2,24 @@
 
 import java.util.List;
 
-/** What becomes of runs whose worker is lost: they wait for another one. */
+/**
+ * What becomes of runs whose worker is lost: they wait for another one, but for those of a task
+ * that made it crash again and again.
+ */
 final class Losses {
 
   private final Term term;
+  private final Lifecycle lifecycle;
 
-  Losses(Term term) {
+  Losses(Term term, Lifecycle lifecycle) {
     this.term = term;
+    this.lifecycle = lifecycle;
   }
 
   /** Takes in that a worker's life has ended, and all that ran there with it. */
   void reborn(Worker worker) {
     term.note("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
-    lose(worker);
+    lose(worker, !left(worker));
     term.workers.remove(worker.info.id());
   }
 
@@ -24,23 +29,39 @@
       return;
     }
     term.note("worker.lapsed", worker.info.id(), "runs=" + worker.placed.size());
-    lose(worker);
+    // One that is still listed may live, cut off from us alone.
+    lose(worker, !worker.registered && !left(worker));
   }
 
-  private void lose(Worker worker) {
+  private void lose(Worker worker, boolean crashed) {
     List<Task> lost = List.copyOf(worker.placed.values());
+    // A crash is reported by nobody. Not counted, a task that crashes every worker goes to the next
+    // one as soon as the last is back, and no caller's work beside it ends.
+    List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : List.of();
     lost.forEach(task -> noteLost(worker, task));
     lost.forEach(term::release);
+    hopeless.forEach(lifecycle::givenUp);
+  }
+
+  /**
+   * Returns whether a worker said that it leaves, which ends what runs there without a crash. One
+   * that was gone before this leader's term said nothing to it: taken for one that left, crashes
+   * beside changes of leaders would have no end.
+   */
+  private static boolean left(Worker worker) {
+    return worker.info.reachable() && worker.info.draining();
   }
 
   private void noteLost(Worker worker, Task task) {
     String detail =
-        "%s order=%s placed=%d listed=%d"
+        "%s order=%s placed=%d listed=%d crashes=%d blamed=%d"
             .formatted(
                 worker.info.id(),
                 task.order,
-                term.now.mono() - task.placedMillis,
-                task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0);
+                task.placedMillis > 0 ? term.now.mono() - task.placedMillis : 0,
+                task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
+                task.crashes,
+                task.blamed);
     term.note("run.lost", task.key(), detail);
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -20,12 +20,10 @@
 
   void withdraw(Task task) {
     Worker worker = term.workers.get(task.worker);
-    boolean neverSent =
-        task.order == Task.Order.UNSAVED || (task.order == Task.Order.RESEND && !task.uncertain);
-    if (neverSent) {
-      term.release(task);
-    } else {
+    if (task.mayHaveBegun()) {
       stop(worker, task.key());
+    } else {
+      term.release(task);
     }
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -111,7 +111,8 @@
     return worker.info.pool().equals(queue.pool())
         && worker.free().holds(spec.reserved())
         && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains)
-        && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker());
+        && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker())
+        && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
   }
 
   private Optional<Candidate> candidate(Task task, JobQueue queue, Worker worker, long nowMillis) {
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -16,6 +16,7 @@
 
   private static final String NO_WORKER = "-";
   private static final int FIELDS = 8;
+  private static final int FIELDS_AFTER_CRASHES = 10;
 
   private ProgressText() {}
 
@@ -27,6 +28,8 @@
       Task.Phase phase,
       int run,
       int failures,
+      int crashes,
+      int blamed,
       Optional<WorkerId> worker,
       String checkpoint) {
 
@@ -39,13 +42,16 @@
           task.phase,
           task.run,
           task.failures,
+          task.crashes,
+          task.blamed,
           Optional.ofNullable(task.worker),
           task.checkpoint);
     }
 
     static Line parse(String text) {
       String[] fields = text.split(" ", -1);
-      if (fields.length != FIELDS || fields[3].length() != 1) {
+      boolean crashed = fields.length == FIELDS_AFTER_CRASHES;
+      if ((fields.length != FIELDS && !crashed) || fields[3].length() != 1) {
         throw new IllegalArgumentException("not a task's progress: " + text);
       }
       return new Line(
@@ -55,22 +61,27 @@
           Task.Phase.of(fields[3].charAt(0)),
           Integer.parseInt(fields[4]),
           Integer.parseInt(fields[5]),
+          crashed ? Integer.parseInt(fields[8]) : 0,
+          crashed ? Integer.parseInt(fields[9]) : 0,
           Optional.of(fields[6]).filter(name -> !name.equals(NO_WORKER)).map(WorkerId::new),
           URLDecoder.decode(fields[7], StandardCharsets.UTF_8));
     }
 
     @Override
     public String toString() {
-      return String.join(
-          " ",
-          Integer.toString(occurrence),
-          Integer.toString(step),
-          Integer.toString(index),
-          String.valueOf(phase.code()),
-          Integer.toString(run),
-          Integer.toString(failures),
-          worker.map(WorkerId::value).orElse(NO_WORKER),
-          URLEncoder.encode(checkpoint, StandardCharsets.UTF_8));
+      String line =
+          String.join(
+              " ",
+              Integer.toString(occurrence),
+              Integer.toString(step),
+              Integer.toString(index),
+              String.valueOf(phase.code()),
+              Integer.toString(run),
+              Integer.toString(failures),
+              worker.map(WorkerId::value).orElse(NO_WORKER),
+              URLEncoder.encode(checkpoint, StandardCharsets.UTF_8));
+      // An earlier version reads no longer lines than it writes, and leaves such a job alone.
+      return crashes > 0 ? line + " " + crashes + " " + blamed : line;
     }
   }
 
@@ -128,6 +139,8 @@
     task.phase = line.phase();
     task.run = line.run();
     task.failures = line.failures();
+    task.crashes = line.crashes();
+    task.blamed = line.blamed();
     task.worker = line.worker().orElse(null);
     task.checkpoint = line.checkpoint();
     task.order = Task.Order.CONFIRMED;
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -104,6 +104,10 @@
     }
     orders.confirm(task);
     task.listedMillis = term.now.mono();
+    if (task.crashes > 0 && CrashBlame.cleared(task)) {
+      task.forgetCrashes();
+      term.dirty.add(task.job);
+    }
     if (!running.checkpoint().isEmpty() && !running.checkpoint().equals(task.checkpoint)) {
       task.saved(running.checkpoint(), term.now.mono());
     }
@@ -140,6 +144,10 @@
       worker.echoes.add(new Worker.Echo(task.spec.image(), task.load, term.now.mono()));
     }
     term.release(task);
+    if (ended.how().byItself()) {
+      // Its worker lived on, so the crashes before had another cause.
+      task.forgetCrashes();
+    }
     if (ended.how() == WorkerReport.End.FAILED) {
       worker.failed(task.job.spec.id(), term.now.mono());
       task.failedOn.add(worker.info.id());
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -69,6 +69,13 @@
   Phase phase = Phase.WAITING;
   int run;
   int failures;
+
+  /** Workers that crashed while a run of this task was or may have been there. */
+  int crashes;
+
+  /** How many of these crashes this task is the likeliest cause of. */
+  int blamed;
+
   WorkerId worker;
   String checkpoint = "";
   Order order = Order.UNSAVED;
@@ -116,6 +123,17 @@
     return phase == Phase.PLACED && run == number && on.equals(worker);
   }
 
+  /** Returns whether the present run may have begun: its order has left. */
+  boolean mayHaveBegun() {
+    return order == Order.SENT || order == Order.CONFIRMED || uncertain;
+  }
+
+  /** Takes in that a run did not crash its worker. */
+  void forgetCrashes() {
+    crashes = 0;
+    blamed = 0;
+  }
+
   void place(WorkerId on, long nowMillis) {
     phase = Phase.PLACED;
     run++;
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -161,6 +161,11 @@
     changed();
   }
 
+  /** Returns whether none of the tasks here is suspected of crashing workers. */
+  boolean hasNoSuspect() {
+    return placed.values().stream().noneMatch(CrashBlame::suspect);
+  }
+
   /** Returns one serving task of each service here. */
   List<Task> services() {
     return services;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReport.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReport.java
@@ -52,6 +52,11 @@
     /** Another member of its gang ended. */
     BROKEN,
     /** The other members of its gang did not come in time. */
-    ALONE
+    ALONE;
+
+    /** Returns whether the run came to its end, whatever it was. */
+    boolean byItself() {
+      return this == DONE || this == FAILED;
+    }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
@@ -4,12 +4,16 @@
 import static org.cottontack.core.job.JobFixtures.lab;
 import static org.cottontack.core.job.JobFixtures.step;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -99,6 +103,22 @@
       assertComplete(lab, others.stream());
     }
 
+    /**
+     * The list of workers is slow: the next life answers at its address before the last one's entry
+     * is gone. That answer alone says that the worker crashed.
+     */
+    @Test
+    public void countsCrashesOfWorkersThatAreStillListed() {
+      JobLab lab = fleet(6, 16);
+      lab.listsTheDead = true;
+      lab.fatal.put(FATAL, 10L);
+      JobSpec bad = job("bad", step(3, 2, List.of()));
+      lab.submit(bad);
+      lab.run(40_000);
+      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
+      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+    }
+
     /**
      * Each leader is killed after the second crash that it saw, and the next one knows only what is
      * stored. Counted anew by each, the crashes would go on for as long as leaders change.
@@ -177,5 +197,81 @@
       lab.run(30_000);
       assertComplete(lab, others.stream());
     }
+
+    /** A lasting task beside one that crashes workers runs on, wherever both meet. */
+    @Test
+    public void lastingTasksRunOnBesideFatalOnes() {
+      JobLab lab = fleet(2, 16);
+      lab.workMillis = 200_000;
+      JobSpec lasting = job("lasting", step(2, 6, List.of(), StepSpec.Trait.LASTS));
+      lab.submit(lasting);
+      lab.run(1_000);
+      lab.fatal.put(FATAL, 10L);
+      lab.submit(job("bad", step(1, 2, List.of())));
+      lab.run(60_000);
+      assertNotEquals(lab.phase(lasting.id()), JobPhase.FAILED);
+      assertEquals(lab.workers.values().stream().mapToLong(w -> w.runs().size()).sum(), 2);
+    }
+  }
+
+  /** Fatal tasks, workers that crash by themselves and leaders that die, all at once. */
+  public static class Storm {
+
+    private static final int SEEDS = 8;
+    private static final int SECONDS = 40;
+    private static final List<Long> LIVES = List.of(10L, 150L, 400L);
+
+    @DataProvider
+    static Iterator<Object[]> seeds() {
+      return IntStream.range(0, SEEDS).mapToObj(seed -> new Object[] {seed}).iterator();
+    }
+
+    private static TaskName fatal(int job) {
+      return TaskName.parse("bad%d.0.0.%d".formatted(job, job));
+    }
+
+    private static void disturb(JobLab lab, Random random) {
+      if (random.nextInt(3) == 0) {
+        List<LabWorker> alive =
+            lab.workers.values().stream().filter(worker -> !worker.dead).toList();
+        lab.crash(alive.get(random.nextInt(alive.size())));
+      }
+      if (random.nextInt(15) == 0) {
+        lab.leaderDies();
+        lab.run(2_500);
+        lab.takeOver();
+      }
+    }
+
+    /**
+     * Three jobs have a task that crashes its workers, at once or later, while one worker in twelve
+     * crashes by itself each three seconds and leaders die. Callers see just these three jobs fail,
+     * none of them after a sixth start, and all others end as done.
+     */
+    @Test(dataProvider = "seeds")
+    public void onlyFatalTasksAreGivenUp(int seed) {
+      Random random = new Random(seed);
+      JobLab lab = fleet(12, 16);
+      List<JobSpec> bad =
+          IntStream.range(0, LIVES.size())
+              .mapToObj(i -> job("bad" + i, step(4, 2, List.of())))
+              .toList();
+      IntStream.range(0, LIVES.size()).forEach(i -> lab.fatal.put(fatal(i), LIVES.get(i)));
+      bad.forEach(lab::submit);
+      List<JobSpec> others = new ArrayList<>();
+      for (int second = 0; second < SECONDS; second++) {
+        others.add(job("other" + second, step(6, 2, List.of())));
+        lab.submit(others.get(second));
+        lab.run(1_000);
+        disturb(lab, random);
+      }
+      lab.run(15_000);
+      for (int i = 0; i < bad.size(); i++) {
+        long starts = lab.startsOf(fatal(i));
+        assertTrue(starts <= MOST_STARTS, fatal(i) + " starts " + starts);
+        assertEquals(lab.phase(bad.get(i).id()), JobPhase.FAILED);
+      }
+      assertComplete(lab, others.stream());
+    }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ProgressTextTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ProgressTextTest.java
@@ -49,6 +49,31 @@
       ProgressText.restore(next, text);
       assertEquals(next.tasks().findFirst().orElseThrow().checkpoint, checkpoint);
     }
+
+    /**
+     * Workers crashed under a task, and then the leader dies. The next one knows of these crashes;
+     * counted anew by each leader they would never end.
+     */
+    @Test
+    public void keepsCrashes() {
+      Job job = job();
+      Task task = job.tasks().findFirst().orElseThrow();
+      task.place(new WorkerId("w"), 0);
+      task.crashes = 3;
+      task.blamed = 1;
+      Job next = job();
+      ProgressText.restore(next, ProgressText.write(job));
+      Task restored = next.tasks().findFirst().orElseThrow();
+      assertEquals(List.of(restored.crashes, restored.blamed), List.of(3, 1));
+    }
+
+    /** A version that knows no crashes leads as well during a rolling replacement. */
+    @Test
+    public void writesWhatEarlierVersionsReadWhereNothingCrashed() {
+      Job job = job();
+      job.tasks().findFirst().orElseThrow().place(new WorkerId("w"), 0);
+      assertEquals(ProgressText.write(job), "q\n0 0 0 p 1 0 w ");
+    }
   }
 
   /** Damaged texts, and those of another version. */
