Start nothing on a worker whose capacity has shrunk below what it was given

What callers saw: a task started on a worker that had said seconds before that it has less; everything there gets slower, and where workers do not guard their capacity nothing else stops it. Cause: room was looked at when a task is placed only. An order that waited for the store, and one that is sent again until it is answered, left without a look at what the worker says by then. Change: both look again; what never left waits for another worker, what may have arrived is stopped. A worker's new capacity counts at once for tasks that fill, not with its next report. Why it holds: these are the only two ways by which a start leaves.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -24,6 +24,7 @@
     Worker worker =
         term.workers.computeIfAbsent(info.id(), id -> new Worker(info, term.inheritedLapseMillis));
     worker.info = info;
+    worker.changed();
     worker.registered = true;
     term.roomChanged = true;
     if (!worker.heard && !worker.looking) {
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -29,7 +29,8 @@
 
   void start(Task task) {
     Worker worker = term.workers.get(task.worker);
-    if (!worker.usable(term.now.mono())) {
+    // Its capacity may have shrunk while the placement was stored.
+    if (!worker.usable(term.now.mono()) || worker.shrunk()) {
       term.release(task);
       return;
     }
@@ -98,9 +99,12 @@
     return false;
   }
 
-  /** Sends an unanswered order again: the worker takes an order for the same run as the same. */
+  /**
+   * Sends an unanswered order again: the worker takes an order for the same run as the same. Not
+   * where its capacity has shrunk meanwhile: what starts now would slow all that runs there.
+   */
   void retry(Worker worker, Task task) {
-    if (task.job.phase.terminal()) {
+    if (task.job.phase.terminal() || worker.shrunk()) {
       withdraw(task);
     } else if (!worker.silent) {
       order(worker, task);
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -78,6 +78,11 @@
     return registered && heard && !silent && !info.draining() && nowMillis >= avoidUntilMillis;
   }
 
+  /** Returns whether less is left of the worker than what has been placed here. */
+  boolean shrunk() {
+    return !free().holds(Resources.NONE);
+  }
+
   Resources free() {
     return info.capacity().minus(used);
   }
