Failing test: two processes are given one port

A port is found free and let go, and a second passes until the process listens. Two copies of the search become one class, behaviour as before.

--- a/standin/src/main/java/org/cottontack/standin/experiment/DaemonProcess.java
+++ b/standin/src/main/java/org/cottontack/standin/experiment/DaemonProcess.java
@@ -1,11 +1,11 @@
 package org.cottontack.standin.experiment;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.cottontack.adapters.Address;
+import org.cottontack.standin.FreePorts;
 
 /** An entry instance started for an experiment, with what the system says it uses. */
 final class DaemonProcess implements AutoCloseable {
@@ -19,8 +19,8 @@
   private final Address operators;
 
   DaemonProcess(Path workspace, String dataCentre, Address store) {
-    callers = new Address("127.0.0.1", freePort());
-    operators = new Address("127.0.0.1", freePort());
+    callers = new Address("127.0.0.1", FreePorts.next());
+    operators = new Address("127.0.0.1", FreePorts.next());
     try {
       Path settings = Files.createTempFile("experiment", ".yaml");
       settings.toFile().deleteOnExit();
@@ -47,21 +47,13 @@
         "listen:",
         "  callers: " + callers,
         "  operators: " + operators,
-        "  peers: 127.0.0.1:" + freePort(),
+        "  peers: 127.0.0.1:" + FreePorts.next(),
         "platform:",
         "  store: " + store,
         "  membership: " + store,
         "");
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("no free port", e);
-    }
-  }
-
   Address callers() {
     return callers;
   }
--- a/standin/src/test/java/org/cottontack/standin/EntryProcess.java
+++ b/standin/src/test/java/org/cottontack/standin/EntryProcess.java
@@ -2,7 +2,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -14,9 +13,9 @@
 
   private final String dataCentre;
   private final Address store;
-  private final int callers = freePort();
-  private final int operators = freePort();
-  private final int peers = freePort();
+  private final int callers = FreePorts.next();
+  private final int operators = FreePorts.next();
+  private final int peers = FreePorts.next();
   private Process process;
 
   EntryProcess(String dataCentre, Address store) {
@@ -25,14 +24,6 @@
     start();
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("no free port", e);
-    }
-  }
-
   /** Starts it, again at the same addresses when it ran before. */
   void start() {
     try {
