Say why an entry process of a test did not come up, and keep its log

A process that ended at its start looked like one that is slow: 90 s of waiting, "did not happen in 90 s: live", and a log that was deleted with the test. Now the wait ends at once with the exit code and the place of the log, under target/entry-logs.

--- a/standin/src/test/java/org/cottontack/standin/Cluster.java
+++ b/standin/src/test/java/org/cottontack/standin/Cluster.java
@@ -36,11 +36,16 @@
     Demand capacity = new Demand(8_000, 64_000, 1);
     world = new World(group, new World.Plan(dataCentres, 0, 2, 2, 4, 5, capacity));
     dataCentres.forEach(dataCentre -> add(dataCentre, entriesEach));
-    entries.forEach(entry -> until("live", () -> get(entry.operators(), "/health/live").is(200)));
+    entries.forEach(entry -> until("live", () -> live(entry)));
     until("a table", () -> edit(entries.get(0), 0, 1_000).is(200));
     until("ready", () -> entries.stream().allMatch(this::serves));
   }
 
+  private boolean live(EntryProcess entry) {
+    entry.checkAlive();
+    return get(entry.operators(), "/health/live").is(200);
+  }
+
   private void add(String dataCentre, int count) {
     for (int i = 0; i < count; i++) {
       entries.add(new EntryProcess(dataCentre, world.platform().address(dataCentre)));
--- a/standin/src/test/java/org/cottontack/standin/EntryProcess.java
+++ b/standin/src/test/java/org/cottontack/standin/EntryProcess.java
@@ -1,6 +1,5 @@
 package org.cottontack.standin;
 
-import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,12 +10,16 @@
 /** A real entry instance process; stopped, paused and killed by its process id. */
 final class EntryProcess {
 
+  /** Where output is kept: a run that failed is traced from it. */
+  private static final Path LOGS = Path.of("target", "entry-logs");
+
   private final String dataCentre;
   private final Address store;
   private final int callers = FreePorts.next();
   private final int operators = FreePorts.next();
   private final int peers = FreePorts.next();
   private Process process;
+  private Path log;
 
   EntryProcess(String dataCentre, Address store) {
     this.dataCentre = dataCentre;
@@ -30,8 +33,7 @@
       Path settings = Files.createTempFile("entry", ".yaml");
       settings.toFile().deleteOnExit();
       Files.writeString(settings, settings());
-      File log = File.createTempFile("entry", ".log");
-      log.deleteOnExit();
+      log = newLog();
       process =
           new ProcessBuilder(
                   List.of(
@@ -46,13 +48,29 @@
                       "--settings",
                       settings.toString()))
               .redirectErrorStream(true)
-              .redirectOutput(log)
+              .redirectOutput(log.toFile())
               .start();
     } catch (IOException e) {
       throw new IllegalStateException("cannot start an entry instance", e);
     }
   }
 
+  private static Path newLog() throws IOException {
+    return Files.createTempFile(Files.createDirectories(LOGS), "entry-", ".log");
+  }
+
+  /**
+   * Fails where the process has ended by itself. Waited for until a deadline, one that could not
+   * start looks like one that is slow, and why it ended is never seen.
+   */
+  void checkAlive() {
+    if (!alive()) {
+      throw new AssertionError(
+          "an entry process ended with code %d, its log is %s"
+              .formatted(process.exitValue(), log.toAbsolutePath()));
+    }
+  }
+
   private String settings() {
     return TestFile.read("/entry.yaml")
         .formatted(dataCentre, callers, operators, peers, store, store);
@@ -88,6 +106,10 @@
     }
   }
 
+  boolean alive() {
+    return process.isAlive();
+  }
+
   void kill() {
     process.destroyForcibly();
   }
