Move what the lease row says out of Leadership

What is written to the lease row, and what a leader owes to those before it, are one matter: LeaseRow, with a test of its own.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -61,6 +60,7 @@
   private final String dataCentre;
   private final Listener listener;
   private final Succession succession;
+  private final LeaseRow leaseRow;
   private final Map<RowKey, Row> rows = new HashMap<>();
   private LeaderLease lease = new LeaderLease();
   private long position;
@@ -76,8 +76,6 @@
   private boolean leaseKnown;
   private long campaignEpoch;
   private Moment campaignSent;
-  private long inheritedLapseMillis;
-  private final StoreClock clock = new StoreClock();
 
   /** What an election is about; called on the event loop. */
   interface Listener {
@@ -110,6 +108,7 @@
     this.dataCentre = instance.dataCentre();
     this.listener = listener;
     this.succession = new Succession(instance, HAND_OVER_GAP_MILLIS);
+    this.leaseRow = new LeaseRow(self);
   }
 
   void start() {
@@ -126,7 +125,7 @@
             timers.after(PAUSE_MILLIS, this::start);
             return;
           }
-          clock.told(asked, timers.now(), scan.storeMillis());
+          leaseRow.told(asked, timers.now(), scan.storeMillis());
           take(scan.rows());
           position = scan.version();
           decide();
@@ -157,7 +156,7 @@
    * gave to workers: none lasts longer than its giver's last renewal allows.
    */
   long inheritedLapseMillis() {
-    return inheritedLapseMillis;
+    return leaseRow.inheritedLapseMillis();
   }
 
   private void take(List<Row> news) {
@@ -237,15 +236,15 @@
     Row election = rows.get(ELECTION);
     long next = election == null ? 1 : epochOf(election) + 1;
     // All attempts at an epoch write the same name. One that is found in the store may be the
-    // first,
-    // and a lease counted from the last would outlive what other instances wait for.
+    // first, and a lease counted from the last would outlive what other instances wait for.
     if (next != campaignEpoch) {
       campaignEpoch = next;
       campaignSent = timers.now();
     }
     final Moment sent = campaignSent;
     // The transaction holds only if nobody renewed after the row as we know it.
-    inheritedLapseMillis = leaseVersion == 0 ? 0 : lapse(LeaseText.parse(rows.get(LEASE).text()));
+    Optional<Row> last = Optional.ofNullable(rows.get(LEASE)).filter(row -> leaseVersion > 0);
+    leaseRow.inherit(last.map(row -> LeaseText.parse(row.text())), lease.changedMillis());
     Change change =
         new Change(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
@@ -253,7 +252,7 @@
                 ELECTION,
                 Payload.of(next + " " + self),
                 LEASE,
-                held(sent, clock.latest(sent)),
+                leaseRow.held(renewals, sent, true),
                 Succession.CAPACITY,
                 succession.taken()),
             List.of());
@@ -270,20 +269,6 @@
         });
   }
 
-  /**
-   * Returns the steady time at which all leases of the holder's workers have ended: counted from
-   * when the row was written, as far as the store's clock tells, at the latest from when we saw it
-   * first. A process that began after the holder's death saw the row late.
-   */
-  private long lapse(LeaseText text) {
-    long seen = lease.changedMillis() + text.grantMillis();
-    if (text.sentMillis() == 0) {
-      return seen;
-    }
-    long stated = clock.reached(text.sentMillis() + text.grantMillis()).orElse(seen);
-    return Math.min(seen, stated);
-  }
-
   /** A takeover whose answer was lost may still be in the store. */
   private void afterLost(long next, Moment sent) {
     store.scan(
@@ -360,7 +345,7 @@
       expected.put(LEASE, leaseVersion);
     }
     leaseKnown = false;
-    Payload text = held(sent, stated ? clock.latest(sent) : OptionalLong.empty());
+    Payload text = leaseRow.held(renewals, sent, stated);
     Change change = new Change(expected, Map.of(LEASE, text), List.of());
     long number = renewals;
     store.commit(change, ANSWER_MILLIS, answer -> renewed(term, number, sent, answer));
@@ -370,7 +355,7 @@
     if (!leading || epoch != term) {
       return;
     }
-    clock.told(sent, timers.now(), answer.storeMillis());
+    leaseRow.told(sent, timers.now(), answer.storeMillis());
     if (answer.outcome() == CommitAnswer.Outcome.DONE) {
       lease.renewed(sent);
       leaseVersion = Math.max(leaseVersion, answer.version());
@@ -458,26 +443,8 @@
     }
   }
 
-  private Payload held(Moment sent, OptionalLong sentMillis) {
-    long grant = Math.max(LeaderLease.GRANT_MILLIS, inheritedMillis(sent));
-    return Payload.of(LeaseText.held(self, renewals, grant, sentMillis));
-  }
-
-  /**
-   * A leader that has not begun has given no leases itself. Were its short term counted like any
-   * other, making way at once would begin the wait for lost workers anew: their lasting tasks were
-   * away for 12 s after the death of the leader before, in place of 8.5 s.
-   */
   private Payload free(String cutOff) {
-    Moment now = timers.now();
-    long own = begun ? LeaderLease.GRANT_MILLIS : 0;
-    long grant = Math.max(own, inheritedMillis(now));
-    return Payload.of(LeaseText.free(cutOff, grant, clock.latest(now)));
-  }
-
-  /** Returns how long leases may still last that leaders before this one gave. */
-  private long inheritedMillis(Moment now) {
-    return inheritedLapseMillis - now.mono();
+    return leaseRow.free(cutOff, timers.now(), begun);
   }
 
   /** Gives the lease back, unless another instance has taken over meanwhile. */
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaseRowTest.java
@@ -0,0 +1,79 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cottontack.core.Moment;
+import org.cottontack.core.job.LeaderLease;
+import org.cottontack.core.peer.Payload;
+import org.testng.annotations.Test;
+
+/** Tests of what is written to the leader's lease row. */
+public class LeaseRowTest {
+
+  private static final String OLD_TEXT =
+      LeaseText.held("old/1", 7, LeaderLease.GRANT_MILLIS, OptionalLong.empty());
+
+  private static Moment at(long millis) {
+    return new Moment(millis, millis);
+  }
+
+  private static LeaseText read(Payload text) {
+    return LeaseText.parse(new Row(new RowKey("t", "p", "k"), text, 1, false).text());
+  }
+
+  /** What a leader owes to those before it. */
+  public static class Inheriting {
+
+    @Test
+    public void owesNothingWithoutAnEarlierLeader() {
+      LeaseRow row = new LeaseRow("self/1");
+      row.inherit(Optional.empty(), 5_000);
+      assertEquals(row.inheritedLapseMillis(), 0);
+    }
+
+    @Test
+    public void waitsForWhatTheLastLeaderGave() {
+      LeaseRow row = new LeaseRow("self/1");
+      row.inherit(Optional.of(LeaseText.parse(OLD_TEXT)), 5_000);
+      assertEquals(row.inheritedLapseMillis(), 5_000 + LeaderLease.GRANT_MILLIS);
+    }
+
+    /** A leader that makes way before it gave any lease passes on only what it inherited. */
+    @Test
+    public void passesOnWhatIsLeft() {
+      LeaseRow row = new LeaseRow("self/1");
+      row.inherit(Optional.of(LeaseText.parse(OLD_TEXT)), 5_000);
+      LeaseText free = read(row.free("", at(8_000), false));
+      assertTrue(free.isFree());
+      assertEquals(free.grantMillis(), LeaderLease.GRANT_MILLIS - 3_000);
+    }
+  }
+
+  /** The time that a renewal says. */
+  public static class Stating {
+
+    private static LeaseRow told() {
+      LeaseRow row = new LeaseRow("self/1");
+      row.told(at(1_000), at(1_010), 90_000);
+      return row;
+    }
+
+    @Test
+    public void saysTheStoresTimeWhereItMay() {
+      assertTrue(read(told().held(1, at(1_100), true)).sentMillis() >= 90_000);
+    }
+
+    @Test
+    public void saysNoneWhereItMayNot() {
+      assertEquals(read(told().held(1, at(1_100), false)).sentMillis(), 0);
+    }
+
+    @Test
+    public void saysNoneBeforeTheStoreDid() {
+      assertEquals(read(new LeaseRow("self/1").held(1, at(1_100), true)).sentMillis(), 0);
+    }
+  }
+}
