--- a/core/src/main/java/org/cottontack/core/job/CrashBlame.java
+++ b/core/src/main/java/org/cottontack/core/job/CrashBlame.java
@@ -53,7 +53,7 @@
         && task.listedMillis - task.placedMillis >= CLEARED_MILLIS;
   }
 
-  /** Returns whether a task is to run where no other suspect does, and little else. */
+  /** Returns whether a task is to run where no other suspect does. */
   static boolean suspect(Task task) {
     return task.crashes >= SUSPECT_CRASHES;
   }
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -108,7 +108,7 @@
   }
 
   /** Ends a job one task of which crashes its workers. */
-  void givenUp(Task task) {
+  void giveUp(Task task) {
     if (!task.job.phase.terminal()) {
       term.note("job.givenUp", task.job.spec.id(), task.name + " crashes=" + task.crashes);
       end(task.job, JobPhase.FAILED);
--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -40,7 +40,7 @@
     List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : List.of();
     lost.forEach(task -> noteLost(worker, task));
     lost.forEach(term::release);
-    hopeless.forEach(lifecycle::givenUp);
+    hopeless.forEach(lifecycle::giveUp);
   }
 
   /**
@@ -53,13 +53,14 @@
   }
 
   private void noteLost(Worker worker, Task task) {
+    boolean byUs = task.placedMillis > 0;
     String detail =
         "%s order=%s placed=%d listed=%d crashes=%d blamed=%d"
             .formatted(
                 worker.info.id(),
                 task.order,
-                task.placedMillis > 0 ? term.now.mono() - task.placedMillis : 0,
-                task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
+                byUs ? term.now.mono() - task.placedMillis : 0,
+                byUs && task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
                 task.crashes,
                 task.blamed);
     term.note("run.lost", task.key(), detail);
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -78,7 +78,7 @@
     return registered && heard && !silent && !info.draining() && nowMillis >= avoidUntilMillis;
   }
 
-  /** Returns whether less is left of the worker than what has been placed here. */
+  /** Returns whether the worker has less by now than what was placed here. */
   boolean shrunk() {
     return !free().holds(Resources.NONE);
   }
