Failing test: a run that its worker failed begins the count of crashes anew

Symptom: a fatal task meets a worker that fails all it is given, between two crashes, and is started six times. Found by reading: an end as failed was taken for a sign that the task does not crash its worker.

--- a/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
@@ -48,6 +48,13 @@
             .toArray(LabWorker[]::new));
   }
 
+  /** Lets time pass until the fatal task was started so often, 20 s at most. */
+  private static void untilStarts(JobLab lab, long starts) {
+    for (int i = 0; i < 2_000 && lab.startsOf(FATAL) < starts; i++) {
+      lab.run(10);
+    }
+  }
+
   /** Lets time pass while jobs of four tasks come every 300 ms; returns them. */
   private static List<JobSpec> others(JobLab lab, int count) {
     return IntStream.range(0, count)
@@ -119,6 +126,30 @@
       assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
     }
 
+    /**
+     * Between two crashes the task meets a worker that fails all it is given. That run ended
+     * without a crash, and says nothing of the task: taken for a sign of health, it would begin the
+     * count anew, and a sixth worker crash.
+     */
+    @Test
+    public void countsOnAfterRunThatItsWorkerFailed() {
+      JobLab lab = fleet(6, 16);
+      lab.fatal.put(FATAL, 10L);
+      JobSpec bad = job("bad", step(1, 2, List.of()));
+      lab.submit(bad);
+      untilStarts(lab, 2);
+      lab.run(100);
+      lab.fatal.remove(FATAL);
+      untilStarts(lab, 3);
+      lab.fatal.put(FATAL, 10L);
+      lab.fails = true;
+      lab.run(600);
+      lab.fails = false;
+      lab.run(40_000);
+      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
+      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+    }
+
     /**
      * Each leader is killed after the second crash that it saw, and the next one knows only what is
      * stored. Counted anew by each, the crashes would go on for as long as leaders change.
@@ -144,13 +175,6 @@
   /** Leaders that die when the worker does. */
   public static class Unseen {
 
-    private static void untilNextStart(JobLab lab) {
-      long before = lab.startsOf(FATAL);
-      for (int i = 0; i < 2_000 && lab.startsOf(FATAL) == before; i++) {
-        lab.run(10);
-      }
-    }
-
     /**
      * Each time that a worker crashes, the leader dies at the same moment and sees nothing of it.
      * The next one finds the task placed on a worker that was gone before its term. It took that
@@ -163,7 +187,7 @@
       JobSpec bad = job("bad", step(1, 2, List.of()));
       lab.submit(bad);
       for (int i = 0; i < 8; i++) {
-        untilNextStart(lab);
+        untilStarts(lab, lab.startsOf(FATAL) + 1);
         lab.leaderDies();
         lab.run(3_500);
         lab.takeOver();
