A run that its worker failed does not clear a task of crashes

What callers saw: a task that crashes its workers started a sixth time, when one worker had failed it between. Cause: any end by itself began the count anew; some workers fail all they are given, before the task comes to what crashes them. Change: only a run that is done clears its task. Why it holds: a task that crashes its workers is never done.

--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -144,8 +144,9 @@
       worker.echoes.add(new Worker.Echo(task.spec.image(), task.load, term.now.mono()));
     }
     term.release(task);
-    if (ended.how().byItself()) {
-      // Its worker lived on, so the crashes before had another cause.
+    if (ended.how() == WorkerReport.End.DONE) {
+      // Its worker lived on, so the crashes before had another cause. A failure says nothing: some
+      // workers fail all they are given.
       task.forgetCrashes();
     }
     if (ended.how() == WorkerReport.End.FAILED) {
--- a/core/src/main/java/org/cottontack/core/job/WorkerReport.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReport.java
@@ -52,11 +52,6 @@
     /** Another member of its gang ended. */
     BROKEN,
     /** The other members of its gang did not come in time. */
-    ALONE;
-
-    /** Returns whether the run came to its end, whatever it was. */
-    boolean byItself() {
-      return this == DONE || this == FAILED;
-    }
+    ALONE
   }
 }
