Failing test: a task that crashed three workers is started on where its runs are stopped

Symptom: nine starts where five are the most. Found by reading the rule: what it bounds after three crashes are starts, and only crashes were counted.

--- a/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
@@ -150,6 +150,28 @@
       assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
     }
 
+    /**
+     * After three crashes each run is stopped before it crashes its worker, as happens to runs that
+     * harm their neighbours. The platform allows two more starts then, however they end; counted by
+     * crashes alone there would be no end of them.
+     */
+    @Test
+    public void startsNoSixthTimeHoweverRunsEnd() {
+      JobLab lab = fleet(6, 16);
+      lab.fatal.put(FATAL, 250L);
+      JobSpec bad = job("bad", step(1, 2, List.of()));
+      lab.submit(bad);
+      untilStarts(lab, 3);
+      for (int starts = 4; starts < 9; starts++) {
+        untilStarts(lab, starts);
+        lab.run(100);
+        lab.workers.values().forEach(worker -> worker.runs().forEach(run -> worker.stop(run, 1)));
+      }
+      lab.run(20_000);
+      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
+      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+    }
+
     /**
      * Each leader is killed after the second crash that it saw, and the next one knows only what is
      * stored. Counted anew by each, the crashes would go on for as long as leaders change.
