Bound the starts of a task after three workers crashed under it, however its runs end

What callers saw: nothing new, but a job that neither ends nor fails while its runs are stopped for their neighbours' sake, and a worker that crashes whenever they are not. Cause: crashes were counted, where the platform bounds starts: two after the third crash. Change: from the third crash on each run that is not done counts like a crash. Why it holds: a run ends as done, undone, or with its worker, and each of these three counts or ends the job.

--- a/core/src/main/java/org/cottontack/core/job/CrashBlame.java
+++ b/core/src/main/java/org/cottontack/core/job/CrashBlame.java
@@ -26,6 +26,12 @@
    */
   private static final int MOST_CRASHES = 5;
 
+  /**
+   * Crashes after which each further run counts like one, however it ends: what the platform bounds
+   * from the third crash on are starts.
+   */
+  private static final int LAST_RUNS_CRASHES = 3;
+
   /**
    * Time for which a worker has to have listed a lasting run to clear it, in milliseconds. A
    * lasting run is on some worker all day and sees many crash, none of them for its sake.
@@ -47,6 +53,17 @@
     return suspects.stream().filter(CrashBlame::hopeless).toList();
   }
 
+  /**
+   * Takes in that runs ended without being done, and without a crash that is known.
+   *
+   * @param runs the tasks that they were runs of
+   * @return tasks that are to be given up
+   */
+  static List<Task> endedUndone(Collection<Task> runs) {
+    runs.stream().filter(task -> task.crashes >= LAST_RUNS_CRASHES).forEach(task -> task.crashes++);
+    return runs.stream().filter(CrashBlame::hopeless).toList();
+  }
+
   /** Returns whether a lasting run has shown that it does not crash its worker. */
   static boolean cleared(Task task) {
     return task.spec.is(StepSpec.Trait.LASTS)
--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -37,7 +37,7 @@
     List<Task> lost = List.copyOf(worker.placed.values());
     // A crash is reported by nobody. Not counted, a task that crashes every worker goes to the next
     // one as soon as the last is back, and no caller's work beside it ends.
-    List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : List.of();
+    List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
     lost.forEach(task -> noteLost(worker, task));
     lost.forEach(term::release);
     hopeless.forEach(lifecycle::giveUp);
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -148,6 +148,8 @@
       // Its worker lived on, so the crashes before had another cause. A failure says nothing: some
       // workers fail all they are given.
       task.forgetCrashes();
+    } else {
+      CrashBlame.endedUndone(List.of(task)).forEach(lifecycle::giveUp);
     }
     if (ended.how() == WorkerReport.End.FAILED) {
       worker.failed(task.job.spec.id(), term.now.mono());
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -70,7 +70,10 @@
   int run;
   int failures;
 
-  /** Workers that crashed while a run of this task was or may have been there. */
+  /**
+   * Workers that crashed while a run of this task was or may have been there; from the third on all
+   * runs that were not done.
+   */
   int crashes;
 
   /** How many of these crashes this task is the likeliest cause of. */
