--- a/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
@@ -48,6 +48,17 @@
             .toArray(LabWorker[]::new));
   }
 
+  /** Submits a job whose first task ends its worker's life after a while. */
+  private static void submitFatal(JobLab lab, int tasks, long livesMillis) {
+    lab.fatal.put(FATAL, livesMillis);
+    lab.submit(job("bad", step(tasks, 2, List.of())));
+  }
+
+  private static void assertGivenUp(JobLab lab) {
+    assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
+    assertEquals(lab.phase(FATAL.job()), JobPhase.FAILED);
+  }
+
   /** Lets time pass until the fatal task was started so often, 20 s at most. */
   private static void untilStarts(JobLab lab, long starts) {
     for (int i = 0; i < 2_000 && lab.startsOf(FATAL) < starts; i++) {
@@ -83,13 +94,10 @@
     @Test
     public void givesUpTasksThatCrashTheirWorkers() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 10L);
-      JobSpec bad = job("bad", step(3, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 3, 10);
       final List<JobSpec> others = others(lab, 100);
       lab.run(20_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
       assertComplete(lab, others.stream());
     }
 
@@ -100,13 +108,10 @@
     @Test
     public void givesUpTasksThatCrashTheirWorkersLater() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 250L);
-      JobSpec bad = job("bad", step(3, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 3, 250);
       final List<JobSpec> others = others(lab, 100);
       lab.run(20_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
       assertComplete(lab, others.stream());
     }
 
@@ -118,12 +123,9 @@
     public void countsCrashesOfWorkersThatAreStillListed() {
       JobLab lab = fleet(6, 16);
       lab.listsTheDead = true;
-      lab.fatal.put(FATAL, 10L);
-      JobSpec bad = job("bad", step(3, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 3, 10);
       lab.run(40_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
     }
 
     /**
@@ -134,9 +136,7 @@
     @Test
     public void countsOnAfterRunThatItsWorkerFailed() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 10L);
-      JobSpec bad = job("bad", step(1, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 1, 10);
       untilStarts(lab, 2);
       lab.run(100);
       lab.fatal.remove(FATAL);
@@ -146,8 +146,7 @@
       lab.run(600);
       lab.fails = false;
       lab.run(40_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
     }
 
     /**
@@ -158,9 +157,7 @@
     @Test
     public void startsNoSixthTimeHoweverRunsEnd() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 250L);
-      JobSpec bad = job("bad", step(1, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 1, 250);
       untilStarts(lab, 3);
       for (int starts = 4; starts < 9; starts++) {
         untilStarts(lab, starts);
@@ -168,8 +165,7 @@
         lab.workers.values().forEach(worker -> worker.runs().forEach(run -> worker.stop(run, 1)));
       }
       lab.run(20_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
     }
 
     /**
@@ -179,9 +175,7 @@
     @Test
     public void countsOverTakeovers() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 10L);
-      JobSpec bad = job("bad", step(1, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 1, 10);
       for (int i = 0; i < 8; i++) {
         lab.run(7_500);
         lab.leaderDies();
@@ -189,8 +183,7 @@
         lab.takeOver();
       }
       lab.run(20_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
     }
   }
 
@@ -205,9 +198,7 @@
     @Test
     public void countsCrashesBeforeTheTerm() {
       JobLab lab = fleet(6, 16);
-      lab.fatal.put(FATAL, 10L);
-      JobSpec bad = job("bad", step(1, 2, List.of()));
-      lab.submit(bad);
+      submitFatal(lab, 1, 10);
       for (int i = 0; i < 8; i++) {
         untilStarts(lab, lab.startsOf(FATAL) + 1);
         lab.leaderDies();
@@ -215,8 +206,7 @@
         lab.takeOver();
       }
       lab.run(20_000);
-      assertTrue(lab.startsOf(FATAL) <= MOST_STARTS, "starts: " + lab.startsOf(FATAL));
-      assertEquals(lab.phase(bad.id()), JobPhase.FAILED);
+      assertGivenUp(lab);
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ShrinkingWorkerTest.java
@@ -0,0 +1,97 @@
+package org.cottontack.core.job;
+
+import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of decisions about workers that say they have less than before. */
+public class ShrinkingWorkerTest {
+
+  /** Workers whose capacity shrinks while they run, and grows again. */
+  public static class Starting {
+
+    private static final TaskName SECOND = TaskName.parse("b.0.0.0");
+
+    private static WorkerInfo resized(LabWorker worker, long cores) {
+      WorkerInfo info = worker.info;
+      return new WorkerInfo(
+          info.id(),
+          info.pool(),
+          info.address(),
+          info.dataCentre(),
+          new Resources(1_000 * cores, 100_000, 0),
+          info.labels(),
+          info.draining());
+    }
+
+    /** Returns a lab whose only worker runs a task of three of its eight cores. */
+    private static JobLab busy(LabWorker worker) {
+      JobLab lab = lab(worker);
+      lab.workMillis = 4_000;
+      lab.submit(job("a", step(1, 3, List.of())));
+      lab.run(500);
+      return lab;
+    }
+
+    private static JobSpec second() {
+      return job("b", step(1, 3, List.of()));
+    }
+
+    /** Callers' work waits while there is no room for it, and starts when the room is back. */
+    @Test
+    public void startsNothingBeyondWhatIsLeft() {
+      LabWorker worker = new LabWorker("w", 8);
+      JobLab lab = busy(worker);
+      lab.post(new JobEvent.WorkerSeen(resized(worker, 4)));
+      lab.submit(second());
+      lab.run(2_000);
+      assertEquals(lab.startsOf(SECOND), 0);
+      lab.post(new JobEvent.WorkerSeen(resized(worker, 8)));
+      lab.run(500);
+      assertEquals(lab.startsOf(SECOND), 1);
+    }
+
+    /**
+     * A placement waits for the store, the worker's capacity shrinks, and the store is back. The
+     * order that leaves then would bring the worker over what it has, and slow all that runs there.
+     */
+    @Test
+    public void startsNothingThatWaitedForTheStore() {
+      LabWorker worker = new LabWorker("w", 8);
+      JobLab lab = busy(worker);
+      lab.storeAway = true;
+      lab.submit(second());
+      lab.run(200);
+      lab.post(new JobEvent.WorkerSeen(resized(worker, 4)));
+      lab.storeBack();
+      lab.run(2_000);
+      assertEquals(lab.startsOf(SECOND), 0);
+    }
+
+    /**
+     * An order does not reach its worker, the worker's capacity shrinks, and the order goes out
+     * again until it is answered: seconds later, and beyond what the worker has by then.
+     */
+    @Test
+    public void repeatsNoOrderBeyondWhatIsLeft() {
+      LabWorker worker = new LabWorker("w", 8);
+      JobLab lab = busy(worker);
+      lab.delay =
+          effect ->
+              effect instanceof JobEffect.StartRun start && start.run().task().equals(SECOND)
+                  ? 60_000
+                  : 0;
+      lab.submit(second());
+      lab.run(500);
+      lab.post(new JobEvent.WorkerSeen(resized(worker, 4)));
+      lab.run(500);
+      lab.delay = effect -> 0;
+      lab.run(2_000);
+      assertEquals(lab.startsOf(SECOND), 0);
+    }
+  }
+}
