--- a/core/src/main/java/org/cottontack/core/job/CrashBlame.java
+++ b/core/src/main/java/org/cottontack/core/job/CrashBlame.java
@@ -12,8 +12,8 @@
 final class CrashBlame {
 
   /**
-   * Crashes from which on a task is a suspect. Workers crash by themselves as well: one crash makes
-   * suspects of everything that ran on a lost rack.
+   * Crashes from which on a task is a suspect. With one, everything on a rack that is lost by
+   * itself would be, and wait for workers without another suspect.
    */
   static final int SUSPECT_CRASHES = 2;
 
--- a/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashingTaskTest.java
@@ -36,7 +36,7 @@
  */
 public class CrashingTaskTest {
 
-  /** Crashed workers that a task may leave behind before it is started for the last time. */
+  /** Most starts of a task that crashes its workers: three, and less than three more. */
   private static final int MOST_STARTS = 5;
 
   private static final TaskName FATAL = TaskName.parse("bad.0.0.0");
