Evacuations: nothing starts in a data centre that the operator empties

Change: the adapter tells the data centres whose request lies in the store, whatever its value holds; the scheduler counts their workers as unusable. Each way in which an order to start can leave goes by that: placing, the start after its placement was saved, an order sent again (barred by a stop where it may have arrived), the next life of a worker, and the next leader, which is told before its first decision. Right before an order leaves for the wire it is asked again, and news older than 3 s start nothing anywhere. Room in such a data centre is no room of its pool: services would otherwise begin in the last of what short tasks need. What runs there goes on. Weighed: stopping lasting tasks, at once or in turn, costs each of them its time to start (0.5 s and more) and may find no room; the request asks for nothing new only.

Ruled out: that a new leader starts what an earlier one had placed.

The log line of lasting tasks that leave a draining worker is run.movedOff now; run.evacuated would be read as something of an evacuation.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
+import org.cottontack.core.id.DataCentreId;
 
 /** Which workers there are, and what is done about those that leave or do not answer. */
 final class Fleet {
@@ -44,6 +46,40 @@
     }
   }
 
+  /** Takes in which data centres the operator empties. */
+  void evacuated(Set<DataCentreId> dataCentres) {
+    long now = term.now.mono();
+    Set<DataCentreId> before = term.evacuations.all();
+    dataCentres.stream()
+        .filter(dataCentre -> !before.contains(dataCentre))
+        .sorted()
+        .forEach(
+            dataCentre -> {
+              term.evacuations.begin(dataCentre, now);
+              noteEvacuation("evacuation.seen", dataCentre, "");
+            });
+    before.stream()
+        .filter(dataCentre -> !dataCentres.contains(dataCentre))
+        .sorted()
+        .forEach(
+            dataCentre -> {
+              long millis = term.evacuations.end(dataCentre, now);
+              noteEvacuation("evacuation.ended", dataCentre, " afterMillis=" + millis);
+            });
+    term.roomChanged = true;
+  }
+
+  /** Says what still runs in the data centres that are being emptied. */
+  void noteEvacuations() {
+    term.evacuations.all().stream()
+        .sorted()
+        .forEach(dataCentre -> noteEvacuation("evacuation.left", dataCentre, ""));
+  }
+
+  private void noteEvacuation(String event, DataCentreId dataCentre, String more) {
+    term.note(event, dataCentre, Evacuations.remaining(term.workers.values(), dataCentre) + more);
+  }
+
   /** Returns the worker that leads the life which an entry speaks of. */
   private Worker leading(WorkerInfo info) {
     Worker known = term.workers.get(info.id());
@@ -127,7 +163,7 @@
       orders.look(worker, 0);
     }
     if (worker.info.draining() && !outOfTouch) {
-      evacuate(worker);
+      moveLasting(worker);
     }
     worker.placed.values().stream()
         .filter(task -> task.order == Task.Order.RESEND)
@@ -157,7 +193,7 @@
    * the task would be away for 9 s. One at a time, and only when none waits already: a task that
    * finds no room elsewhere is better off where it is.
    */
-  private void evacuate(Worker worker) {
+  private void moveLasting(Worker worker) {
     boolean oneWaits = term.hungry.stream().anyMatch(job -> job.spec.lasts() && job.begun);
     List<RunKey> stopping =
         worker.placed.keySet().stream().filter(worker.stopsSent::containsKey).toList();
@@ -172,7 +208,7 @@
         .findFirst()
         .ifPresent(
             task -> {
-              term.note("run.evacuated", task.key(), worker.info.id() + " drains");
+              term.note("run.movedOff", task.key(), worker.info.id() + " drains");
               orders.stop(worker, task.key());
             });
   }
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -1,6 +1,8 @@
 package org.cottontack.core.job;
 
+import java.util.Set;
 import org.cottontack.core.Moment;
+import org.cottontack.core.id.DataCentreId;
 
 /** Something that happened: an input of {@link JobScheduler}. */
 public sealed interface JobEvent {
@@ -8,6 +10,19 @@
   /** New rules are in force. */
   record TableChanged(JobTable table) implements JobEvent {}
 
+  /**
+   * The data centres whose workers are to get nothing new.
+   *
+   * @param dataCentres all of them; those named before and not now are taken back
+   */
+  record DataCentresEvacuated(Set<DataCentreId> dataCentres) implements JobEvent {
+
+    /** Keeps the set immutable. */
+    public DataCentresEvacuated {
+      dataCentres = Set.copyOf(dataCentres);
+    }
+  }
+
   /** A job was accepted; repeated news of one job is ignored. */
   record JobArrived(JobSpec job) implements JobEvent {}
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -92,6 +92,14 @@
         && term.workers.values().stream().noneMatch(Worker::awaited);
   }
 
+  /**
+   * Returns whether an order to start may still leave for a worker. It may have waited for its
+   * connection while the worker's data centre began to be emptied.
+   */
+  public boolean maySend(WorkerLife worker) {
+    return term.worker(worker).filter(Worker::evacuated).isEmpty();
+  }
+
   private void apply(JobEvent event) {
     if (event instanceof JobEvent.WorkerReported e) {
       reports.reported(e);
@@ -126,6 +134,8 @@
       term.worker(e.worker()).ifPresent(losses::reborn);
     } else if (event instanceof JobEvent.TableChanged e) {
       term.table = e.table();
+    } else if (event instanceof JobEvent.DataCentresEvacuated e) {
+      fleet.evacuated(e.dataCentres());
     }
   }
 
@@ -148,6 +158,7 @@
       notedMillis = term.now.mono();
       String load = LoadText.of(term.workers.values(), term.jobs.values(), term.now.mono());
       term.note("leader.load", "workers", load);
+      fleet.noteEvacuations();
     }
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -75,7 +75,7 @@
   void begin(Collection<Worker> workers) {
     roomyPools.clear();
     workers.stream()
-        .filter(worker -> worker.registered)
+        .filter(Worker::countsForPool)
         .collect(Collectors.groupingBy(worker -> worker.info.pool()))
         .forEach(
             (pool, all) -> {
--- a/core/src/main/java/org/cottontack/core/job/ShortRoom.java
+++ b/core/src/main/java/org/cottontack/core/job/ShortRoom.java
@@ -79,7 +79,7 @@
     beganMillis = nowMillis;
     pools.values().forEach(Pool::clear);
     workers.stream()
-        .filter(worker -> worker.registered)
+        .filter(Worker::countsForPool)
         .forEach(worker -> pool(worker.info.pool()).add(worker));
     hungry.stream()
         .filter(job -> job.spec.steps().stream().anyMatch(ShortRoom::isShort))
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -22,6 +22,7 @@
   final long inheritedLapseMillis;
   final Map<JobId, Job> jobs = new LinkedHashMap<>();
   final Map<WorkerId, Worker> workers = new TreeMap<>();
+  final Evacuations evacuations = new Evacuations();
   private final Lives lives = new Lives();
 
   /** Jobs with tasks that wait for a worker. */
@@ -76,7 +77,7 @@
    * @param lapseMillis when leases that were not given through it have ended
    */
   Worker add(WorkerInfo info, long lapseMillis) {
-    Worker worker = new Worker(info, lives.restarts(info.life()), lapseMillis);
+    Worker worker = new Worker(info, evacuations, lives.restarts(info.life()), lapseMillis);
     workers.put(info.id(), worker);
     return worker;
   }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.cottontack.core.id.DataCentreId;
 
 /** What the leader knows of a worker; confined to {@link JobScheduler}. */
 final class Worker {
@@ -58,6 +59,7 @@
   boolean listsEnds;
 
   long avoidUntilMillis;
+  private final Evacuations evacuations;
   private final int restarts;
   private final long inheritedLapseMillis;
   private final Set<JobId> failedJobs = new HashSet<>();
@@ -80,11 +82,13 @@
    * Creates what is known of a worker that was not asked yet.
    *
    * @param info what it says of itself
+   * @param evacuations the data centres that get nothing new
    * @param restarts how often it has started again under its identifier in this term
    * @param inheritedLapseMillis when leases that others gave have ended, on our steady clock
    */
-  Worker(WorkerInfo info, int restarts, long inheritedLapseMillis) {
+  Worker(WorkerInfo info, Evacuations evacuations, int restarts, long inheritedLapseMillis) {
     this.info = info;
+    this.evacuations = evacuations;
     this.restarts = restarts;
     this.inheritedLapseMillis = inheritedLapseMillis;
   }
@@ -100,7 +104,26 @@
 
   /** Returns whether new work may be placed here. */
   boolean usable(long nowMillis) {
-    return registered && heard && !silent && !info.draining() && nowMillis >= avoidUntilMillis;
+    return registered
+        && heard
+        && !silent
+        && !info.draining()
+        && !evacuated()
+        && nowMillis >= avoidUntilMillis;
+  }
+
+  /** Returns whether the operator empties its data centre. */
+  boolean evacuated() {
+    return evacuations.cover(info.dataCentre());
+  }
+
+  /** Returns whether its room counts as room of its pool. */
+  boolean countsForPool() {
+    return registered && !evacuated();
+  }
+
+  boolean isIn(DataCentreId dataCentre) {
+    return info.dataCentre().equals(dataCentre);
   }
 
   /** Returns what its answers have said so far, for a log line. */
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -21,7 +21,7 @@
 /**
  * A leader, a store and workers in virtual time. Orders take 2 ms each way and saves 12 ms, unless
  * a test holds them back. It checks at every step that no task runs twice at a time and that no
- * worker holds more than it has.
+ * worker holds more than it has, and at every start that its data centre is not evacuated.
  */
 final class JobLab {
 
@@ -78,6 +78,7 @@
   private JobScheduler leader;
   private JobTable table = JobTable.EMPTY;
   private Moment renewal;
+  private Set<DataCentreId> evacuated = Set.of();
 
   JobLab(LabWorker... all) {
     for (LabWorker worker : all) {
@@ -93,6 +94,7 @@
   }
 
   private void introduce() {
+    post(new JobEvent.DataCentresEvacuated(evacuated));
     workers.values().stream()
         .filter(worker -> !worker.dead)
         .forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
@@ -103,6 +105,12 @@
     post(new JobEvent.TableChanged(next));
   }
 
+  /** The operator empties these data centres, and no others. */
+  void evacuate(String... dataCentres) {
+    evacuated = Stream.of(dataCentres).map(DataCentreId::new).collect(Collectors.toSet());
+    post(new JobEvent.DataCentresEvacuated(evacuated));
+  }
+
   void submit(JobSpec job) {
     specs.put(job.id(), job);
     post(new JobEvent.JobArrived(job));
@@ -205,6 +213,7 @@
       save(from, save);
     } else if (effect instanceof JobEffect.StartRun start) {
       checkStored(start.run());
+      checkNotEvacuated(start);
       start(from, start.target().fencingToken(inEpoch), start);
     } else if (effect instanceof JobEffect.StopRun stop) {
       stop(from, stop.target().fencingToken(inEpoch), stop);
@@ -224,6 +233,13 @@
     }
   }
 
+  private void checkNotEvacuated(JobEffect.StartRun start) {
+    LabWorker worker = workers.get(start.target().life().worker());
+    if (evacuated.contains(worker.info.dataCentre())) {
+      throw new AssertionError(start.run() + " goes to an evacuated data centre at " + now);
+    }
+  }
+
   private void save(JobScheduler from, JobEffect.SaveProgress save) {
     if (storeAway) {
       waitingSaves.add(save);
--- a/core/src/test/java/org/cottontack/core/job/ReachTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ReachTest.java
@@ -32,7 +32,11 @@
     DataCentreId place = new DataCentreId(dataCentre);
     Resources room = new Resources(1_000, 1_000, 0);
     Worker worker =
-        new Worker(new WorkerInfo(life, "pool", "w:1", place, room, List.of(), false), 0, 0);
+        new Worker(
+            new WorkerInfo(life, "pool", "w:1", place, room, List.of(), false),
+            new Evacuations(),
+            0,
+            0);
     worker.registered = true;
     return worker;
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -1,9 +1,11 @@
 package org.cottontack.daemon.job;
 
+import java.util.Set;
 import java.util.UUID;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobTable;
 
 /**
@@ -30,6 +32,7 @@
   private final WorkerRegistry registry;
   private final JobMetrics metrics = new JobMetrics(this);
   private JobTable table = JobTable.EMPTY;
+  private Set<DataCentreId> evacuated = Set.of();
   private Leader leader;
   private boolean stopping;
 
@@ -65,7 +68,7 @@
 
   /** Begins to follow the table and, once there is one, to stand for election. */
   public void start() {
-    rules.start(this::apply);
+    rules.start(this::apply, this::evacuate);
   }
 
   private void apply(JobTable next) {
@@ -88,6 +91,13 @@
     }
   }
 
+  private void evacuate(Set<DataCentreId> dataCentres) {
+    evacuated = dataCentres;
+    if (leader != null) {
+      leader.evacuate(dataCentres);
+    }
+  }
+
   private final class Terms implements Leadership.Listener {
 
     @Override
@@ -95,7 +105,9 @@
       Retention retention = new Retention(store, timers, keepMillis);
       leader =
           new Leader(
-              store, timers, workers, registry, leadership, metrics, retention, epoch, table);
+              store, timers, workers, registry, rules, leadership, metrics, retention, epoch);
+      leader.table(table);
+      leader.evacuate(evacuated);
       leader.start();
     }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -35,6 +35,12 @@
    */
   private static final long CANCELS_AGE_MILLIS = 2_000;
 
+  /**
+   * Oldest news of evacuations with which work is started, in milliseconds: an order that leaves
+   * then arrives within the 5 s after which nothing more may begin in a data centre.
+   */
+  private static final long EVACUATIONS_AGE_MILLIS = 3_000;
+
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
 
@@ -48,6 +54,7 @@
   private final Timers timers;
   private final WorkerCalls workers;
   private final WorkerRegistry registry;
+  private final RuleSource rules;
   private final Leadership leadership;
   private final JobMetrics metrics;
   private final long epoch;
@@ -58,7 +65,8 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final List<Follower> followers = new ArrayList<>();
   private Follower cancels;
-  private JobTable table;
+  private JobTable table = JobTable.EMPTY;
+  private Set<DataCentreId> evacuated = Set.of();
   private JobScheduler scheduler;
   private boolean stopped;
   private int toRead;
@@ -70,20 +78,20 @@
       Timers timers,
       WorkerCalls workers,
       WorkerRegistry registry,
+      RuleSource rules,
       Leadership leadership,
       JobMetrics metrics,
       Retention retention,
-      long epoch,
-      JobTable table) {
+      long epoch) {
     this.store = store;
     this.timers = timers;
     this.workers = workers;
     this.registry = registry;
+    this.rules = rules;
     this.leadership = leadership;
     this.metrics = metrics;
     this.retention = retention;
     this.epoch = epoch;
-    this.table = table;
     this.progressStore = new ProgressStore(store, timers, epoch, leadership::stepDown);
     this.waitingRows = new WaitingRows(store, timers);
   }
@@ -118,6 +126,11 @@
     post(new JobEvent.TableChanged(next));
   }
 
+  void evacuate(Set<DataCentreId> dataCentres) {
+    evacuated = dataCentres;
+    post(new JobEvent.DataCentresEvacuated(dataCentres));
+  }
+
   // Taking over
 
   private void readRest(ProgressStore.Found found) {
@@ -177,6 +190,7 @@
             JobTiming.STANDARD, table, timers.now(), leadership.inheritedLapseMillis());
     scheduler = made;
     post(new JobEvent.LearnedRecovered(found.learned()));
+    post(new JobEvent.DataCentresEvacuated(evacuated));
     registry.replay(this::post);
     List<JobId> unreadable =
         progress.keySet().stream().filter(id -> !ProgressText.readable(progress.get(id))).toList();
@@ -258,7 +272,7 @@
       workers.start(
           start,
           epoch,
-          this::mayStart,
+          () -> mayStart(start.target().life()),
           result -> post(new JobEvent.StartEnded(start.target().life(), start.run(), result)));
     } else if (effect instanceof JobEffect.StopRun stop) {
       workers.stop(
@@ -291,14 +305,17 @@
   }
 
   /**
-   * A start needs the lease, and news of cancellations that are not old. While the table of
-   * cancellations is out of reach, callers may be told elsewhere that a job is cancelled, and its
-   * tasks would go on starting here.
+   * A start needs the lease, and news of cancellations and of evacuations that are not old. While
+   * these are out of reach, callers may be told elsewhere that a job is cancelled and operators
+   * that a data centre is being emptied, and tasks would go on starting here.
    */
-  private boolean mayStart() {
+  private boolean mayStart(WorkerLife worker) {
+    long now = timers.now().mono();
     return !stopped
         && leadership.mayStart()
-        && timers.now().mono() - cancels.contactMillis() < CANCELS_AGE_MILLIS;
+        && now - cancels.contactMillis() < CANCELS_AGE_MILLIS
+        && now - rules.contactMillis() < EVACUATIONS_AGE_MILLIS
+        && scheduler.maySend(worker);
   }
 
   private void look(JobEffect.LookAtWorker look) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/RuleSource.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/RuleSource.java
@@ -1,13 +1,21 @@
 package org.cottontack.daemon.job;
 
+import java.util.Set;
 import java.util.function.Consumer;
+import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobTable;
 
-/** Where the table of rules comes from. */
+/** Where the table of rules and the operator's requests come from. */
 public interface RuleSource {
 
-  /** Begins to tell each version of the table as it becomes known. */
-  void start(Consumer<JobTable> listener);
+  /**
+   * Begins to tell what the operator wants, as it becomes known.
+   *
+   * @param tables gets each version of the table
+   * @param evacuations gets all data centres whose workers are to get nothing new, whenever there
+   *     is one more or less
+   */
+  void start(Consumer<JobTable> tables, Consumer<Set<DataCentreId>> evacuations);
 
   /** Returns when the source last answered, on our steady clock in milliseconds. */
   long contactMillis();
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cottontack.core.id.DataCentreId;
@@ -42,6 +43,18 @@
     final List<RunKey> starts = new ArrayList<>();
     final Map<RunKey, Boolean> running = new HashMap<>();
     String hidden = "nothing";
+
+    /** Tells the instance which data centres are evacuated. */
+    Consumer<Set<DataCentreId>> operator;
+
+    Set<DataCentreId> evacuated = Set.of();
+
+    /** When the rules were last told, or 0 for just now. */
+    long rulesMillis;
+
+    /** How long an order to start waits for its connection, in milliseconds. */
+    long connectMillis;
+
     JobEntry entry;
 
     Lab() {
@@ -72,13 +85,15 @@
     private RuleSource rules() {
       return new RuleSource() {
         @Override
-        public void start(Consumer<JobTable> listener) {
-          listener.accept(new JobTable(1, List.of(TestJobs.QUEUE), List.of()));
+        public void start(Consumer<JobTable> tables, Consumer<Set<DataCentreId>> evacuations) {
+          operator = evacuations;
+          operator.accept(evacuated);
+          tables.accept(new JobTable(1, List.of(TestJobs.QUEUE), List.of()));
         }
 
         @Override
         public long contactMillis() {
-          return process.now().mono();
+          return rulesMillis > 0 ? rulesMillis : process.now().mono();
         }
       };
     }
@@ -106,6 +121,11 @@
     @Override
     public void start(
         JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done) {
+      process.after(connectMillis, () -> connected(start, allowed, done));
+    }
+
+    private void connected(
+        JobEffect.StartRun start, BooleanSupplier allowed, Consumer<StartResult> done) {
       boolean sent = allowed.getAsBoolean();
       if (sent) {
         starts.add(start.run());
@@ -176,6 +196,54 @@
     }
   }
 
+  /** What a leader starts while data centres are being emptied. */
+  public static class Evacuating {
+
+    private static final Set<DataCentreId> HERE = Set.of(new DataCentreId("dc"));
+
+    /** Guards against a first start by a leader that took over after the operator's request. */
+    @Test
+    public void startsNothingThereAfterTakingOver() {
+      Lab lab = new Lab();
+      lab.evacuated = HERE;
+      lab.restart();
+      lab.time.run(10_000);
+      lab.submit("a");
+      lab.time.run(3_000);
+      assertEquals(lab.entry.leadingEpoch(), 2);
+      assertEquals(lab.starts.size(), 0);
+      lab.operator.accept(Set.of());
+      lab.time.run(500);
+      assertEquals(lab.starts.size(), 1);
+    }
+
+    /** Guards against an order that still waits for its connection when the request comes. */
+    @Test
+    public void sendsNoOrderThatWaitedForItsConnection() {
+      Lab lab = new Lab();
+      lab.connectMillis = 200;
+      lab.submit("a");
+      lab.time.run(100);
+      lab.operator.accept(HERE);
+      lab.time.run(3_000);
+      assertEquals(lab.starts.size(), 0);
+    }
+
+    /** Guards against starts by a leader that no longer hears the operator. */
+    @Test
+    public void startsNothingWithoutNewsOfEvacuations() {
+      Lab lab = new Lab();
+      lab.rulesMillis = lab.process.now().mono();
+      lab.time.run(4_000);
+      lab.submit("a");
+      lab.time.run(2_000);
+      assertEquals(lab.starts.size(), 0);
+      lab.rulesMillis = 0;
+      lab.time.run(1_000);
+      assertEquals(lab.starts.size(), 1);
+    }
+  }
+
   /** What a leader writes. */
   public static class Saving {
 
