Explain: waits while a data centre was being emptied

A job that waits for a place beside an evacuation was told as one that waits for room. The spans come from the leaders' lines evacuation.seen and evacuation.ended; several data centres at once count as one span.

--- a/ctl/src/main/java/org/cottontack/ctl/explain/Cause.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/Cause.java
@@ -12,6 +12,8 @@
   NO_LEADER(false, "no leader"),
   /** Tasks were ready and no worker had a place for them. */
   ROOM(false, "waited for a place"),
+  /** Tasks were ready and waited for a place while an operator emptied a data centre. */
+  EVACUATED(false, "data centre evacuated"),
   /** A run was slowed beside tasks that serve. */
   PACED(false, "slowed by pace"),
   /** A run took far longer than such runs usually take, and was not slowed by us. */
--- a/ctl/src/main/java/org/cottontack/ctl/explain/CriticalPath.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/CriticalPath.java
@@ -103,8 +103,14 @@
   private void waited(long from, long to, String task) {
     long leaderless = Math.min(all.leaderless(from, to), Math.max(0, to - from));
     add(Cause.NO_LEADER, to - leaderless, to, task);
-    Cause rest = to - leaderless - from > USUAL_WAIT_MILLIS ? Cause.ROOM : Cause.WORK;
-    add(rest, from, to - leaderless, task);
+    long until = to - leaderless;
+    if (until - from <= USUAL_WAIT_MILLIS) {
+      add(Cause.WORK, from, until, task);
+      return;
+    }
+    long evacuated = Math.min(all.evacuated(from, until), until - from);
+    add(Cause.EVACUATED, until - evacuated, until, task);
+    add(Cause.ROOM, from, until - evacuated, task);
   }
 
   private void add(Cause cause, long from, long to, String what) {
--- a/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -18,9 +20,17 @@
 
   /** Lines that only a leader writes. */
   private static final List<String> LEADERS =
-      List.of("job.taken", "job.placed", "job.ended", "run.", "start.", "worker.", "leader.load");
-
-  /** A span in which nobody decided. */
+      List.of(
+          "job.taken",
+          "job.placed",
+          "job.ended",
+          "run.",
+          "start.",
+          "worker.",
+          "leader.load",
+          "evacuation.");
+
+  /** A span in which nobody decided, or in which some data centre was being emptied. */
   record Gap(long fromMillis, long toMillis) {
 
     long overlap(long from, long to) {
@@ -33,8 +43,12 @@
 
   private final Map<String, JobHistory> jobs = new LinkedHashMap<>();
   private final List<Gap> gaps = new ArrayList<>();
+  private final List<Gap> evacuations = new ArrayList<>();
+  private final Set<String> evacuated = new HashSet<>();
   private final List<Load> loads = new ArrayList<>();
   private long ledMillis;
+  private long evacuatedMillis;
+  private long lastMillis;
 
   private Histories() {}
 
@@ -46,6 +60,7 @@
         .flatMap(Optional::stream)
         .sorted(Comparator.comparingLong(LogLine::millis))
         .forEachOrdered(histories::take);
+    histories.endEvacuations(histories.lastMillis);
     return histories;
   }
 
@@ -62,7 +77,13 @@
     return gaps.stream().mapToLong(gap -> gap.overlap(fromMillis, toMillis)).sum();
   }
 
+  /** Returns for how long some data centre was being emptied within a span, in milliseconds. */
+  long evacuated(long fromMillis, long toMillis) {
+    return evacuations.stream().mapToLong(gap -> gap.overlap(fromMillis, toMillis)).sum();
+  }
+
   private void take(LogLine line) {
+    lastMillis = line.millis();
     if (line.event().equals("leader.ready")) {
       if (ledMillis > 0) {
         gaps.add(new Gap(ledMillis, line.millis()));
@@ -81,6 +102,8 @@
       case "run.ended" -> runEnded(line);
       case "run.missing" -> runGone(line);
       case "worker.lapsed", "worker.reborn" -> workerGone(line);
+      case "evacuation.seen", "evacuation.left" -> evacuationSeen(line);
+      case "evacuation.ended" -> evacuationEnded(line);
       case "leader.load" -> load(line);
       default -> {
         // Other events tell nothing of a single job's time.
@@ -88,6 +111,27 @@
     }
   }
 
+  private void evacuationSeen(LogLine line) {
+    if (evacuated.isEmpty()) {
+      evacuatedMillis = line.millis();
+    }
+    evacuated.add(line.subject());
+  }
+
+  private void evacuationEnded(LogLine line) {
+    evacuated.remove(line.subject());
+    if (evacuated.isEmpty()) {
+      endEvacuations(line.millis());
+    }
+  }
+
+  private void endEvacuations(long millis) {
+    if (evacuatedMillis > 0) {
+      evacuations.add(new Gap(evacuatedMillis, millis));
+      evacuatedMillis = 0;
+    }
+  }
+
   private JobHistory job(String id) {
     return jobs.computeIfAbsent(id, JobHistory::new);
   }
--- a/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
@@ -135,6 +135,41 @@
     }
   }
 
+  /** Waits beside evacuations. */
+  public static final class Evacuations {
+
+    /** A wait of a second, 600 ms of it while one or both of two data centres were emptied. */
+    @Test
+    public void waitsAreToldFromThoseForRoom() {
+      Log log =
+          new Log()
+              .accepted(1_000, "a", step(1, "", ""))
+              .line(1_202, "evacuation.seen", "dc1", "workers=2 runs=0 lasting=0")
+              .line(1_302, "evacuation.seen", "dc2", "workers=2 runs=0 lasting=0")
+              .line(1_602, "evacuation.ended", "dc1", "workers=2 runs=0 lasting=0 afterMillis=400")
+              .line(1_802, "evacuation.ended", "dc2", "workers=2 runs=0 lasting=0 afterMillis=500")
+              .line(2_002, "job.placed", "a", "table=1 left=0 0.0#1@w1")
+              .line(3_002, "run.ended", "a.0.0.0#1", "w1 DONE ran=1000 slowed=0 expected=1000")
+              .line(3_002, "job.ended", "a", "COMPLETE");
+      Map<Cause, Long> path = log.path("a");
+      assertEquals(path.get(Cause.EVACUATED), Long.valueOf(600));
+      assertEquals(path.get(Cause.ROOM), Long.valueOf(400));
+    }
+
+    /** An evacuation that goes on to the end of the logs counts to there. */
+    @Test
+    public void evacuationsMayHaveNoEnd() {
+      Log log =
+          new Log()
+              .accepted(1_000, "a", step(1, "", ""))
+              .line(1_502, "evacuation.seen", "dc1", "workers=2 runs=0 lasting=0")
+              .line(2_002, "job.placed", "a", "table=1 left=0 0.0#1@w1")
+              .line(3_002, "run.ended", "a.0.0.0#1", "w1 DONE ran=1000 slowed=0 expected=1000")
+              .line(3_002, "job.ended", "a", "COMPLETE");
+      assertEquals(log.path("a").get(Cause.EVACUATED), Long.valueOf(500));
+    }
+  }
+
   /** The command over a file. */
   public static final class Command {
 
