Acknowledge ends in a defined order

Cause: after a save, ends were acknowledged in the order of a copied map, which the JDK salts anew in each process; the looks that follow left in that order. Hash maps keyed by our own identifiers have the same order everywhere and were ruled out.

--- a/core/src/main/java/org/cottontack/core/job/Saver.java
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -14,7 +15,7 @@
   private final Term term;
   private final Orders orders;
   private final LearnedText learned;
-  private final Map<WorkerLife, Long> savingEnds = new HashMap<>();
+  private final Map<WorkerLife, Long> savingEnds = new LinkedHashMap<>();
   private final List<RunKey> savingStarts = new ArrayList<>();
   private boolean saving;
   private long learnedMillis;
@@ -69,7 +70,7 @@
   void saved() {
     saving = false;
     List<RunKey> starts = List.copyOf(savingStarts);
-    final Map<WorkerLife, Long> ends = Map.copyOf(savingEnds);
+    final Map<WorkerLife, Long> ends = new LinkedHashMap<>(savingEnds);
     savingStarts.clear();
     savingEnds.clear();
     starts.forEach(this::startIfPlaced);
