--- a/core/src/main/java/org/cottontack/core/job/Interference.java
+++ b/core/src/main/java/org/cottontack/core/job/Interference.java
@@ -1,58 +1,12 @@
 package org.cottontack.core.job;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.stream.Stream;
 
 /**
- * Learns how much tasks that fill slow tasks that serve, and when. The load: most pairs of images
- * hardly matter, and some do much harm; several images work on a worker at once; the load of a
- * service swings, and its tail grows like that of a queue, without bound as the load comes near
- * what it can carry. What a neighbour takes from the headroom, bound / tail, is the same at any
- * load, as it lengthens each response by the same factor; its logarithm, or the tail itself, is
- * not: at the top of a swing a pair did 3 times as much to them as at rest. So headroom is split
- * into what the service's own load leaves ({@link OwnHeadroom}) and what each neighbour takes of it
- * ({@link PairWeights}), both learned from the same reports.
+ * What is known of how tasks that fill slow tasks that serve. Headroom is bound / tail; a service
+ * is within its bound while it has 1 or more of it.
  */
-final class Interference {
-
-  /** Age of what a report tells, in milliseconds: the middle of the half second it covers. */
-  private static final long REPORT_AGE_MILLIS = 250;
-
-  /** Variance of reported headroom, at a bound just met. */
-  private static final double NOISE = 0.01;
-
-  /** Growth of its standard deviation with headroom squared: tails come in whole milliseconds. */
-  private static final double ROUNDING = 0.015;
-
-  /** Headroom above which reports tell nothing more. */
-  private static final double MOST_HEADROOM = 10;
-
-  /** Headroom below which a queue grows without bound. */
-  private static final double OVERLOADED = 0.3;
-
-  /**
-   * A tail of this many times its bound tells of a worker that stands still, not of neighbours.
-   * Taken for these, three such workers made all tasks of their services look overloaded.
-   */
-  static final double STANDSTILL = 50;
-
-  /** Headroom that stands for the worst lack. */
-  private static final double LEAST_HEADROOM = -1;
-
-  /** Share of the processors below which an image says nothing about its weight. */
-  private static final double LEAST_SHARE = 0.005;
-
-  /** How long what has ended still shows in reports, in milliseconds. */
-  private static final long ECHO_MILLIS = 500;
-
-  /** Headroom kept: reports are rough, and a bound that is just met is missed half of the time. */
-  private static final double MARGIN = 0.16;
-
-  private static final int AT_WORK = 100;
-
-  /** Services remembered: over twice as many as are to run at a time; the quietest makes room. */
-  private static final int MOST_SERVICES = 4_096;
+interface Interference {
 
   /**
    * What is known about a pair of images.
@@ -64,102 +18,34 @@
    */
   record Pair(String serving, String filling, double weight, double variance) {}
 
-  private final Map<String, PairWeights> besides = new LruMap<>(PairWeights.MOST_IMAGES);
-  private final Map<JobId, OwnHeadroom> services = new LruMap<>(MOST_SERVICES);
-
-  private PairWeights beside(Task serving) {
-    return besides.computeIfAbsent(serving.spec.image(), image -> new PairWeights());
-  }
-
-  private OwnHeadroom own(Task serving) {
-    return services.computeIfAbsent(serving.job.spec.id(), id -> new OwnHeadroom());
-  }
-
   /** Takes in the loads that a worker last reported. */
-  void learn(Worker worker, long nowMillis) {
-    Map<String, Double> shares = new HashMap<>();
-    worker.filling().forEach(t -> shares.merge(t.spec.image(), worker.share(t.load), Double::sum));
-    worker.echoes.removeIf(echo -> nowMillis - echo.endedMillis() >= ECHO_MILLIS);
-    worker.echoes.forEach(
-        echo -> {
-          double left = 1 - (nowMillis - echo.endedMillis()) / (double) ECHO_MILLIS;
-          shares.merge(echo.image(), left * worker.share(echo.load()), Double::sum);
-        });
-    shares.values().removeIf(share -> share < LEAST_SHARE);
-    worker
-        .serving()
-        .filter(task -> task.progress == AT_WORK && task.load > 0)
-        .filter(task -> task.load < STANDSTILL * task.spec.targetMillis())
-        .filter(task -> task.news(nowMillis))
-        .forEach(task -> learn(task, shares, nowMillis - REPORT_AGE_MILLIS));
-  }
-
-  private void learn(Task serving, Map<String, Double> shares, long millis) {
-    double headroom = headroom(serving);
-    OwnHeadroom own = own(serving);
-    own.advance(millis);
-    PairWeights.Mixture mixture = beside(serving).mixture(shares);
-    double predicted = Math.max(LEAST_HEADROOM, own.level() - mixture.pressure());
-    double rounding = ROUNDING * headroom * headroom;
-    double variance =
-        own.levelVariance() + mixture.variance() + mixture.phases() + NOISE + rounding * rounding;
-    serving.excess = predicted - headroom;
-    own.correct(headroom - predicted, variance);
-    mixture.correct(predicted - headroom, variance);
-  }
-
-  /**
-   * Returns how often the reported tail would fit into the bound. A tail that is many times its
-   * bound grows for as long as more is taken than there was, so it stands for a lack.
-   */
-  private static double headroom(Task serving) {
-    double headroom = Math.min(MOST_HEADROOM, serving.spec.targetMillis() / serving.load);
-    return headroom >= OVERLOADED
-        ? headroom
-        : Math.max(LEAST_HEADROOM, OVERLOADED * (1 + Math.log(headroom / OVERLOADED)));
-  }
+  void learn(Worker worker, long nowMillis);
 
   /** Returns the share of known images that may fill beside a serving task at most times. */
-  double tolerance(Task serving) {
-    return beside(serving).tolerance();
-  }
+  double tolerance(Task serving);
 
   /** Returns how much of a serving task's headroom a task that fills takes at full pace. */
-  double effect(Worker worker, Task serving, Task filling) {
-    return beside(serving).weight(filling.spec.image()) * fullShare(worker, filling);
-  }
+  double effect(Worker worker, Task serving, Task filling);
 
   /** Returns whether no report has told yet what an image does to a serving task. */
-  boolean unknown(Task serving, Task filling) {
-    return beside(serving).unknown(filling.spec.image());
-  }
+  boolean unknown(Task serving, Task filling);
 
-  private static double fullShare(Worker worker, Task filling) {
-    return worker.share((double) filling.spec.need().cpuMillis());
-  }
+  /** Returns how much headroom neighbours of a serving task may take at a time; may be negative. */
+  double roomFor(Task serving, long millis);
+
+  /** Returns what is known, what was heard of last coming last. */
+  Stream<Pair> pairs();
+
+  /** Takes over what an earlier leader has learned. */
+  void restore(Pair pair);
 
   /**
    * Returns what all that fills beside a serving task takes of its headroom at the present paces.
    */
-  double pressureOn(Worker worker, Task serving) {
+  default double pressureOn(Worker worker, Task serving) {
     return worker
         .filling()
         .mapToDouble(f -> effect(worker, serving, f) * f.pace / Task.FULL_PACE)
         .sum();
   }
-
-  /** Returns how much headroom neighbours of a serving task may take at a time; may be negative. */
-  double roomFor(Task serving, long millis) {
-    return own(serving).at(millis) - 1 - MARGIN;
-  }
-
-  /** Returns what is known, what was heard of last coming last. */
-  Stream<Pair> pairs() {
-    return besides.entrySet().stream().flatMap(entry -> entry.getValue().pairs(entry.getKey()));
-  }
-
-  /** Takes over what an earlier leader has learned. */
-  void restore(Pair pair) {
-    besides.computeIfAbsent(pair.serving(), image -> new PairWeights()).restore(pair);
-  }
 }
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -34,7 +34,16 @@
    *     workers has ended
    */
   public JobScheduler(JobTiming timing, JobTable table, Moment start, long inheritedLapseMillis) {
-    final Interference interference = new Interference();
+    this(timing, table, start, inheritedLapseMillis, new LearnedInterference());
+  }
+
+  /** Begins a term with what is known of how tasks slow each other. */
+  JobScheduler(
+      JobTiming timing,
+      JobTable table,
+      Moment start,
+      long inheritedLapseMillis,
+      Interference interference) {
     Estimates estimates = new Estimates();
     Urgency urgency = new Urgency(estimates);
     term = new Term(timing, table, start, inheritedLapseMillis);
--- a/core/src/test/java/org/cottontack/core/job/CrashBlameTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashBlameTest.java
@@ -115,7 +115,7 @@
     }
 
     private static boolean hasPlace(Task task, Worker worker) {
-      Placement placement = new Placement(new Interference());
+      Placement placement = new Placement(new LearnedInterference());
       return placement.choose(task, QUEUE, List.of(worker), 0).isPresent();
     }
 
--- a/core/src/test/java/org/cottontack/core/job/EstimatesTest.java
+++ b/core/src/test/java/org/cottontack/core/job/EstimatesTest.java
@@ -68,9 +68,9 @@
      */
     @Test
     public void survivesTakeover() {
-      LearnedText old = new LearnedText(new Interference(), taught(0.9));
+      LearnedText old = new LearnedText(new LearnedInterference(), taught(0.9));
       Estimates estimates = new Estimates();
-      new LearnedText(new Interference(), estimates).restore(old.write());
+      new LearnedText(new LearnedInterference(), estimates).restore(old.write());
       long before = taught(0.9).millis(QUEUE, step(20_000));
       assertEquals((double) estimates.millis(QUEUE, step(20_000)), (double) before, 30.0);
     }
--- a/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
+++ b/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
@@ -62,7 +62,7 @@
      */
     @Test
     public void blamesTheRightOne() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Random random = new Random(5);
       Task harmful = filling("harmful");
       Task harmless = filling("harmless");
@@ -83,7 +83,7 @@
 
     @Test
     public void oneUnknownImageMayTryAndTwoMayNot() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Worker alone = worker(serving());
       assertTrue(joined(interference, alone, "new") < 0.9);
       Worker tried = worker(serving(), filling("first"));
@@ -96,7 +96,7 @@
      */
     @Test
     public void keepsTolerantPlacesForThoseThatNeedThem() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Random random = new Random(5);
       Task picky = task("p", "picky");
       Worker intolerant = worker(picky, filling("harmful"));
@@ -117,14 +117,14 @@
      */
     @Test
     public void remembersOverTakeover() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Random random = new Random(5);
       Task harmful = filling("harmful");
       Worker worker = worker(serving(), harmful);
       for (int i = 0; i < 20; i++) {
         report(interference, worker, 1.1, random);
       }
-      Interference next = new Interference();
+      Interference next = new LearnedInterference();
       LearnedText old = new LearnedText(interference, new Estimates());
       new LearnedText(next, new Estimates()).restore(old.write());
       Task serving = worker.serving().findFirst().orElseThrow();
@@ -151,7 +151,7 @@
      */
     @Test
     public void fillsWithoutHarmWhileServicesSwing() {
-      Replay.Outcome mean = Replay.mean(ReplayLoad.Shape.usual(0).with(SERVICES, HARMFUL), SEEDS);
+      ReplayOutcome mean = Replay.mean(ReplayShape.usual().sharing(SERVICES, HARMFUL), SEEDS);
       assertTrue(mean.serving() > 0.9, mean.toString());
       assertTrue(mean.fills() > 0.8, mean.toString());
     }
--- a/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
@@ -46,14 +46,14 @@
      */
     @Test(dataProvider = "images")
     public void keepsAnyName(String image) {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Worker crowd = crowd(TestWorker.serving("s", image), TestWorker.filling("f", image));
       for (int i = 0; i < 20; i++) {
         interference.learn(crowd, 500L * i);
       }
       Estimates estimates = new Estimates();
       estimates.learn(QUEUE, TestStep.tasks(1).of(), 900);
-      Interference next = new Interference();
+      Interference next = new LearnedInterference();
       Estimates nextEstimates = new Estimates();
       new LearnedText(next, nextEstimates)
           .restore(new LearnedText(interference, estimates).write());
@@ -83,7 +83,7 @@
      */
     @Test(dataProvider = "texts")
     public void skipsWhatItCannotRead(String text) {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       new LearnedText(interference, new Estimates())
           .restore(text + "\nheadroom web batch 5.00 0.05");
       assertTrue(effect(interference, "web", "batch") > 0.5);
@@ -99,7 +99,7 @@
      */
     @Test
     public void staysSmallWithEverNewImages() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       for (int i = 0; i < 600; i++) {
         String image = "image number " + i + " of a caller with long names";
         interference.learn(
@@ -115,7 +115,7 @@
     /** What was heard of last is kept. */
     @Test
     public void forgetsWhatWasNotHeardOfForLongest() {
-      Interference interference = new Interference();
+      Interference interference = new LearnedInterference();
       Worker lasting = crowd(TestWorker.serving("s", "web"), TestWorker.filling("f", "batch"));
       for (int i = 0; i < 600; i++) {
         interference.learn(lasting, 500L * i);
@@ -124,7 +124,7 @@
         harmless.serving().forEach(task -> task.load = QUIET_TAIL);
         interference.learn(harmless, 500L * i);
       }
-      Interference next = new Interference();
+      Interference next = new LearnedInterference();
       new LearnedText(next, new Estimates())
           .restore(new LearnedText(interference, new Estimates()).write());
       assertEquals(effect(next, "web", "batch"), effect(interference, "web", "batch"), 0.01);
--- a/core/src/test/java/org/cottontack/core/job/Replay.java
+++ b/core/src/test/java/org/cottontack/core/job/Replay.java
@@ -1,22 +1,25 @@
 package org.cottontack.core.job;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
 
 /**
- * Plays a load against the decisions of one leader in virtual time, and tells what callers and the
- * users of services get. Orders take 2 ms each way, saves 12 ms.
+ * Plays a load against the decisions of leaders in virtual time, and tells what callers and the
+ * users of services get. Orders take 2 ms each way, saves 12 ms. A seed gives the same outcome in
+ * any process.
  */
 final class Replay {
 
@@ -26,6 +29,10 @@
   private static final long SAVE_MILLIS = 12;
   private static final long SILENCE_MILLIS = 1_000;
   private static final long TICK_MILLIS = 100;
+
+  /** How long nobody decides at a change of leaders. */
+  private static final long LEADERLESS_MILLIS = 900;
+
   private static final double LATE_VALUE = 0.15;
 
   /** Harm by tasks beside counts several times what absence does. */
@@ -33,51 +40,23 @@
 
   private record Due(long at, long order, Runnable what) {}
 
-  /**
-   * What came of a replay, as shares of what could be had.
-   *
-   * @param serving of the time that services asked for, harm by what fills counted four times
-   * @param fills of the value of jobs that fill
-   * @param shorts of the value of jobs of short tasks
-   * @param largest of the value of the largest tenth of these
-   * @param over serving tasks over their bound on average
-   * @param moves runs of tasks that fill which were stopped
-   * @param paces orders on pace
-   */
-  record Outcome(
-      double serving,
-      double fills,
-      double shorts,
-      double largest,
-      double over,
-      long moves,
-      long paces) {
-
-    @Override
-    public String toString() {
-      return String.format(
-          Locale.ROOT,
-          "serving %.3f fills %.3f shorts %.3f largest %.3f over %.1f moves %d paces %d",
-          serving,
-          fills,
-          shorts,
-          largest,
-          over,
-          moves,
-          paces);
-    }
-  }
-
   private final ReplayLoad load;
   private final Map<WorkerId, ReplayWorker> workers = new HashMap<>();
   private final Map<JobId, ReplayLoad.Arrival> known = new HashMap<>();
   private final Map<JobId, Long> ended = new HashMap<>();
   private final PriorityQueue<Due> due =
       new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-  private final JobScheduler leader;
+  private final Map<JobId, String> stored = new TreeMap<>();
+  private final Deque<JobEffect.SaveProgress> waitingSaves = new ArrayDeque<>();
+  private final ReplayPolicy policy;
   private final long first;
+  private JobScheduler leader;
+  private String learned = "";
+  private boolean storeAway;
+  private long inheritedLapseMillis;
   private long now;
   private long orders;
+  private long deciding;
   private boolean dirty;
   private long moves;
   private long paces;
@@ -86,21 +65,74 @@
   private double over;
   private long steps;
 
-  Replay(ReplayLoad load) {
-    this.load = load;
+  Replay(ReplayShape shape, ReplayPolicy policy) {
+    this.load = new ReplayLoad(shape, policy);
+    this.policy = policy;
     this.first = 100_000;
     this.now = first - 8_000;
     load.workers.forEach(worker -> workers.put(worker.info.id(), worker));
-    leader = new JobScheduler(JobTiming.STANDARD, ReplayLoad.TABLE, moment(), now);
-    load.workers.forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
-    at(first + load.shape.lengthMillis() / 4, this::loseWorkers);
+    lead();
+    long length = shape.lengthMillis();
+    at(first + length / 4, this::loseWorkers);
     load.arrivals.forEach(arrival -> at(first + arrival.millis(), () -> arrive(arrival)));
+    ReplayShape.Troubles troubles = shape.troubles();
+    if (troubles.takeoverMillis() > 0) {
+      LongStream.iterate(
+              troubles.takeoverMillis(), at -> at < length, at -> at + troubles.takeoverMillis())
+          .forEach(at -> at(first + at, this::leaderDies));
+    }
+    if (troubles.storeMillis() > 0) {
+      at(first + length / 2, () -> storeAway = true);
+      at(first + length / 2 + troubles.storeMillis(), this::storeBack);
+    }
     tick();
   }
 
+  /** Begins a term with what is stored. */
+  private void lead() {
+    leader =
+        new JobScheduler(
+            JobTiming.STANDARD,
+            ReplayLoad.TABLE,
+            moment(),
+            inheritedLapseMillis,
+            policy.interference(load));
+    post(new JobEvent.LearnedRecovered(learned));
+    load.workers.stream()
+        .filter(worker -> workers.containsKey(worker.info.id()))
+        .forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
+    new TreeMap<>(known).values().forEach(arrival -> recover(arrival.job()));
+  }
+
+  private void recover(JobSpec job) {
+    String progress = stored.get(job.id());
+    if (progress == null) {
+      post(new JobEvent.JobArrived(job));
+    } else if (!ProgressText.phase(progress).terminal()) {
+      post(new JobEvent.JobRecovered(job, progress));
+    }
+  }
+
+  private void leaderDies() {
+    leader = null;
+    waitingSaves.clear();
+    inheritedLapseMillis = now + LeaderLease.GRANT_MILLIS;
+    after(LEADERLESS_MILLIS, this::lead);
+  }
+
+  private void storeBack() {
+    storeAway = false;
+    while (!waitingSaves.isEmpty()) {
+      save(leader, waitingSaves.poll());
+    }
+  }
+
   private void loseWorkers() {
     List<WorkerId> lost =
-        load.workers.stream().limit(load.shape.lostWorkers()).map(w -> w.info.id()).toList();
+        load.workers.stream()
+            .limit(load.shape.troubles().lostWorkers())
+            .map(w -> w.info.id())
+            .toList();
     lost.forEach(workers::remove);
     lost.forEach(id -> post(new JobEvent.WorkerUnlisted(WorkerLife.only(id))));
   }
@@ -133,12 +165,34 @@
   }
 
   private void post(JobEvent event) {
-    leader.take(moment(), event).forEach(this::carryOut);
-    dirty = true;
+    post(leader, event);
+  }
+
+  /** Tells a leader, if it still leads. */
+  private void post(JobScheduler to, JobEvent event) {
+    if (to != null && to == leader) {
+      long began = System.nanoTime();
+      List<JobEffect> effects = to.take(moment(), event);
+      deciding += System.nanoTime() - began;
+      effects.forEach(this::carryOut);
+      dirty = true;
+    }
+  }
+
+  private void decide() {
+    long began = System.nanoTime();
+    List<JobEffect> effects = leader.decide(moment());
+    deciding += System.nanoTime() - began;
+    effects.forEach(this::carryOut);
+  }
+
+  /** Returns the processor time of all decisions, in nanoseconds; differs from run to run. */
+  long decidingNanos() {
+    return deciding;
   }
 
   /** Plays to the end of the load and five seconds more. */
-  Outcome run() {
+  ReplayOutcome run() {
     long end = first + load.shape.lengthMillis() + 5_000;
     while (now < end) {
       now += STEP_MILLIS;
@@ -146,9 +200,9 @@
       while (!due.isEmpty() && due.peek().at() <= now) {
         due.poll().what().run();
       }
-      if (dirty) {
+      if (dirty && leader != null) {
         dirty = false;
-        leader.decide(moment()).forEach(this::carryOut);
+        decide();
       }
       if (now > first) {
         watch();
@@ -158,16 +212,17 @@
   }
 
   private void carryOut(JobEffect effect) {
+    JobScheduler from = leader;
     if (effect instanceof JobEffect.SaveProgress save) {
-      after(SAVE_MILLIS, () -> saved(save));
+      save(from, save);
     } else if (effect instanceof JobEffect.StartRun start) {
-      after(TRIP_MILLIS, () -> start(start));
+      after(TRIP_MILLIS, () -> start(from, start));
     } else if (effect instanceof JobEffect.StopRun stop) {
       moves++;
       toWorker(stop.target().life(), worker -> worker.stop(stop.run()));
       after(
           2 * TRIP_MILLIS,
-          () -> post(new JobEvent.StopEnded(stop.target().life(), stop.run(), true)));
+          () -> post(from, new JobEvent.StopEnded(stop.target().life(), stop.run(), true)));
     } else if (effect instanceof JobEffect.PaceRun pace) {
       paces++;
       after(
@@ -175,23 +230,36 @@
           () -> toWorker(pace.target().life(), worker -> worker.pace(pace.run(), pace.percent())));
     } else if (effect instanceof JobEffect.LookAtWorker look) {
       long sent = now;
-      after(TRIP_MILLIS, () -> look(look, sent, now + look.waitMillis()));
+      after(TRIP_MILLIS, () -> look(from, look, sent, now + look.waitMillis()));
     }
   }
 
-  private void saved(JobEffect.SaveProgress save) {
+  private void save(JobScheduler from, JobEffect.SaveProgress save) {
+    if (storeAway) {
+      waitingSaves.add(save);
+    } else {
+      after(SAVE_MILLIS, () -> saved(from, save));
+    }
+  }
+
+  private void saved(JobScheduler from, JobEffect.SaveProgress save) {
+    if (from == null || from != leader) {
+      return;
+    }
+    stored.putAll(save.progress());
+    learned = save.learned().isEmpty() ? learned : save.learned();
     save.progress().entrySet().stream()
         .filter(entry -> ProgressText.phase(entry.getValue()).terminal())
         .forEach(entry -> ended.putIfAbsent(entry.getKey(), now));
-    post(new JobEvent.ProgressSaved());
+    post(from, new JobEvent.ProgressSaved());
   }
 
-  private void start(JobEffect.StartRun order) {
+  private void start(JobScheduler from, JobEffect.StartRun order) {
     TaskName task = order.run().task();
     ReplayLoad.Arrival arrival = known.get(task.job());
     StepSpec spec = arrival.job().steps().get(task.step().step());
     double work = arrival.workMillis().get(task.step().step())[task.index()];
-    double from = order.checkpoint().isEmpty() ? 0 : Double.parseDouble(order.checkpoint());
+    double done = order.checkpoint().isEmpty() ? 0 : Double.parseDouble(order.checkpoint());
     ReplayWorker worker = workers.get(order.target().life().worker());
     if (worker == null) {
       return;
@@ -202,26 +270,30 @@
             spec,
             load.service(task.job()),
             spec.is(StepSpec.Trait.LASTS) ? Double.MAX_VALUE : work,
-            from,
+            done,
             now));
     after(
         TRIP_MILLIS,
         () ->
-            post(new JobEvent.StartEnded(order.target().life(), order.run(), StartResult.STARTED)));
+            post(
+                from,
+                new JobEvent.StartEnded(order.target().life(), order.run(), StartResult.STARTED)));
   }
 
-  private void look(JobEffect.LookAtWorker look, long sent, long until) {
+  private void look(JobScheduler from, JobEffect.LookAtWorker look, long sent, long until) {
     ReplayWorker worker = workers.get(look.target().life().worker());
     if (worker == null) {
-      after(SILENCE_MILLIS, () -> post(new JobEvent.WorkerSilent(look.target().life())));
+      after(SILENCE_MILLIS, () -> post(from, new JobEvent.WorkerSilent(look.target().life())));
       return;
     }
     WorkerReport report = worker.report(look.acknowledged(), now);
     if (report.ended().isEmpty() && now < until) {
-      after(STEP_MILLIS, () -> look(look, sent, until));
+      after(STEP_MILLIS, () -> look(from, look, sent, until));
       return;
     }
-    after(TRIP_MILLIS, () -> post(new JobEvent.WorkerReported(look.target().life(), sent, report)));
+    after(
+        TRIP_MILLIS,
+        () -> post(from, new JobEvent.WorkerReported(look.target().life(), sent, report)));
   }
 
   private void watch() {
@@ -245,21 +317,38 @@
     }
   }
 
-  private Outcome outcome() {
+  private ReplayOutcome outcome() {
     List<ReplayLoad.Arrival> shorts = of(ReplayLoad.SHORT);
-    List<ReplayLoad.Arrival> largest =
-        shorts.stream()
-            .sorted(Comparator.comparingDouble(ReplayLoad.Arrival::work).reversed())
-            .limit(Math.max(1, shorts.size() / 10))
-            .toList();
-    return new Outcome(
+    List<ReplayLoad.Arrival> fills = of(ReplayLoad.FILL);
+    double work =
+        Stream.concat(shorts.stream(), fills.stream()).mapToDouble(ReplayLoad.Arrival::work).sum();
+    return new ReplayOutcome(
         1 - harmed / served,
-        earned(of(ReplayLoad.FILL)),
+        earned(fills),
+        earned(largest(fills)),
         earned(shorts),
-        earned(largest),
+        earned(largest(shorts)),
+        unserved(Stream.concat(shorts.stream(), fills.stream()).toList()),
         over / steps,
         moves,
-        paces);
+        paces,
+        load.workers.stream().mapToDouble(worker -> worker.wasted).sum() / work);
+  }
+
+  /** Returns the share of jobs that never ended though three times their objective had passed. */
+  private double unserved(List<ReplayLoad.Arrival> jobs) {
+    return jobs.stream()
+        .filter(arrival -> now - first - arrival.millis() > 3 * arrival.objectiveMillis())
+        .mapToInt(arrival -> ended.containsKey(arrival.job().id()) ? 0 : 1)
+        .average()
+        .orElse(0);
+  }
+
+  private static List<ReplayLoad.Arrival> largest(List<ReplayLoad.Arrival> jobs) {
+    return jobs.stream()
+        .sorted(Comparator.comparingDouble(ReplayLoad.Arrival::work).reversed())
+        .limit(Math.max(1, jobs.size() / 10))
+        .toList();
   }
 
   private List<ReplayLoad.Arrival> of(JobQueue queue) {
@@ -287,41 +376,16 @@
     return owed == 0 ? 1 : earned / owed;
   }
 
-  /**
-   * Returns the mean outcome of a load drawn from seeds 1 to a number. Collections without an order
-   * make single outcomes differ by some hundredths between processes.
-   */
-  static Outcome mean(ReplayLoad.Shape shape, int seeds) {
-    List<Outcome> all =
-        LongStream.rangeClosed(1, seeds)
-            .mapToObj(seed -> new Replay(new ReplayLoad(shape.seeded(seed))).run())
-            .toList();
-    return new Outcome(
-        mean(all, Outcome::serving),
-        mean(all, Outcome::fills),
-        mean(all, Outcome::shorts),
-        mean(all, Outcome::largest),
-        mean(all, Outcome::over),
-        Math.round(mean(all, Outcome::moves)),
-        Math.round(mean(all, Outcome::paces)));
-  }
-
-  private static double mean(List<Outcome> all, ToDoubleFunction<Outcome> part) {
-    return all.stream().mapToDouble(part).average().orElse(0);
+  /** Returns the outcomes of a load drawn from seeds 1 to a number. */
+  static List<ReplayOutcome> all(ReplayShape shape, ReplayPolicy policy, int seeds) {
+    return LongStream.rangeClosed(1, seeds)
+        .parallel()
+        .mapToObj(seed -> new Replay(shape.seeded(seed), policy).run())
+        .toList();
   }
 
-  /**
-   * Plays a load and prints what comes of it: for comparing decisions by hand.
-   *
-   * @param args the share that services reserve, that of harmful pairs, the number of seeds and, if
-   *     any, of workers that are lost
-   */
-  public static void main(String[] args) {
-    int lost = args.length > 3 ? Integer.parseInt(args[3]) : 0;
-    ReplayLoad.Shape shape =
-        ReplayLoad.Shape.usual(0)
-            .with(Double.parseDouble(args[0]), Double.parseDouble(args[1]))
-            .losing(lost);
-    System.out.println("mean " + mean(shape, Integer.parseInt(args[2])));
+  /** Returns the mean outcome of a load drawn from seeds 1 to a number. */
+  static ReplayOutcome mean(ReplayShape shape, int seeds) {
+    return ReplayOutcome.mean(all(shape, ReplayPolicy.STANDING, seeds));
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ReplayLoad.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayLoad.java
@@ -1,16 +1,18 @@
 package org.cottontack.core.job;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 /**
  * The load of a replay as data, drawn from a seed: a fleet that services fill to a given share,
  * jobs of short tasks and of tasks that fill, and how much each filling image slows each serving
- * one. Sizes and rates are those of an installation with 45 workers of 32 and 48 cores.
+ * one.
  */
 final class ReplayLoad {
 
@@ -26,6 +28,9 @@
   private static final int FILLING_IMAGES = 9;
   private static final double TARGET_MILLIS = 50;
 
+  /** Speed of slow workers. */
+  private static final double SLOW = 1 / 3.0;
+
   /** Share of the phases of a task that fills in which it disturbs its neighbours much. */
   static final double HEAVY_PHASES = 0.6;
 
@@ -35,68 +40,21 @@
   /** How much it disturbs in the other phases. */
   static final double LIGHT_ACTIVITY = 0.15;
 
-  /** By how much more jobs that fill come for six seconds. */
-  private static final double BURST = 1.4;
-
-  /** What differs between replays. */
-  record Shape(
-      long seed,
-      int workers,
-      double serving,
-      double shortsPerSecond,
-      double fillsPerSecond,
-      double heavy,
-      int lostWorkers,
-      long lengthMillis) {
-
-    static Shape usual(long seed) {
-      return new Shape(seed, 45, 0.8, 2.9, 3.88, 0.35, 0, 40_000);
-    }
-
-    Shape with(double servingShare, double heavyShare) {
-      return new Shape(
-          seed,
-          workers,
-          servingShare,
-          shortsPerSecond,
-          fillsPerSecond,
-          heavyShare,
-          lostWorkers,
-          lengthMillis);
-    }
-
-    /** Returns the same drawn from another seed. */
-    Shape seeded(long other) {
-      return new Shape(
-          other,
-          workers,
-          serving,
-          shortsPerSecond,
-          fillsPerSecond,
-          heavy,
-          lostWorkers,
-          lengthMillis);
-    }
-
-    /** Returns the same with some workers lost at once after a quarter of the time. */
-    Shape losing(int count) {
-      return new Shape(
-          seed, workers, serving, shortsPerSecond, fillsPerSecond, heavy, count, lengthMillis);
-    }
-  }
+  /** Bound of a service's tail, as a multiple of the tail at rest. */
+  static final double BOUND_TO_BASE = 5;
 
   /**
    * The users of one service: their load swings, for all its tasks alike.
    *
+   * @param mean share of its reservation that it uses on average
    * @param phase where in its swing it is at first, in radians
    */
-  record Service(double phase) {
-    private static final double MEAN = 0.45;
-    private static final double SWING = 0.225;
+  record Service(double mean, double phase) {
+    private static final double SWING = 0.5;
     private static final double PERIOD_MILLIS = 14_000;
 
     double load(long now) {
-      return MEAN + SWING * Math.sin(phase + 2 * Math.PI * now / PERIOD_MILLIS);
+      return mean * (1 + SWING * Math.sin(phase + 2 * Math.PI * now / PERIOD_MILLIS));
     }
   }
 
@@ -115,34 +73,40 @@
 
     /** Returns the objective by what the work really takes, in milliseconds. */
     double objectiveMillis() {
-      double chain =
-          workMillis.stream().mapToDouble(w -> java.util.Arrays.stream(w).max().orElse(0)).sum();
+      double chain = workMillis.stream().mapToDouble(w -> Arrays.stream(w).max().orElse(0)).sum();
       return job.queue().stretch() * chain + job.queue().targetMillis();
     }
   }
 
-  final Shape shape;
+  final ReplayShape shape;
   final List<Arrival> arrivals = new ArrayList<>();
   final List<ReplayWorker> workers = new ArrayList<>();
   private final Map<String, Double> weights = new HashMap<>();
   private final Map<JobId, Service> services = new HashMap<>();
   private final Random random;
+  private final boolean declaresTruly;
 
-  ReplayLoad(Shape shape) {
+  ReplayLoad(ReplayShape shape) {
+    this(shape, ReplayPolicy.STANDING);
+  }
+
+  ReplayLoad(ReplayShape shape, ReplayPolicy policy) {
     this.shape = shape;
     this.random = new Random(shape.seed());
+    this.declaresTruly = policy.declaresTruly();
     for (int i = 0; i < shape.workers(); i++) {
       workers.add(new ReplayWorker("w" + i, i % 3 == 2 ? 48 : 32, "dc" + i % 3, this));
     }
     drawWeights();
     drawServices();
-    drawJobs(SHORT, shape.shortsPerSecond());
-    drawJobs(FILL, shape.fillsPerSecond());
+    drawJobs(SHORT, shape.shorts());
+    drawJobs(FILL, shape.fills());
+    drawTroubles();
     arrivals.sort(Comparator.comparingLong(Arrival::millis));
   }
 
   double baseTailMillis() {
-    return TARGET_MILLIS / 5;
+    return TARGET_MILLIS / BOUND_TO_BASE;
   }
 
   /** Returns by how much an image beside a serving one lengthens its responses, for each share. */
@@ -150,13 +114,21 @@
     return weights.getOrDefault(serving + "/" + filling, 0.0);
   }
 
+  /** Returns the share of the filling images that weigh less beside a serving one. */
+  double tolerance(String serving, double weight) {
+    return IntStream.range(0, FILLING_IMAGES)
+            .filter(filling -> weight(serving, "f" + filling) < weight)
+            .count()
+        / (double) FILLING_IMAGES;
+  }
+
   Service service(JobId job) {
     return services.get(job);
   }
 
   private void drawWeights() {
     for (int serving = 0; serving < SERVING_IMAGES; serving++) {
-      double share = shape.heavy() * (0.2 + 1.6 * random.nextDouble());
+      double share = shape.harmful() * (0.2 + 1.6 * random.nextDouble());
       for (int filling = 0; filling < FILLING_IMAGES; filling++) {
         boolean heavy = random.nextDouble() < share;
         double weight = heavy ? 1.2 + 3 * random.nextDouble() : 0.3 * random.nextDouble();
@@ -173,7 +145,7 @@
   private void drawServices() {
     long cores = workers.stream().mapToLong(w -> w.info.capacity().cpuMillis()).sum();
     long placed = 0;
-    for (int n = 0; placed < shape.serving() * cores; n++) {
+    for (int n = 0; placed < shape.reserved() * cores; n++) {
       int count = (int) Math.max(1, Math.round(spread(6, 0.4, 12)));
       long cpu = Math.round(spread(6_400, 0.25, 10_000) / 50) * 50;
       StepSpec step =
@@ -185,8 +157,8 @@
               .target(TARGET_MILLIS)
               .of(StepSpec.Trait.LASTS);
       JobId id = new JobId("serve" + n);
-      services.put(id, new Service(2 * Math.PI * random.nextDouble()));
-      boolean late = placed > 0.9 * shape.serving() * cores;
+      services.put(id, new Service(shape.used(), 2 * Math.PI * random.nextDouble()));
+      boolean late = placed > 0.9 * shape.reserved() * cores;
       long at = late ? random.nextLong(shape.lengthMillis() / 2) : -6_000 + 20L * n;
       placed += count * cpu;
       arrivals.add(new Arrival(at, job(id, SERVE, List.of(step)), List.of(new double[count])));
@@ -197,16 +169,28 @@
     return new JobSpec(id, queue, "payload", steps, JobSpec.Schedule.AT_ONCE);
   }
 
-  private void drawJobs(JobQueue queue, double perSecond) {
+  /** Some workers are slow, others fail what they start; the first ones may be lost. */
+  private void drawTroubles() {
+    int slow = (int) Math.round(shape.troubles().slow() * workers.size());
+    int failing = (int) Math.round(shape.troubles().failing() * workers.size());
+    workers.stream().skip(workers.size() - slow).forEach(worker -> worker.speed = SLOW);
+    workers.stream()
+        .skip(workers.size() - slow - failing)
+        .limit(failing)
+        .forEach(worker -> worker.failsAll = true);
+  }
+
+  private void drawJobs(JobQueue queue, ReplayShape.Work work) {
     boolean fills = queue.equals(FILL);
     double millis = 0;
     for (int n = 0; ; n++) {
-      double rate = fills && inBurst((long) millis) ? BURST * perSecond : perSecond;
+      boolean burst = fills && inBurst((long) millis);
+      double rate = burst ? shape.troubles().burst() * work.perSecond() : work.perSecond();
       millis += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
       if (millis > shape.lengthMillis()) {
         return;
       }
-      arrivals.add(fills ? fill((long) millis, n) : shortJob((long) millis, n));
+      arrivals.add(fills ? fill((long) millis, n, work) : shortJob((long) millis, n, work));
     }
   }
 
@@ -214,49 +198,49 @@
     return millis > 12_000 && millis < 18_000;
   }
 
-  private Arrival shortJob(long millis, int n) {
+  private Arrival shortJob(long millis, int n, ReplayShape.Work work) {
     int steps = (int) Math.max(1, Math.round(spread(1.6, 0.4, 4)));
-    return arrival(
-        millis, new JobId("short" + n), SHORT, steps, 6, 0.8, 36, 3_100, 0.45, 1_000, "");
+    return arrival(millis, new JobId("short" + n), SHORT, steps, work, new Spreads(0.8, 0.45), "");
   }
 
-  private Arrival fill(long millis, int n) {
+  private Arrival fill(long millis, int n, ReplayShape.Work work) {
     int steps = (int) Math.max(1, Math.round(spread(2, 0.4, 5)));
     String image = "f" + random.nextInt(FILLING_IMAGES);
-    return arrival(
-        millis, new JobId("fill" + n), FILL, steps, 8, 0.6, 32, 3_500, 0.3, 2_700, image);
+    return arrival(millis, new JobId("fill" + n), FILL, steps, work, new Spreads(0.6, 0.3), image);
   }
 
+  /** Spreads of a step's width and of what its tasks ask for, as deviations of logarithms. */
+  private record Spreads(double width, double cpu) {}
+
   private Arrival arrival(
       long at,
       JobId id,
       JobQueue queue,
       int steps,
-      double width,
-      double widthSpread,
-      double widest,
-      double cpu,
-      double cpuSpread,
-      double workMillis,
+      ReplayShape.Work kind,
+      Spreads spreads,
       String image) {
     List<StepSpec> specs = new ArrayList<>();
     List<double[]> work = new ArrayList<>();
     for (int step = 0; step < steps; step++) {
-      int count = (int) Math.max(1, Math.round(spread(width, widthSpread, widest)));
-      double usual = spread(workMillis, 0.5, 2.5 * workMillis);
+      int count =
+          (int) Math.max(1, Math.round(spread(kind.width(), spreads.width(), kind.widest())));
+      double usual = spread(kind.workMillis(), 0.5, 2.5 * kind.workMillis());
+      long cpu =
+          Math.round(spread(kind.cpuMillis(), spreads.cpu(), 3 * kind.cpuMillis()) / 50) * 50;
+      double declared = usual * Math.exp(0.2 * random.nextGaussian());
+      final boolean keeps = random.nextDouble() < 0.85;
+      double[] takes =
+          random.doubles(count).map(any -> usual * Math.exp(0.3 * random.nextGaussian())).toArray();
+      double longest = Arrays.stream(takes).max().orElse(usual);
       TestStep built =
           TestStep.tasks(count)
-              .cpu(Math.round(spread(cpu, cpuSpread, 3 * cpu) / 50) * 50)
-              .estimate(Math.round(usual * Math.exp(0.2 * random.nextGaussian())))
+              .cpu(cpu)
+              .estimate(Math.round(declaresTruly ? longest : declared))
               .after(step == 0 ? List.of() : List.of(step - 1))
               .image(image);
-      boolean keeps = random.nextDouble() < 0.85;
       specs.add(image.isEmpty() ? built.of() : keeps ? keeping(built) : losing(built));
-      work.add(
-          random
-              .doubles(count)
-              .map(any -> usual * Math.exp(0.3 * random.nextGaussian()))
-              .toArray());
+      work.add(takes);
     }
     return new Arrival(at, job(id, queue, specs), work);
   }
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ReplayOutcome.java
@@ -0,0 +1,113 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * What came of a replay, as shares of what could be had.
+ *
+ * @param serving of the time that services asked for, harm by what fills counted four times
+ * @param fills of the value of jobs that fill
+ * @param largestFills of the value of the largest tenth of these
+ * @param shorts of the value of jobs of short tasks
+ * @param largest of the value of the largest tenth of these
+ * @param unserved share of all jobs that end that never did
+ * @param over serving tasks over their bound on average
+ * @param moves runs that were stopped
+ * @param paces orders on pace
+ * @param wasted work of runs that was thrown away, as a share of the work of all jobs
+ */
+record ReplayOutcome(
+    double serving,
+    double fills,
+    double largestFills,
+    double shorts,
+    double largest,
+    double unserved,
+    double over,
+    double moves,
+    double paces,
+    double wasted) {
+
+  /**
+   * A figure of an outcome.
+   *
+   * @param title for tables
+   * @param of how it is taken from an outcome
+   */
+  record Figure(String title, ToDoubleFunction<ReplayOutcome> of) {
+
+    double mean(List<ReplayOutcome> all) {
+      return all.stream().mapToDouble(of).average().orElse(0);
+    }
+
+    /** Returns half of the 95 % interval of the mean, by Student's t. */
+    double halfInterval(List<ReplayOutcome> all) {
+      if (all.size() < 2) {
+        return Double.NaN;
+      }
+      double mean = mean(all);
+      double squares = all.stream().mapToDouble(of).map(x -> (x - mean) * (x - mean)).sum();
+      int degrees = all.size() - 1;
+      double t = T95[Math.min(degrees, T95.length) - 1];
+      return t * Math.sqrt(squares / degrees / all.size());
+    }
+  }
+
+  /** What a table shows. */
+  static final List<Figure> FIGURES =
+      List.of(
+          new Figure("serving", ReplayOutcome::serving),
+          new Figure("fills", ReplayOutcome::fills),
+          new Figure("largest", ReplayOutcome::largestFills),
+          new Figure("shorts", ReplayOutcome::shorts),
+          new Figure("largest", ReplayOutcome::largest),
+          new Figure("unserved", ReplayOutcome::unserved),
+          new Figure("over", ReplayOutcome::over),
+          new Figure("moves", ReplayOutcome::moves),
+          new Figure("wasted", ReplayOutcome::wasted));
+
+  /** Two-sided 95 % points of Student's t for 1, 2, … degrees of freedom. */
+  private static final double[] T95 = {
+    12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13, 2.12,
+    2.11, 2.10, 2.09
+  };
+
+  /** Returns the means of all figures. */
+  static ReplayOutcome mean(List<ReplayOutcome> all) {
+    return new ReplayOutcome(
+        average(all, ReplayOutcome::serving),
+        average(all, ReplayOutcome::fills),
+        average(all, ReplayOutcome::largestFills),
+        average(all, ReplayOutcome::shorts),
+        average(all, ReplayOutcome::largest),
+        average(all, ReplayOutcome::unserved),
+        average(all, ReplayOutcome::over),
+        average(all, ReplayOutcome::moves),
+        average(all, ReplayOutcome::paces),
+        average(all, ReplayOutcome::wasted));
+  }
+
+  private static double average(List<ReplayOutcome> all, ToDoubleFunction<ReplayOutcome> of) {
+    return all.stream().mapToDouble(of).average().orElse(0);
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+        Locale.ROOT,
+        "serving %.3f fills %.3f %.3f shorts %.3f %.3f unserved %.4f over %.1f moves %.0f"
+            + " paces %.0f wasted %.3f",
+        serving,
+        fills,
+        largestFills,
+        shorts,
+        largest,
+        unserved,
+        over,
+        moves,
+        paces,
+        wasted);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ReplayShape.java
@@ -0,0 +1,195 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+
+/**
+ * What differs between replays, as data.
+ *
+ * @param name for tables
+ * @param seed what is drawn from it
+ * @param workers how many; two thirds have 32 cores, the others 48
+ * @param reserved share of the processors that services reserve
+ * @param used share of its reservation that a service uses on average
+ * @param harmful share of pairs of images that do harm
+ * @param shorts jobs of short tasks
+ * @param fills jobs of tasks that fill
+ * @param troubles what goes wrong
+ * @param lengthMillis how long jobs come
+ */
+record ReplayShape(
+    String name,
+    long seed,
+    int workers,
+    double reserved,
+    double used,
+    double harmful,
+    Work shorts,
+    Work fills,
+    Troubles troubles,
+    long lengthMillis) {
+
+  /**
+   * Jobs of one kind.
+   *
+   * @param perSecond how many come
+   * @param width tasks of a step, on average
+   * @param widest most tasks of a step
+   * @param cpuMillis what a task asks for, in thousandths of a core
+   * @param workMillis how long it works
+   */
+  record Work(double perSecond, double width, double widest, double cpuMillis, double workMillis) {
+
+    Work times(double factor) {
+      return new Work(factor * perSecond, width, widest, cpuMillis, workMillis);
+    }
+  }
+
+  /**
+   * What goes wrong.
+   *
+   * @param burst by how much more jobs that fill come for six seconds
+   * @param lostWorkers how many are gone after a quarter of the time
+   * @param slow share of the workers that run everything at a third of the speed
+   * @param failing share of the workers that fail all that they start
+   * @param takeoverMillis time between two changes of leaders; 0 for none
+   * @param storeMillis for how long the store is away after half of the time
+   */
+  record Troubles(
+      double burst,
+      int lostWorkers,
+      double slow,
+      double failing,
+      long takeoverMillis,
+      long storeMillis) {
+
+    static final Troubles FEW = new Troubles(1.4, 0, 0, 0, 0, 0);
+    static final Troubles BURST = new Troubles(2.6, 0, 0, 0, 0, 0);
+    static final Troubles MANY = new Troubles(2.0, 3, 0.06, 0.04, 9_000, 1_500);
+  }
+
+  private static final long LENGTH_MILLIS = 40_000;
+
+  /** Services that reserve most of the fleet beside short jobs and narrow jobs that fill. */
+  static ReplayShape usual() {
+    return new ReplayShape(
+        "usual",
+        0,
+        45,
+        0.8,
+        0.45,
+        0.35,
+        new Work(2.9, 6, 36, 3_100, 1_000),
+        new Work(3.88, 8, 32, 3_500, 2_700),
+        Troubles.FEW,
+        LENGTH_MILLIS);
+  }
+
+  /** Wide jobs that fill, which alone ask for four fifths of what services leave unused. */
+  static ReplayShape wide() {
+    return new ReplayShape(
+        "wide",
+        0,
+        49,
+        0.8,
+        0.4,
+        0.35,
+        new Work(2.03, 10, 60, 3_800, 640),
+        new Work(3.05, 20, 80, 3_500, 2_200),
+        Troubles.FEW,
+        LENGTH_MILLIS);
+  }
+
+  /** Large short tasks beside very wide jobs that fill. */
+  static ReplayShape large() {
+    return new ReplayShape(
+        "large",
+        0,
+        52,
+        0.85,
+        0.42,
+        0.35,
+        new Work(1.23, 8, 46, 6_400, 1_000),
+        new Work(1.36, 27, 110, 3_500, 2_700),
+        Troubles.FEW,
+        LENGTH_MILLIS);
+  }
+
+  /** Many small jobs. */
+  static ReplayShape narrow() {
+    return new ReplayShape(
+        "narrow",
+        0,
+        30,
+        0.6,
+        0.5,
+        0.35,
+        new Work(12, 2, 8, 1_000, 400),
+        new Work(14, 3, 12, 2_000, 1_500),
+        Troubles.FEW,
+        LENGTH_MILLIS);
+  }
+
+  /** Returns the loads of a table. */
+  static List<ReplayShape> all() {
+    return List.of(
+        usual(),
+        wide(),
+        wide().named("wide, burst").with(Troubles.BURST),
+        wide().named("wide, harmful").sharing(0.8, 0.8),
+        wide().named("wide, trouble").with(Troubles.MANY),
+        wide().named("wide, half").fillsTimes(0.5),
+        large(),
+        narrow(),
+        usual().named("usual, trouble").with(Troubles.MANY));
+  }
+
+  ReplayShape named(String other) {
+    return new ReplayShape(
+        other, seed, workers, reserved, used, harmful, shorts, fills, troubles, lengthMillis);
+  }
+
+  ReplayShape seeded(long other) {
+    return new ReplayShape(
+        name, other, workers, reserved, used, harmful, shorts, fills, troubles, lengthMillis);
+  }
+
+  /** Returns the same with other shares of reserved processors and of harmful pairs. */
+  ReplayShape sharing(double reservedShare, double harmfulShare) {
+    return new ReplayShape(
+        name,
+        seed,
+        workers,
+        reservedShare,
+        used,
+        harmfulShare,
+        shorts,
+        fills,
+        troubles,
+        lengthMillis);
+  }
+
+  ReplayShape with(Troubles other) {
+    return new ReplayShape(
+        name, seed, workers, reserved, used, harmful, shorts, fills, other, lengthMillis);
+  }
+
+  ReplayShape fillsTimes(double factor) {
+    return new ReplayShape(
+        name,
+        seed,
+        workers,
+        reserved,
+        used,
+        harmful,
+        shorts,
+        fills.times(factor),
+        troubles,
+        lengthMillis);
+  }
+
+  /** Returns the same with fewer workers and a shorter time. */
+  ReplayShape small(int fewer, long millis) {
+    return new ReplayShape(
+        name, seed, fewer, reserved, used, harmful, shorts, fills, troubles, millis);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ReplayTable.java
@@ -0,0 +1,46 @@
+package org.cottontack.core.job;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+
+/** Prints what loads and policies give, with 95 % intervals over seeds. */
+final class ReplayTable {
+
+  private ReplayTable() {}
+
+  /**
+   * Plays and prints.
+   *
+   * @param args number of seeds, then, if any, words that the names of loads must hold and policies
+   */
+  public static void main(String[] args) {
+    int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
+    String loads = args.length > 1 ? args[1] : "";
+    List<ReplayPolicy> policies =
+        args.length > 2
+            ? Stream.of(args).skip(2).map(ReplayPolicy::valueOf).toList()
+            : List.of(ReplayPolicy.values());
+    printHead();
+    ReplayShape.all().stream()
+        .filter(shape -> shape.name().contains(loads))
+        .forEach(
+            shape ->
+                policies.forEach(policy -> print(shape, policy, Replay.all(shape, policy, seeds))));
+  }
+
+  private static void printHead() {
+    System.out.printf("%-16s %-16s", "load", "policy");
+    ReplayOutcome.FIGURES.forEach(figure -> System.out.printf(" %16s", figure.title()));
+    System.out.println();
+  }
+
+  private static void print(ReplayShape shape, ReplayPolicy policy, List<ReplayOutcome> all) {
+    System.out.printf("%-16s %-16s", shape.name(), policy.name().toLowerCase(Locale.ROOT));
+    ReplayOutcome.FIGURES.forEach(
+        figure ->
+            System.out.printf(
+                Locale.ROOT, " %8.3f ± %5.3f", figure.mean(all), figure.halfInterval(all)));
+    System.out.println();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/ReplayTest.java
@@ -0,0 +1,80 @@
+package org.cottontack.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of the replays themselves: what they are worth as a measure. */
+public class ReplayTest {
+
+  private static final ReplayShape SMALL =
+      ReplayShape.usual()
+          .with(new ReplayShape.Troubles(2, 1, 0.1, 0.1, 3_000, 500))
+          .small(12, 8_000)
+          .seeded(7);
+
+  /** Plays a load in a process of its own. */
+  public static final class Child {
+
+    private Child() {}
+
+    /** Prints the outcome. */
+    public static void main(String[] args) {
+      System.out.println(new Replay(SMALL, ReplayPolicy.STANDING).run());
+    }
+  }
+
+  /** One seed. */
+  public static class Repeating {
+
+    private static String play() throws IOException, InterruptedException {
+      Path java = Path.of(System.getProperty("java.home"), "bin", "java");
+      Process child =
+          new ProcessBuilder(
+                  java.toString(),
+                  "-cp",
+                  System.getProperty("java.class.path"),
+                  Child.class.getName())
+              .redirectError(ProcessBuilder.Redirect.INHERIT)
+              .start();
+      String out = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertEquals(child.waitFor(), 0);
+      return out;
+    }
+
+    /** Guards against decisions that go by the order of a collection that has none. */
+    @Test
+    public void givesOneOutcomeInAnyProcess() throws Exception {
+      String first = play();
+      assertTrue(first.startsWith("serving"), first);
+      assertEquals(List.of(play(), play(), play()), List.of(first, first, first));
+    }
+  }
+
+  /** Policies whose order is known. */
+  public static class Telling {
+
+    private static final int SEEDS = 2;
+
+    private static ReplayOutcome mean(ReplayPolicy policy) {
+      ReplayShape shape = ReplayShape.usual().sharing(0.8, 0.6).small(18, 16_000);
+      return ReplayOutcome.mean(Replay.all(shape, policy, SEEDS));
+    }
+
+    /** Guards against a measure that cannot tell a good policy from a bad one. */
+    @Test
+    public void knowsWhoHarmsServicesAndWhoFillsNothing() {
+      ReplayOutcome oracle = mean(ReplayPolicy.ORACLE);
+      ReplayOutcome all = mean(ReplayPolicy.FILL_EVERYTHING);
+      ReplayOutcome none = mean(ReplayPolicy.FILL_NOTHING);
+      assertTrue(oracle.serving() > 0.95, oracle.toString());
+      assertTrue(all.serving() < oracle.serving() - 0.2, all.toString());
+      assertTrue(none.fills() < oracle.fills() - 0.2, none.toString());
+    }
+  }
+}
--- a/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
@@ -26,6 +26,7 @@
   /** Standard deviation of the logarithm of a reported tail. */
   private static final double ROUGHNESS = 0.12;
 
+  private static final long FAILS_AFTER_MILLIS = 150;
   private static final long STARTUP_MILLIS = 500;
   private static final long SAVED_MILLIS = 500;
 
@@ -96,6 +97,12 @@
   /** How fast tasks run here; 1 is the usual speed. */
   double speed = 1;
 
+  /** Whether all that is started here and ends fails soon. */
+  boolean failsAll;
+
+  /** Work thrown away by stops, in thousandths of a core times milliseconds. */
+  double wasted;
+
   private final ReplayLoad load;
   private final List<WorkerReport.Ended> ended = new ArrayList<>();
   private final Random noise = new Random(5);
@@ -121,6 +128,8 @@
   void stop(RunKey key) {
     Running run = running.remove(key);
     if (run != null) {
+      double kept = run.checkpoint().isEmpty() ? 0 : Double.parseDouble(run.checkpoint());
+      wasted += (run.doneMillis - kept) * run.spec.need().cpuMillis();
       end(run, WorkerReport.End.STOPPED);
     }
   }
@@ -186,6 +195,21 @@
               running.remove(run.run);
               end(run, WorkerReport.End.DONE);
             });
+    if (failsAll) {
+      fail(now);
+    }
+  }
+
+  private void fail(long now) {
+    List.copyOf(running.values()).stream()
+        .filter(run -> !run.spec.is(StepSpec.Trait.LASTS))
+        .filter(run -> now - run.beganMillis > FAILS_AFTER_MILLIS)
+        .forEach(
+            run -> {
+              running.remove(run.run);
+              wasted += run.doneMillis * run.spec.need().cpuMillis();
+              end(run, WorkerReport.End.FAILED);
+            });
   }
 
   private double reservedUse(long now) {
--- a/core/src/test/java/org/cottontack/core/job/ShortRoomTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ShortRoomTest.java
@@ -134,7 +134,7 @@
      */
     @Test
     public void shortJobsFindRoomBesideServices() {
-      Replay.Outcome mean = Replay.mean(ReplayLoad.Shape.usual(0).with(SERVICES, HARMFUL), SEEDS);
+      ReplayOutcome mean = Replay.mean(ReplayShape.usual().sharing(SERVICES, HARMFUL), SEEDS);
       assertTrue(mean.shorts() > 0.9, mean.toString());
       assertTrue(mean.serving() > 0.9, mean.toString());
     }
