Replays: an overloaded fleet, and checkpoints at a stop

A stopped run resumes from where it was, as workers make a checkpoint then; replays lost up to half a second with each move. Smaller loads get as much less work.

--- a/core/src/test/java/org/cottontack/core/job/ReplayOutcome.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayOutcome.java
@@ -55,9 +55,13 @@
     }
   }
 
+  /** Weights of services, of jobs that fill and of short ones in the whole. */
+  private static final double[] WEIGHTS = {0.35, 0.55, 0.10};
+
   /** What a table shows. */
   static final List<Figure> FIGURES =
       List.of(
+          new Figure("worth", ReplayOutcome::worth),
           new Figure("serving", ReplayOutcome::serving),
           new Figure("fills", ReplayOutcome::fills),
           new Figure("largest", ReplayOutcome::largestFills),
@@ -93,6 +97,11 @@
     return all.stream().mapToDouble(of).average().orElse(0);
   }
 
+  /** Returns the whole as one figure. */
+  double worth() {
+    return WEIGHTS[0] * serving + WEIGHTS[1] * fills + WEIGHTS[2] * shorts;
+  }
+
   @Override
   public String toString() {
     return String.format(
--- a/core/src/test/java/org/cottontack/core/job/ReplayShape.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayShape.java
@@ -63,8 +63,27 @@
       long storeMillis) {
 
     static final Troubles FEW = new Troubles(1.4, 0, 0, 0, 0, 0);
-    static final Troubles BURST = new Troubles(2.6, 0, 0, 0, 0, 0);
     static final Troubles MANY = new Troubles(2.0, 3, 0.06, 0.04, 9_000, 1_500);
+
+    Troubles bursting(double factor) {
+      return new Troubles(factor, lostWorkers, slow, failing, takeoverMillis, storeMillis);
+    }
+
+    Troubles losing(int workers) {
+      return new Troubles(burst, workers, slow, failing, takeoverMillis, storeMillis);
+    }
+
+    Troubles unsound(double slowShare, double failingShare) {
+      return new Troubles(burst, lostWorkers, slowShare, failingShare, takeoverMillis, storeMillis);
+    }
+
+    Troubles takingOver(long millis) {
+      return new Troubles(burst, lostWorkers, slow, failing, millis, storeMillis);
+    }
+
+    Troubles storeAway(long millis) {
+      return new Troubles(burst, lostWorkers, slow, failing, takeoverMillis, millis);
+    }
   }
 
   private static final long LENGTH_MILLIS = 40_000;
@@ -99,6 +118,19 @@
         LENGTH_MILLIS);
   }
 
+  /**
+   * Half as much again as there is room for, beside services of which nearly all are harmed by most
+   * that fills, and a burst: most runs are slowed, and a third is stopped and moved.
+   */
+  static ReplayShape overloaded() {
+    return wide()
+        .named("overloaded")
+        .sharing(0.8, 0.95)
+        .using(0.5)
+        .fillsTimes(1.6)
+        .with(Troubles.FEW.bursting(2));
+  }
+
   /** Large short tasks beside very wide jobs that fill. */
   static ReplayShape large() {
     return new ReplayShape(
@@ -131,16 +163,31 @@
 
   /** Returns the loads of a table. */
   static List<ReplayShape> all() {
+    ReplayShape harmful = wide().named("harmful").sharing(0.8, 0.8);
+    Troubles few = Troubles.FEW;
     return List.of(
         usual(),
+        usual().named("usual, trouble").with(Troubles.MANY),
         wide(),
-        wide().named("wide, burst").with(Troubles.BURST),
-        wide().named("wide, harmful").sharing(0.8, 0.8),
-        wide().named("wide, trouble").with(Troubles.MANY),
         wide().named("wide, half").fillsTimes(0.5),
+        wide().named("wide, burst").with(few.bursting(2.6)),
+        wide().named("wide, trouble").with(Troubles.MANY),
+        harmful,
+        harmful.named("harmful, burst").with(few.bursting(2.6)),
+        harmful.named("harmful, lost").with(few.losing(3)),
+        harmful.named("harmful, slow").with(few.unsound(0.06, 0)),
+        harmful.named("harmful, failing").with(few.unsound(0, 0.04)),
+        harmful.named("harmful, leaders").with(few.takingOver(9_000)),
+        harmful.named("harmful, store").with(few.storeAway(1_500)),
+        harmful.named("harmful, trouble").with(Troubles.MANY),
+        overloaded(),
         large(),
-        narrow(),
-        usual().named("usual, trouble").with(Troubles.MANY));
+        narrow());
+  }
+
+  ReplayShape using(double share) {
+    return new ReplayShape(
+        name, seed, workers, reserved, share, harmful, shorts, fills, troubles, lengthMillis);
   }
 
   ReplayShape named(String other) {
@@ -187,9 +234,19 @@
         lengthMillis);
   }
 
-  /** Returns the same with fewer workers and a shorter time. */
+  /** Returns the same with fewer workers, as much less work, and a shorter time. */
   ReplayShape small(int fewer, long millis) {
+    double share = fewer / (double) workers;
     return new ReplayShape(
-        name, seed, fewer, reserved, used, harmful, shorts, fills, troubles, millis);
+        name,
+        seed,
+        fewer,
+        reserved,
+        used,
+        harmful,
+        shorts.times(share),
+        fills.times(share),
+        troubles,
+        millis);
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ReplayTable.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayTable.java
@@ -2,11 +2,15 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Prints what loads and policies give, with 95 % intervals over seeds. */
 final class ReplayTable {
 
+  /** System property: whether the worth of each seed is printed too, for pairs. */
+  private static final String EACH = "replay.each";
+
   private ReplayTable() {}
 
   /**
@@ -42,5 +46,12 @@
             System.out.printf(
                 Locale.ROOT, " %8.3f ± %5.3f", figure.mean(all), figure.halfInterval(all)));
     System.out.println();
+    if (Boolean.getBoolean(EACH)) {
+      System.out.println(
+          "each "
+              + all.stream()
+                  .map(outcome -> String.format(Locale.ROOT, "%.3f", outcome.worth()))
+                  .collect(Collectors.joining(" ")));
+    }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayWorker.java
@@ -28,7 +28,9 @@
 
   private static final long FAILS_AFTER_MILLIS = 150;
   private static final long STARTUP_MILLIS = 500;
-  private static final long SAVED_MILLIS = 500;
+
+  /** Work between two checkpoints; a stop makes one as well. */
+  private static final long SAVED_MILLIS = 2_000;
 
   /** How long a run that goes on from a checkpoint takes to begin. */
   private static final long RESTORE_MILLIS = 100;
@@ -49,6 +51,7 @@
     int pace = Task.FULL_PACE;
     double rate;
     boolean over;
+    private boolean stopped;
 
     Running(
         RunKey run,
@@ -87,7 +90,8 @@
 
     String checkpoint() {
       boolean keeps = spec.is(StepSpec.Trait.CHECKPOINTS);
-      return keeps ? Long.toString((long) doneMillis / SAVED_MILLIS * SAVED_MILLIS) : "";
+      long saved = stopped ? (long) doneMillis : (long) doneMillis / SAVED_MILLIS * SAVED_MILLIS;
+      return keeps ? Long.toString(saved) : "";
     }
   }
 
@@ -128,6 +132,7 @@
   void stop(RunKey key) {
     Running run = running.remove(key);
     if (run != null) {
+      run.stopped = true;
       double kept = run.checkpoint().isEmpty() ? 0 : Double.parseDouble(run.checkpoint());
       wasted += (run.doneMillis - kept) * run.spec.need().cpuMillis();
       end(run, WorkerReport.End.STOPPED);
