Read changes of the workers' list in batches

Change: at least 100 ms from an answer with changes to the next question. News that a worker leaves or comes is at most that much later; workers that do not answer are noticed by looks, not by the list.

Test: 100 writes in a second, 15 calls at most; without batches over 50.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -35,6 +35,7 @@
   private final Runnable onCurrent;
   private final Map<RowKey, Long> known = new HashMap<>();
   private boolean stopped;
+  private long gapMillis;
   private long position;
   private long contactMillis = Long.MIN_VALUE / 2;
   private boolean failing;
@@ -62,6 +63,18 @@
     this.onCurrent = onCurrent;
   }
 
+  /**
+   * Has changes told in batches. The load: hundreds of workers write their entries each second, and
+   * a feed that is asked again at once answers for each of them.
+   *
+   * @param millis least time from an answer with changes to the next question, in milliseconds
+   * @return this
+   */
+  public Follower inBatches(long millis) {
+    gapMillis = millis;
+    return this;
+  }
+
   /** Begins to read. */
   public void start() {
     scan(new ArrayList<>(), Long.MAX_VALUE, 0);
@@ -133,7 +146,11 @@
         answered();
         news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
         position = Math.max(position, news.version());
-        follow();
+        if (gapMillis > 0 && !news.rows().isEmpty()) {
+          timers.after(gapMillis, this::follow);
+        } else {
+          follow();
+        }
       }
       case FORGOTTEN -> {
         LOG.info("the store forgot changes of {}; reading all of it again", table);
--- a/daemon/src/main/java/org/cottontack/daemon/job/WorkerRegistry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WorkerRegistry.java
@@ -6,6 +6,12 @@
 /** The platform's list of workers. */
 public interface WorkerRegistry {
 
+  /**
+   * Least time between two readings of what changed in the list, in milliseconds: news that a
+   * worker leaves may be seconds old.
+   */
+  long BATCH_MILLIS = 100;
+
   /**
    * Returns a follower of the list that is not started yet.
    *
--- a/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
@@ -1,6 +1,7 @@
 package org.cottontack.daemon.job;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -19,13 +20,24 @@
     final FakeTableStore store = new FakeTableStore(time);
     final VirtualTimers.View process = time.process();
     final List<String> told = new ArrayList<>();
-    private final TableStore seen = store.seenBy(process, call -> true);
+    int calls;
+    private final TableStore seen =
+        store.seenBy(
+            process,
+            call -> {
+              calls += call.startsWith("follow") ? 1 : 0;
+              return true;
+            });
 
     void follow() {
-      new Follower(seen, process, TABLE, List.of(""), this::tell, () -> {}).start();
+      follower().start();
       time.run(200);
     }
 
+    Follower follower() {
+      return new Follower(seen, process, TABLE, List.of(""), this::tell, () -> {});
+    }
+
     private void tell(Row row) {
       if (row.text().equals("bad")) {
         throw new IllegalArgumentException("a row that nobody can read");
@@ -41,6 +53,43 @@
     }
   }
 
+  /** Tables in which rows change all the time. */
+  public static class Batching {
+
+    private static void writeEachTenMillis(Lab lab) {
+      for (int i = 0; i < 100; i++) {
+        Change change =
+            new Change(
+                Map.of(), Map.of(new RowKey(TABLE, "", "k" + i), Payload.of("v")), List.of());
+        lab.seen.commit(change, 1_000, answer -> {});
+        lab.time.run(10);
+      }
+      lab.time.run(300);
+    }
+
+    /** Guards against a call to the store for each change of a busy table. */
+    @Test
+    public void asksOnceForManyChanges() {
+      Lab lab = new Lab();
+      lab.follower().inBatches(100).start();
+      lab.time.run(200);
+      int before = lab.calls;
+      writeEachTenMillis(lab);
+      assertEquals(lab.told.size(), 100);
+      assertTrue(lab.calls - before <= 15, "calls: " + (lab.calls - before));
+    }
+
+    /** Without batches each change is told at once. */
+    @Test
+    public void otherwiseAsksAtOnce() {
+      Lab lab = new Lab();
+      lab.follow();
+      writeEachTenMillis(lab);
+      assertEquals(lab.told.size(), 100);
+      assertTrue(lab.calls > 50, "calls: " + lab.calls);
+    }
+  }
+
   /** Rows that the listener cannot take. */
   public static class Choking {
 
