Comments say why, not how a value was found; one rule for a roomy pool

What counts as a roomy pool stood in Placement and in ShortRoom; the second asks the first. No behaviour changes: the comparison is the same. Figures of replays and timings leave the comments; they are in the commits that brought them.

--- a/core/src/main/java/org/cottontack/core/job/Crowding.java
+++ b/core/src/main/java/org/cottontack/core/job/Crowding.java
@@ -4,8 +4,7 @@
 
 /**
  * What decides whether one more task that fills may join a worker. It is kept until something on
- * the worker changes; computed anew for each candidate, a decision took 17 to 25 ms on 0.3 of a
- * core, with this 5 to 8 ms (32 workers, 200 tasks waiting, timed in the leader).
+ * the worker changes: each waiting task asks every worker.
  *
  * @param alarmed whether a tail is over its bound
  * @param leftover processor time that nothing uses, in thousandths of a core
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -54,7 +54,7 @@
   /**
    * Returns the end, on our clock, of the lease that a start brings: that of the last look, while
    * it lasts. Orders to a worker that is lost, sent before that is noticed, would otherwise put off
-   * the end of its leases, by 0.9 s in a replay, and with it the return of all that ran there.
+   * the end of its leases, and with it the return of all that ran there.
    */
   private long startLeaseEnd(Worker worker) {
     long given = worker.clock.allLapsedMillis();
--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -36,9 +36,8 @@
 
   /**
    * Headroom by which reports differ from what was predicted though nothing is wrong: their
-   * standard deviation is 0.23 to 0.3. Only what is missing beyond that is made up for at once.
-   * Purpose: fewer paces and moves for nothing; replayed with rough reports, jobs that fill earn
-   * 0.78 of their value in place of 0.74.
+   * standard deviation is 0.23 to 0.3. Only what is missing beyond that is made up for at once;
+   * otherwise runs are slowed and moved for nothing.
    */
   private static final double ROUGH = 0.3;
 
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -19,9 +19,7 @@
 
   /**
    * Predicted strain up to which a task that fills may join; 1 is all the headroom that there will
-   * be. Purpose: work done beside services without harm. Replays with harmful images (ten seeds):
-   * jobs that fill earn 0.63, 0.70 and 0.73 of their value with 0.6, 0.8 and 1.1; services 0.98,
-   * 0.96 and 0.91.
+   * be. What is kept back is for loads that swing and predictions that are wrong.
    */
   static final double MOST_STRAIN = 0.8;
 
@@ -44,11 +42,7 @@
           .thenComparingLong(Candidate::room)
           .thenComparing(candidate -> candidate.worker().info.id());
 
-  /**
-   * Share of the processors reserved up to which a pool counts as roomy. While more is reserved a
-   * job may be kept waiting for a harmless place; with less, its caller would see it wait beside
-   * idle workers.
-   */
+  /** Share of the processors reserved up to which a pool counts as roomy. */
   private static final double ROOMY_SHARE = 0.6;
 
   private static final int EMPTY = 1;
@@ -81,12 +75,20 @@
             (pool, all) -> {
               long cpu = all.stream().mapToLong(w -> w.info.capacity().cpuMillis()).sum();
               long used = all.stream().mapToLong(w -> w.used.cpuMillis()).sum();
-              if (used < ROOMY_SHARE * cpu) {
+              if (roomy(used, cpu)) {
                 roomyPools.add(pool);
               }
             });
   }
 
+  /**
+   * Returns whether little of a pool is reserved, so that users would see a job or a service wait
+   * beside idle workers.
+   */
+  static boolean roomy(long reservedCpu, long cpu) {
+    return reservedCpu < ROOMY_SHARE * cpu;
+  }
+
   /**
    * Returns whether a job gets a place beside anything: nothing of it runs though the pool is
    * roomy. An image that harms all others would otherwise never run, and its jobs never end; its
--- a/core/src/main/java/org/cottontack/core/job/ShortRoom.java
+++ b/core/src/main/java/org/cottontack/core/job/ShortRoom.java
@@ -6,11 +6,9 @@
 
 /**
  * Keeps room for short tasks when new services want to begin. The load: services reserve nine
- * tenths of the processors and stay for minutes, short tasks come in bursts and want to start at
- * once, and now and then a rack is lost. Whatever becomes free then goes to services that wait,
- * though the processor time of one serves a hundred short jobs, worth four times as much to their
- * callers. So a service that never ran begins only where as much stays free as short tasks needed
- * at their last peak. One that did run returns at once, whatever that leaves: its users miss it.
+ * tenths of the processors and stay for minutes, and short tasks come in bursts and want to start
+ * at once. A service that never ran begins only where as much stays free as short tasks needed at
+ * their last peak. One that did run returns at once, whatever that leaves: its users miss it.
  */
 final class ShortRoom {
 
@@ -20,12 +18,6 @@
    */
   private static final double HALF_LIFE_MILLIS = 20_000;
 
-  /**
-   * Share of the processors reserved below which any service begins: its users would otherwise wait
-   * beside idle workers.
-   */
-  private static final double ROOMY_SHARE = 0.6;
-
   /** Weight of the newest task in the usual size of short ones. */
   private static final double NEWEST = 0.05;
 
@@ -69,7 +61,7 @@
     }
 
     boolean admits(long cpuMillis) {
-      return used < ROOMY_SHARE * capacity || pieces - cpuMillis + held >= peak;
+      return Placement.roomy(used, capacity) || pieces - cpuMillis + held >= peak;
     }
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Urgency.java
+++ b/core/src/main/java/org/cottontack/core/job/Urgency.java
@@ -14,8 +14,7 @@
  * only be late comes after that, and what is too late to matter is done in what the others leave. A
  * new job that lasts would keep for minutes the room that short tasks need now, and brings a
  * quarter of what they bring for it: it begins in what they leave, but goes first once it has
- * waited long. Purpose: with twice the load that fits, 44 of 60 jobs in time in place of 38 by
- * deadlines (replay in virtual time).
+ * waited long.
  */
 final class Urgency {
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
@@ -84,8 +84,7 @@
   /**
    * Returns the text of a free lease. A leader that has not begun has given no leases itself. Were
    * its short term counted like any other, making way at once would begin the wait for lost workers
-   * anew: their lasting tasks were away for 12 s after the death of the leader before, in place of
-   * 8.5 s.
+   * anew.
    *
    * @param cutOff the data centre that is to stand back; empty for none
    * @param now when it is sent
