--- a/standin/src/main/java/org/cottontack/standin/experiment/DaemonProcess.java
+++ b/standin/src/main/java/org/cottontack/standin/experiment/DaemonProcess.java
@@ -70,27 +70,6 @@
     return ticks / TICKS_PER_SECOND;
   }
 
-  /** Returns resident memory in MiB. */
-  double residentMb() {
-    return read("/proc/" + process.pid() + "/status")
-        .lines()
-        .filter(line -> line.startsWith("VmRSS:"))
-        .mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1_024)
-        .findFirst()
-        .orElseThrow();
-  }
-
-  /** Returns all bytes that crossed the loopback so far, headers included. */
-  static long loopbackBytes() {
-    return read("/proc/net/dev")
-        .lines()
-        .map(String::trim)
-        .filter(line -> line.startsWith("lo:"))
-        .mapToLong(line -> Long.parseLong(line.substring(3).trim().split(" +", -1)[0]))
-        .findFirst()
-        .orElseThrow();
-  }
-
   private static String read(String file) {
     try {
       return Files.readString(Path.of(file));
--- a/standin/src/main/java/org/cottontack/standin/experiment/Main.java
+++ b/standin/src/main/java/org/cottontack/standin/experiment/Main.java
@@ -14,7 +14,6 @@
 
   private static final String NAMES =
       "path     p99 through an entry instance against p99 straight to the endpoint\n"
-          + "scale    processor, memory, bytes and store operations of control at several sizes\n"
           + "urgent   time from submission to start at a steady rate\n"
           + "sharing  how evenly and stably members share resources";
 
@@ -56,7 +55,6 @@
         switch (words.get(0)) {
           case "list" -> Map.of();
           case "path" -> PathExperiment.run(workspace, seconds, load);
-          case "scale" -> ScaleExperiment.run(workspace, seconds);
           case "urgent" -> UrgentExperiment.run(workspace, seconds);
           case "sharing" -> SharingExperiment.run();
           default ->
