A start in doubt binds its task to its worker until it can no longer arrive

Callers would have seen a task's work done twice: a start that got no answer was carried out seconds later by the second next life of its worker, beside the task's successor on another worker.

Cause: that a start may still arrive was known to its run alone, and forgotten with the first answer of the worker's next life. That answer bars the start on that life only.

Ruled out: raising the fencing token or asking sooner. Asking is a race.

Change: LateStart, kept by the task over lives and leaders, for the 12 s that the platform states. The task runs only on lives of that worker which refuse the start.

Why it holds: no second run begins on another worker while a copy may arrive, and on the same worker a life that answered refuses the copy by its token, by a stop or by the run's end; what a copy began before is listed by that answer, and blocks the task until it has ended.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -204,6 +204,7 @@
     worker.placed.values().stream()
         .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
         .filter(task -> task.order == Task.Order.CONFIRMED && !task.job.phase.terminal())
+        .filter(task -> !task.bound(term.now.mono()))
         .filter(task -> roomFor(task).isPresent())
         .findFirst()
         .ifPresent(
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -56,9 +56,21 @@
     ProgressText.restore(job, event.progress());
     job.begun = job.phase != JobPhase.QUEUED;
     open(job);
-    job.tasks()
-        .filter(task -> task.phase == Task.Phase.PLACED)
-        .forEach(task -> holder(task.worker).add(task));
+    job.tasks().filter(task -> task.worker != null).forEach(this::inherit);
+  }
+
+  /** An earlier leader may have sent its start just before it ended. */
+  private void inherit(Task task) {
+    if (task.worker.mayReturn()) {
+      long lapse = term.inheritedLapseMillis;
+      task.expectLate(
+          LateStart.inherited(task.worker, task.spec, term.startMillis, lapse), term.now.mono());
+    }
+    if (task.phase == Task.Phase.PLACED) {
+      holder(task.worker).add(task);
+    } else {
+      task.worker = null;
+    }
   }
 
   /** A worker that is not registered may still run what it was given. */
--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * What becomes of runs whose worker is lost: they wait for another one, but for those of a task
@@ -20,11 +21,17 @@
   void reborn(Worker worker) {
     term.note("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
     lose(worker, !left(worker));
+    // Whoever has its address now refuses orders for another identifier.
+    term.jobs.values().stream()
+        .flatMap(Job::tasks)
+        .filter(task -> task.boundTo(worker.info.id()))
+        .forEach(Task::expectNoneLate);
     term.workers.remove(worker.info.id());
   }
 
   /** Takes in that all leases of a worker out of touch have ended. */
   void lapsed(Worker worker) {
+    Set.copyOf(worker.strays.keySet()).forEach(worker::removeStray);
     if (worker.placed.isEmpty()) {
       return;
     }
@@ -71,6 +78,7 @@
   private List<Task> judge(Worker worker, List<Task> lost, boolean crashed) {
     List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
     lost.forEach(task -> noteLost(worker, task));
+    lost.stream().filter(task -> task.order == Task.Order.SENT).forEach(Task::unanswered);
     return hopeless;
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -41,7 +41,7 @@
   }
 
   private void order(Worker worker, Task task) {
-    task.order = Task.Order.SENT;
+    task.sent(term.now.mono());
     term.out.add(
         new JobEffect.StartRun(
             worker.target(),
@@ -81,7 +81,9 @@
     if (worker == null || task == null || !task.runsAs(event.worker(), event.run().run())) {
       return false;
     }
-    task.uncertain |= !event.result().certain();
+    if (!event.result().certain()) {
+      task.unanswered();
+    }
     if (event.result() != StartResult.STARTED) {
       term.note("start.refused", event.run(), event.worker().worker() + " " + event.result());
     }
@@ -144,6 +146,9 @@
     if (worker == null || !event.answered()) {
       return;
     }
+    if (task != null && task.runsAs(event.worker(), event.run().run())) {
+      task.barred();
+    }
     // A stop that is answered again says nothing new. Counted as news each time, it would put off
     // for ever that a run which its worker no longer lists is missing.
     if (task != null
--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -182,6 +182,7 @@
     return worker
         .filling()
         .filter(task -> task.order == Task.Order.CONFIRMED && task.pace < Task.LOW_PACE)
+        .filter(task -> !task.bound(nowMillis))
         .filter(Pacing::losesLittle)
         .filter(task -> task.missedMillis(nowMillis) > MOVE_MILLIS + task.unsavedMillis(nowMillis))
         .max(Comparator.comparingDouble(task -> harm(worker, task)));
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -102,16 +102,17 @@
   Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
     return workers.stream()
         .filter(worker -> worker.usable(nowMillis))
-        .filter(worker -> fits(task, queue, worker))
+        .filter(worker -> fits(task, queue, worker, nowMillis))
         .flatMap(worker -> candidate(task, queue, worker, nowMillis).stream())
         .max(BEST)
         .map(Candidate::worker);
   }
 
-  private static boolean fits(Task task, JobQueue queue, Worker worker) {
+  private static boolean fits(Task task, JobQueue queue, Worker worker, long nowMillis) {
     StepSpec spec = task.spec;
     return worker.info.pool().equals(queue.pool())
         && worker.free().holds(spec.reserved())
+        && task.mayStartOn(worker.life(), nowMillis)
         && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains)
         && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker())
         && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
--- a/core/src/main/java/org/cottontack/core/job/Placer.java
+++ b/core/src/main/java/org/cottontack/core/job/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /** One pass over what waits: the most urgent job first, each task to the best worker. */
@@ -12,6 +13,9 @@
   private final Urgency urgency;
   private final ShortRoom shortRoom = new ShortRoom();
 
+  /** Tasks of which some worker runs what nobody wants; another run would be beside that one. */
+  private Set<TaskName> runningUnwanted = Set.of();
+
   Placer(Term term, Placement placement, Urgency urgency) {
     this.term = term;
     this.placement = placement;
@@ -23,9 +27,14 @@
       return;
     }
     term.roomChanged = false;
-    NoRoom noRoom = new NoRoom();
     placement.begin(term.workers.values());
     shortRoom.begin(term.workers.values(), term.hungry, term.table, term.now.mono());
+    runningUnwanted =
+        term.workers.values().stream()
+            .flatMap(worker -> worker.strays.keySet().stream())
+            .map(RunKey::task)
+            .collect(Collectors.toSet());
+    NoRoom noRoom = new NoRoom();
     urgency.order(term.hungry, term.now.mono()).forEach(job -> placeJob(job, noRoom));
   }
 
@@ -38,13 +47,16 @@
       if (refused.isPresent() && refused.get().equals(task.name.step())) {
         continue;
       }
-      Optional<Worker> worker = choose(task, queue, noRoom);
+      Optional<Worker> worker =
+          runningUnwanted.contains(task.name) ? Optional.empty() : choose(task, queue, noRoom);
       if (worker.isPresent()) {
         placeTask(task, worker.get());
         shortRoom.placed(task, queue.pool());
-      } else {
+        continue;
+      }
+      all = false;
+      if (!heldBack(task)) {
         refused = Optional.of(task.name.step());
-        all = false;
       }
     }
     if (all) {
@@ -59,12 +71,17 @@
       return Optional.empty();
     }
     Optional<Worker> worker = placement.choose(task, queue, term.workers.values(), term.now.mono());
-    if (worker.isEmpty()) {
+    if (worker.isEmpty() && !heldBack(task)) {
       noRoom.add(task.spec, queue);
     }
     return worker;
   }
 
+  /** Returns whether a task waits for reasons of its own, which say nothing of its siblings. */
+  private boolean heldBack(Task task) {
+    return task.bound(term.now.mono()) || runningUnwanted.contains(task.name);
+  }
+
   private void notePlaced(Job job, List<Task> ready) {
     List<Task> placed = ready.stream().filter(task -> task.phase == Task.Phase.PLACED).toList();
     if (!placed.isEmpty()) {
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -45,10 +45,16 @@
           task.failures,
           task.crashes,
           task.blamed,
-          Optional.ofNullable(task.worker),
+          worker(task),
           task.checkpoint);
     }
 
+    /** A task that waits for a start on its way to expire names the worker that it was sent to. */
+    private static Optional<WorkerLife> worker(Task task) {
+      return Optional.ofNullable(task.worker)
+          .or(() -> task.phase == Task.Phase.WAITING ? task.refusing() : Optional.empty());
+    }
+
     /** The crashes and the beginning of the worker's life are left out where there are none. */
     static Line parse(String text) {
       String[] fields = text.split(" ", -1);
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -131,6 +131,7 @@
       return key;
     }
     orders.confirm(task);
+    task.found();
     task.listedMillis = term.now.mono();
     if (task.crashes > 0 && CrashBlame.cleared(task)) {
       task.forgetCrashes();
@@ -171,6 +172,10 @@
     if (inForce && task.spec.is(StepSpec.Trait.FILLS)) {
       worker.echoes.add(new Worker.Echo(task.spec.image(), task.load, term.now.mono()));
     }
+    task.found();
+    if (inForce) {
+      task.barred();
+    }
     term.release(task);
     if (ended.how() == WorkerReport.End.DONE) {
       // Its worker lived on, so the crashes before had another cause. A failure says nothing: some
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -1,7 +1,9 @@
 package org.cottontack.core.job;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
+import org.cottontack.core.id.WorkerId;
 
 /** A task's progress; confined to {@link JobScheduler}. */
 final class Task {
@@ -88,6 +90,9 @@
   long listedMillis;
 
   boolean uncertain;
+  private boolean sentByUs;
+  private long sentMillis;
+  private Optional<LateStart> lateStart = Optional.empty();
   int progress;
   long progressMillis;
   final Set<WorkerLife> failedOn = new HashSet<>();
@@ -130,6 +135,69 @@
     return order == Order.SENT || order == Order.CONFIRMED || uncertain;
   }
 
+  /** Takes in that its start leaves. */
+  void sent(long nowMillis) {
+    order = Order.SENT;
+    sentByUs = true;
+    sentMillis = nowMillis;
+  }
+
+  /** Takes in that its start got no answer, or that its worker ended before one came. */
+  void unanswered() {
+    uncertain = true;
+    if (worker.mayReturn()) {
+      expectLate(LateStart.sent(worker, spec, sentMillis), sentMillis);
+    }
+  }
+
+  /** Takes in that a start of it may still be on its way. */
+  void expectLate(LateStart start, long nowMillis) {
+    lateStart =
+        lateStart
+            .filter(other -> !other.expired(nowMillis))
+            .map(start::and)
+            .or(() -> Optional.of(start));
+  }
+
+  /** Takes in that the present run has begun: what an earlier leader sent has arrived. */
+  void found() {
+    if (!sentByUs) {
+      lateStart = Optional.empty();
+    }
+  }
+
+  /** Takes in that its worker's present life has seen the present run end, or a stop of it. */
+  void barred() {
+    lateStart = lateStart.map(start -> start.refusedFrom(worker));
+  }
+
+  /** Takes in that no start on its way can reach any life of its worker. */
+  void expectNoneLate() {
+    lateStart = Optional.empty();
+  }
+
+  /** Returns the first life that refuses a start which may still be on its way. */
+  Optional<WorkerLife> refusing() {
+    return lateStart.map(LateStart::refusing);
+  }
+
+  /** Returns whether a start on its way keeps it from all workers but one. */
+  boolean bound(long nowMillis) {
+    return lateStart.filter(start -> !start.expired(nowMillis)).isPresent();
+  }
+
+  /** Returns whether a start which may still be on its way was sent to this worker. */
+  boolean boundTo(WorkerId id) {
+    return lateStart.filter(start -> start.refusing().worker().equals(id)).isPresent();
+  }
+
+  /** Returns whether no start on its way could run beside a run on this life. */
+  boolean mayStartOn(WorkerLife life, long nowMillis) {
+    // Tried again and again on the only worker left, it would use up its attempts there.
+    return !bound(nowMillis)
+        || (!failedOn.contains(life) && lateStart.orElseThrow().refusedBy(life));
+  }
+
   /** Takes in that a run did not crash its worker. */
   void forgetCrashes() {
     crashes = 0;
@@ -142,6 +210,7 @@
     worker = on;
     order = Order.UNSAVED;
     uncertain = false;
+    sentByUs = false;
     placedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
--- a/core/src/main/java/org/cottontack/core/job/WorkerLife.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerLife.java
@@ -20,6 +20,11 @@
     return new WorkerLife(worker, UNSTATED);
   }
 
+  /** Returns whether a later life may have the same identifier. */
+  boolean mayReturn() {
+    return bornMillis != UNSTATED;
+  }
+
   /** Returns whether something said by this worker's identifier may come from this life. */
   boolean beganAt(long millis) {
     return millis == bornMillis || millis == UNSTATED || bornMillis == UNSTATED;
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -187,9 +187,9 @@
       for (int step = 0; step < job.steps().size(); step++) {
         for (int i = 0; i < job.steps().get(step).count(); i++) {
           TaskName task = new TaskName(new StepId(job.id(), 0, step), i);
-          long running = workers.values().stream().filter(w -> w.runs(task)).count();
+          long running = workers.values().stream().mapToLong(w -> w.runsOf(task)).sum();
           if (running > 1) {
-            throw new AssertionError(task + " runs on " + running + " workers at " + now);
+            throw new AssertionError(task + " runs " + running + " times at " + now);
           }
           boolean lasts = job.steps().get(step).is(StepSpec.Trait.LASTS);
           if (running > 0 && done.contains(task) && !lasts) {
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -0,0 +1,195 @@
+package org.cottontack.core.job;
+
+import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of starts without an answer that a later life of their worker may carry out. */
+public class LateStartTest {
+
+  private static final long RESTART_MILLIS = 600;
+
+  /** How long before a late start a worker is back: too short for its leader to ask it. */
+  private static final long BACK_BEFORE_MILLIS = 20;
+
+  /** Work that is not done before the latest start has arrived, in milliseconds. */
+  private static final long WORK_MILLIS = 20_000;
+
+  private static final WorkerId FIRST = new WorkerId("w0");
+
+  private static JobLab fleet() {
+    JobLab lab = lab(new LabWorker("w0", 8), new LabWorker("w1", 8));
+    lab.keepsIds = true;
+    lab.restartMillis = RESTART_MILLIS;
+    lab.listsTheDead = true;
+    lab.run(1_000);
+    return lab;
+  }
+
+  private static void crash(JobLab lab) {
+    lab.crash(lab.workers.get(FIRST));
+  }
+
+  /** Submits a job whose starts get no answer and are carried out so late. */
+  private static JobSpec submitLate(JobLab lab, long delay, StepSpec step) {
+    lab.delay = effect -> effect instanceof JobEffect.StartRun ? delay : 0;
+    JobSpec job = job("late", step);
+    lab.submit(job);
+    lab.run(100);
+    lab.delay = effect -> 0;
+    return job;
+  }
+
+  /** Lets the first worker be back under its identifier just before a start of then arrives. */
+  private static void backJustBefore(JobLab lab, long arrivesMillis) {
+    lab.run(arrivesMillis - BACK_BEFORE_MILLIS - RESTART_MILLIS - lab.now);
+    crash(lab);
+  }
+
+  private static Object[][] delays(long step) {
+    return LongStream.iterate(2_500, d -> d <= LateStart.LATEST_MILLIS - 500, d -> d + step)
+        .mapToObj(delay -> new Object[] {delay})
+        .toArray(Object[][]::new);
+  }
+
+  /** Which workers are left for a task whose start is on its way. */
+  public static class Binding {
+
+    /** Delays after which an order is carried out, in milliseconds. */
+    @DataProvider
+    public Object[][] lateBy() {
+      return delays(250);
+    }
+
+    /** Guards against a task that runs elsewhere beside a start which a later life carries out. */
+    @Test(dataProvider = "lateBy")
+    public void runsNoTaskTwiceWhereLaterLifeGetsItsStart(long delay) {
+      JobLab lab = fleet();
+      lab.workMillis = WORK_MILLIS;
+      final long arrives = lab.now + delay;
+      final JobSpec job = submitLate(lab, delay, step(3, 2, List.of()));
+      crash(lab);
+      backJustBefore(lab, arrives);
+      lab.run(60_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /** Guards against a failed task that is tried elsewhere while a copy of its start may come. */
+    @Test(dataProvider = "lateBy")
+    public void runsNoFailedTaskTwiceWhereNextLifeGetsCopyOfStart(long delay) {
+      JobLab lab = fleet();
+      final long arrives = lab.now + delay;
+      final JobSpec job = submitLate(lab, delay, step(3, 2, List.of()));
+      lab.fails = true;
+      lab.run(1_600);
+      lab.fails = false;
+      lab.workMillis = WORK_MILLIS;
+      backJustBefore(lab, Math.max(arrives, lab.now + RESTART_MILLIS + BACK_BEFORE_MILLIS));
+      lab.run(60_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /** Guards against tasks that wait although another worker is at their worker's address. */
+    @Test
+    public void waitsNoLongerWhereItsWorkerIsReplaced() {
+      JobLab lab = fleet();
+      lab.keepsIds = false;
+      lab.listsTheDead = false;
+      final JobSpec job = submitLate(lab, 30_000, step(3, 2, List.of()));
+      crash(lab);
+      lab.run(RESTART_MILLIS + 3_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /** Guards against a lasting task that is away for longer than after any loss of its worker. */
+    @Test
+    public void keepsLastingTaskAwayNoLongerThanLeases() {
+      JobLab lab = fleet();
+      lab.restartMillis = 120_000;
+      lab.workMillis = 600_000;
+      submitLate(lab, 30_000, step(3, 2, List.of(), StepSpec.Trait.LASTS));
+      crash(lab);
+      lab.run(LeaderLease.GRANT_MILLIS + 500);
+      assertEquals(lab.workers.get(new WorkerId("w1")).count(), 3);
+    }
+  }
+
+  /** What the next leader knows of starts on their way. */
+  public static class Takeover {
+
+    /** Delays after which an order is carried out, in milliseconds: past the end of all leases. */
+    @DataProvider
+    public Object[][] lateBy() {
+      return LongStream.of(10_000, 10_500, 11_000, 11_500)
+          .mapToObj(delay -> new Object[] {delay})
+          .toArray(Object[][]::new);
+    }
+
+    /** Submits a job, and has its worker come back just before the start arrives. */
+    private static JobSpec submitAndCrash(JobLab lab, long delay) {
+      lab.workMillis = WORK_MILLIS;
+      final JobSpec job = submitLate(lab, delay, step(3, 2, List.of()));
+      lab.restartMillis = delay - 100 - BACK_BEFORE_MILLIS;
+      crash(lab);
+      return job;
+    }
+
+    /** Guards against a task that the next leader starts elsewhere beside an earlier start. */
+    @Test(dataProvider = "lateBy")
+    public void startsNoPlacedTaskElsewhere(long delay) {
+      JobLab lab = fleet();
+      final JobSpec job = submitAndCrash(lab, delay);
+      lab.leaderDies();
+      lab.run(1_000);
+      lab.takeOver();
+      lab.run(60_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /**
+     * Guards against a next leader that does not know which waiting task has a start on its way.
+     */
+    @Test(dataProvider = "lateBy")
+    public void startsNoWaitingTaskElsewhere(long delay) {
+      JobLab lab = fleet();
+      final JobSpec job = submitAndCrash(lab, delay);
+      lab.run(9_200);
+      lab.leaderDies();
+      lab.takeOver();
+      lab.run(60_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+  }
+
+  /** Stored and read again. */
+  public static class Stored {
+
+    /** Guards against a stored wait that is lost with its leader. */
+    @Test
+    public void namesWorkerOfWaitingTask() {
+      Job job = new Job(job("a", step(1, 2, List.of())), 0);
+      job.advance(0);
+      Task task = job.tasks().findFirst().orElseThrow();
+      WorkerLife life = new WorkerLife(FIRST, 7);
+      task.place(life, 0);
+      task.sent(10);
+      task.unanswered();
+      task.release();
+      String text = ProgressText.write(job);
+      assertTrue(text.contains(" w 1 0 w0 "), text);
+      Job read = new Job(job.spec, 0);
+      ProgressText.restore(read, text);
+      assertEquals(
+          read.tasks().findFirst().orElseThrow().worker,
+          new WorkerLife(FIRST, life.bornMillis() + 1));
+    }
+  }
+}
