The lab checks runs, not all tasks of all jobs, at each step

Its check counts the runs there are by task, so two on one worker count as well, and so do those of later occurrences; before, it asked each worker for each task of each job's first occurrence. As strict or stricter.

--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -183,21 +183,19 @@
   private void check() {
     Set<TaskName> done =
         lives().flatMap(worker -> worker.acknowledgedDone.stream()).collect(Collectors.toSet());
-    for (JobSpec job : specs.values()) {
-      for (int step = 0; step < job.steps().size(); step++) {
-        for (int i = 0; i < job.steps().get(step).count(); i++) {
-          TaskName task = new TaskName(new StepId(job.id(), 0, step), i);
-          long running = workers.values().stream().mapToLong(w -> w.runsOf(task)).sum();
-          if (running > 1) {
-            throw new AssertionError(task + " runs " + running + " times at " + now);
+    Map<TaskName, Long> running =
+        workers.values().stream()
+            .flatMap(worker -> worker.runs().stream())
+            .collect(Collectors.groupingBy(RunKey::task, Collectors.counting()));
+    running.forEach(
+        (task, runs) -> {
+          if (runs > 1) {
+            throw new AssertionError(task + " runs " + runs + " times at " + now);
           }
-          boolean lasts = job.steps().get(step).is(StepSpec.Trait.LASTS);
-          if (running > 0 && done.contains(task) && !lasts) {
+          if (done.contains(task) && !lasts(task)) {
             throw new AssertionError(task + " runs after its acknowledged end at " + now);
           }
-        }
-      }
-    }
+        });
     for (LabWorker worker : workers.values()) {
       if (!worker.info.capacity().holds(worker.used())) {
         throw new AssertionError(worker.info.id() + " holds too much at " + now);
@@ -205,6 +203,11 @@
     }
   }
 
+  private boolean lasts(TaskName task) {
+    StepId step = task.step();
+    return specs.get(step.job()).steps().get(step.step()).is(StepSpec.Trait.LASTS);
+  }
+
   private void carryOut(JobEffect effect) {
     seen.add(effect);
     JobScheduler from = leader;
--- a/core/src/test/java/org/cottontack/core/job/LabWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -193,7 +193,7 @@
   }
 
   boolean runs(TaskName task) {
-    return runsOf(task) > 0;
+    return !dead && running.keySet().stream().anyMatch(run -> run.task().equals(task));
   }
 
   /** Returns what runs here now. */
@@ -201,11 +201,6 @@
     return dead ? Set.of() : Set.copyOf(running.keySet());
   }
 
-  /** Returns how many runs of a task there are now. */
-  long runsOf(TaskName task) {
-    return runs().stream().filter(run -> run.task().equals(task)).count();
-  }
-
   int count() {
     return running.size();
   }
