A task whose only worker crashes again waits for its start to expire

Callers would have seen a job given up as failed for crashes that were not its fault. Cause: a task bound to its worker by a start in doubt goes back to that worker's next lives; where it flaps, each of its crashes counts against the task. From the second crash on such a task waits out the 12 s, as one that has failed there does.

--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -142,6 +142,11 @@
     sentMillis = nowMillis;
   }
 
+  /** Returns when its start left last, on our steady clock. */
+  long sentMillis() {
+    return sentMillis;
+  }
+
   /** Takes in that its start got no answer, or that its worker ended before one came. */
   void unanswered() {
     uncertain = true;
@@ -193,9 +198,9 @@
 
   /** Returns whether no start on its way could run beside a run on this life. */
   boolean mayStartOn(WorkerLife life, long nowMillis) {
-    // Tried again and again on the only worker left, it would use up its attempts there.
-    return !bound(nowMillis)
-        || (!failedOn.contains(life) && lateStart.orElseThrow().refusedBy(life));
+    // On the only worker left it would use up its attempts, or be blamed for that one's crashes.
+    boolean worthATry = !failedOn.contains(life) && !CrashBlame.suspect(this);
+    return !bound(nowMillis) || (worthATry && lateStart.orElseThrow().refusedBy(life));
   }
 
   /** Takes in that a run did not crash its worker. */
--- a/core/src/test/java/org/cottontack/core/job/LateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -122,6 +122,40 @@
     }
   }
 
+  /** Runs that nobody wants any more. */
+  public static class Unwanted {
+
+    /** Guards against a run that begins beside an unwanted one whose stop is lost. */
+    @Test(dataProviderClass = Binding.class, dataProvider = "lateBy")
+    public void startsNothingBesideUnwantedRun(long delay) {
+      JobLab lab = fleet();
+      lab.workMillis = WORK_MILLIS;
+      final long arrives = lab.now + delay;
+      final JobSpec job = submitLate(lab, delay, step(3, 2, List.of()));
+      crash(lab);
+      backJustBefore(lab, arrives);
+      lab.lost = JobEffect.StopRun.class::isInstance;
+      lab.run(RESTART_MILLIS + 1_000);
+      lab.lost = effect -> false;
+      lab.run(60_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /** Guards against a task that is given up since its only worker crashes again and again. */
+    @Test
+    public void givesUpNothingWhoseWorkerFlaps() {
+      JobLab lab = fleet();
+      lab.restartMillis = 100;
+      final JobSpec job = submitLate(lab, 30_000, step(3, 2, List.of()));
+      for (int i = 0; i < 8; i++) {
+        crash(lab);
+        lab.run(900);
+      }
+      lab.run(30_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+  }
+
   /** What the next leader knows of starts on their way. */
   public static class Takeover {
 
