A life that an acknowledgement in doubt may have reached shows its ends first

Callers would have seen tasks run again that were done. Cause: a worker forgets ends up to an acknowledged number. An acknowledgement that gets no answer may reach the worker's next life before its leader; that life then never lists its first ends, and a run that vanishes was taken for one that never began.

A life that it may have reached gets lasting tasks, tasks with copies, and otherwise one run at a time that is stopped at once, until it has listed an end or the hidden numbers are used up (HiddenEnds).

Why it holds: the stopped run cannot have been done, so its task may run again; a listed end has a number above all hidden ones; the life's first answer has raised its fencing token, so nothing hides more later.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -138,6 +138,7 @@
 
   void silent(Worker worker) {
     worker.looking = false;
+    worker.acknowledgements.unanswered();
     if (!worker.silent) {
       term.note("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
     }
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/job/HiddenEnds.java
@@ -0,0 +1,85 @@
+package org.cottontack.core.job;
+
+/**
+ * Which ends one life of a worker may never list. A worker forgets ends up to the number that an
+ * acknowledgement names. One without an answer may reach the next life of its worker, which numbers
+ * its ends anew, before that life has ended anything: a run that is done there would vanish, and
+ * could not be told from one that never began.
+ *
+ * <p>The load: busy workers crash while nearly each of them is being asked, and come back at once.
+ * An end that is listed shows that those after it will be. Until then only runs whose end does not
+ * matter begin there: lasting ones, those that may have copies, and one run at a time that is
+ * stopped at once.
+ */
+final class HiddenEnds {
+
+  /** Stands for an unknown number of ends. */
+  static final long ANY = Long.MAX_VALUE;
+
+  /**
+   * Longest time from a start to the answer of its stop for which the run is known not to be done,
+   * in milliseconds.
+   */
+  private static final long TOO_SHORT_MILLIS = 200;
+
+  /** Least expected duration of a run that is to be stopped, in milliseconds. */
+  private static final long LEAST_EXPECTED_MILLIS = 2 * TOO_SHORT_MILLIS;
+
+  private long hidden;
+  private boolean stoppedInTime;
+
+  /** Takes in that ends up to a number may not be listed. */
+  void upTo(long number) {
+    hidden = Math.max(hidden, number);
+  }
+
+  /** Returns whether every run that ends from now on will be listed. */
+  boolean none() {
+    return hidden == 0;
+  }
+
+  /** Takes in that an end was listed: later ones have higher numbers. */
+  void listed() {
+    hidden = 0;
+  }
+
+  /**
+   * Returns whether a task may begin there.
+   *
+   * @param spec what the task is
+   * @param others whether another run whose end matters is there
+   */
+  boolean admits(StepSpec spec, boolean others) {
+    return none() || !matters(spec) || (!others && spec.estimateMillis() >= LEAST_EXPECTED_MILLIS);
+  }
+
+  /** Returns whether a run is to be stopped as soon as it is there. */
+  boolean stops(StepSpec spec) {
+    return !none() && matters(spec);
+  }
+
+  /** Takes in that a stop was answered, so long after the run's start was sent. */
+  void stopped(long sinceMillis) {
+    stoppedInTime = sinceMillis <= TOO_SHORT_MILLIS;
+  }
+
+  /**
+   * Takes in that a run is gone without a listed end.
+   *
+   * @return whether it may have been done
+   */
+  boolean vanished(StepSpec spec) {
+    if (!stops(spec)) {
+      return false;
+    }
+    boolean undone = stoppedInTime;
+    stoppedInTime = false;
+    hidden -= undone && hidden != ANY ? 1 : 0;
+    return !undone;
+  }
+
+  /** Returns whether a run that was done may not begin again. */
+  static boolean matters(StepSpec spec) {
+    return !spec.is(StepSpec.Trait.LASTS) && !spec.is(StepSpec.Trait.SPECULATIVE);
+  }
+}
--- a/core/src/main/java/org/cottontack/core/job/Lives.java
+++ b/core/src/main/java/org/cottontack/core/job/Lives.java
@@ -4,18 +4,23 @@
 import java.util.Map;
 import org.cottontack.core.id.WorkerId;
 
-/** Counts in a leader's term how often each worker has started again under its identifier. */
+/** What a leader keeps of each worker identifier over all lives that have it. */
 final class Lives {
 
   private record Last(WorkerLife life, int restarts) {}
 
   private final Map<WorkerId, Last> last = new HashMap<>();
+  private final Map<WorkerId, Acknowledgements> acknowledgements = new HashMap<>();
 
   /** Takes in which life a worker leads, and returns how often it has started again. */
   int restarts(WorkerLife life) {
     return last.merge(life.worker(), new Last(life, 0), Lives::next).restarts();
   }
 
+  Acknowledgements acknowledgements(WorkerId id) {
+    return acknowledgements.computeIfAbsent(id, key -> new Acknowledgements());
+  }
+
   private static Last next(Last before, Last now) {
     return before.life().equals(now.life()) ? before : new Last(now.life(), before.restarts() + 1);
   }
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -87,6 +87,9 @@
     if (event.result() != StartResult.STARTED) {
       term.note("start.refused", event.run(), event.worker().worker() + " " + event.result());
     }
+    if (event.result() == StartResult.STARTED && worker.hiddenEnds.stops(task.spec)) {
+      stop(worker, task.key());
+    }
     switch (event.result()) {
       case STARTED, OLD -> confirm(task);
       case LATE, NOT_SENT, UNKNOWN -> task.order = Task.Order.RESEND;
@@ -148,6 +151,7 @@
     }
     if (task != null && task.runsAs(event.worker(), event.run().run())) {
       task.barred();
+      worker.hiddenEnds.stopped(term.now.mono() - task.sentMillis());
     }
     // A stop that is answered again says nothing new. Counted as news each time, it would put off
     // for ever that a run which its worker no longer lists is missing.
@@ -186,6 +190,7 @@
     // Only a life that still lists ends is told which ones are stored. Where it has crashed unseen,
     // the next life would drop its own ends with these numbers.
     long acknowledged = worker.listsEnds && !worker.silent ? worker.acknowledgedEnd : 0;
+    worker.acknowledgements.sent(acknowledged, term.now.mono());
     term.out.add(new JobEffect.LookAtWorker(worker.target(), leaseEnd, acknowledged, waitMillis));
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Placement.java
+++ b/core/src/main/java/org/cottontack/core/job/Placement.java
@@ -36,7 +36,8 @@
   private static final double LEAST_LEFTOVER = 0.3;
 
   private static final Comparator<Candidate> BEST =
-      Comparator.comparing(Candidate::near)
+      Comparator.comparing(Candidate::keeps)
+          .thenComparing(Candidate::near)
           .thenComparing(Candidate::fresh)
           .thenComparingLong(Candidate::suits)
           .thenComparingLong(Candidate::room)
@@ -58,12 +59,14 @@
    * A worker that has room.
    *
    * @param worker the worker
+   * @param keeps whether the task would stay there
    * @param near whether it is where the data lies
    * @param fresh whether the task has not failed there before
    * @param suits how well the task goes with what is there; more is better
    * @param room decides among equals; more is better
    */
-  private record Candidate(Worker worker, boolean near, boolean fresh, long suits, long room) {}
+  private record Candidate(
+      Worker worker, boolean keeps, boolean near, boolean fresh, long suits, long room) {}
 
   /** Takes in how much is reserved before a pass over what waits. */
   void begin(Collection<Worker> workers) {
@@ -113,6 +116,7 @@
     return worker.info.pool().equals(queue.pool())
         && worker.free().holds(spec.reserved())
         && task.mayStartOn(worker.life(), nowMillis)
+        && worker.admits(spec)
         && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains)
         && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker())
         && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
@@ -126,9 +130,11 @@
     }
     if (task.spec.serves()) {
       long room = -worker.free().cpuMillis();
-      return Optional.of(new Candidate(worker, near, fresh, kinship(task, worker), room));
+      return Optional.of(
+          new Candidate(worker, keeps(task, worker), near, fresh, kinship(task, worker), room));
     }
-    return Optional.of(new Candidate(worker, near, fresh, 0, worker.leftoverCpu()));
+    return Optional.of(
+        new Candidate(worker, keeps(task, worker), near, fresh, 0, worker.leftoverCpu()));
   }
 
   /**
@@ -147,7 +153,12 @@
     }
     long steps = Math.round(strain / STRAIN_STEP);
     long suits = -TOLERANCE_STEPS * steps - Math.round(TOLERANCE_STEPS * crowding.tolerance());
-    return Optional.of(new Candidate(worker, near, fresh, suits, crowding.leftover()));
+    return Optional.of(
+        new Candidate(worker, keeps(task, worker), near, fresh, suits, crowding.leftover()));
+  }
+
+  private static boolean keeps(Task task, Worker worker) {
+    return !worker.hiddenEnds.stops(task.spec);
   }
 
   /** Returns 2 beside its like only, 1 where nothing serves, and 0 beside other images. */
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -44,7 +44,10 @@
       fleet.answered(worker, event.report().bornMillis(), event.sentMillis());
       return;
     }
+    worker.acknowledgements.answered();
     if (!worker.heard) {
+      long bornMillis = WorkerClock.earliestBirth(event.report().clockMillis(), event.sentMillis());
+      worker.hiddenEnds.upTo(worker.acknowledgements.mayHaveReached(bornMillis));
       earlierLives(worker, event.sentMillis());
     }
     // From this answer on the worker refuses an earlier leader's orders.
@@ -82,6 +85,7 @@
     List<Task> ended = runs.stream().filter(task -> !task.worker.equals(worker.life())).toList();
     if (!ended.isEmpty()) {
       losses.restarted(worker, ended, false, sentMillis);
+      worker.hiddenEnds.upTo(HiddenEnds.ANY);
     }
   }
 
@@ -145,7 +149,7 @@
     }
     task.progress = running.progress();
     task.load = running.load();
-    if (task.job.phase.terminal()) {
+    if (task.job.phase.terminal() || worker.hiddenEnds.stops(task.spec)) {
       orders.stop(worker, key);
     }
     return key;
@@ -153,6 +157,7 @@
 
   private void ended(Worker worker, WorkerReport.Ended ended) {
     worker.seenEnd = ended.number();
+    worker.hiddenEnds.listed();
     RunKey key = new RunKey(ended.task(), ended.run());
     worker.removeStray(key);
     worker.stopsSent.remove(key);
@@ -224,7 +229,9 @@
         .toList()
         .forEach(
             task -> {
-              term.note("run.missing", task.key(), worker.info.id() + " " + worker.answers());
+              boolean maybeDone = worker.hiddenEnds.vanished(task.spec);
+              String detail = worker.info.id() + " " + worker.answers();
+              term.note("run.missing", task.key(), detail + (maybeDone ? " maybeDone" : ""));
               term.release(task);
             });
     worker.strays.keySet().stream()
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -77,7 +77,10 @@
    * @param lapseMillis when leases that were not given through it have ended
    */
   Worker add(WorkerInfo info, long lapseMillis) {
-    Worker worker = new Worker(info, evacuations, lives.restarts(info.life()), lapseMillis);
+    Acknowledgements acknowledgements = lives.acknowledgements(info.id());
+    acknowledgements.unanswered();
+    int restarts = lives.restarts(info.life());
+    Worker worker = new Worker(info, evacuations, restarts, lapseMillis, acknowledgements);
     workers.put(info.id(), worker);
     return worker;
   }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -64,6 +64,11 @@
   private final long inheritedLapseMillis;
   private final Set<JobId> failedJobs = new HashSet<>();
   private long failedMillis;
+  final HiddenEnds hiddenEnds = new HiddenEnds();
+
+  /** Shared by all lives that this leader has seen. */
+  final Acknowledgements acknowledgements;
+
   long seenEnd;
   long acknowledgedEnd;
   Resources used = Resources.NONE;
@@ -85,12 +90,19 @@
    * @param evacuations the data centres that get nothing new
    * @param restarts how often it has started again under its identifier in this term
    * @param inheritedLapseMillis when leases that others gave have ended, on our steady clock
+   * @param acknowledgements what was acknowledged to the lives before
    */
-  Worker(WorkerInfo info, Evacuations evacuations, int restarts, long inheritedLapseMillis) {
+  Worker(
+      WorkerInfo info,
+      Evacuations evacuations,
+      int restarts,
+      long inheritedLapseMillis,
+      Acknowledgements acknowledgements) {
     this.info = info;
     this.evacuations = evacuations;
     this.restarts = restarts;
     this.inheritedLapseMillis = inheritedLapseMillis;
+    this.acknowledgements = acknowledgements;
   }
 
   WorkerLife life() {
@@ -112,6 +124,13 @@
         && nowMillis >= avoidUntilMillis;
   }
 
+  /** Returns whether the end of a run that begins here will be known. */
+  boolean admits(StepSpec spec) {
+    return hiddenEnds.none()
+        || hiddenEnds.admits(
+            spec, placed.values().stream().anyMatch(task -> HiddenEnds.matters(task.spec)));
+  }
+
   /** Returns whether the operator empties its data centre. */
   boolean evacuated() {
     return evacuations.cover(info.dataCentre());
--- a/core/src/main/java/org/cottontack/core/job/WorkerClock.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerClock.java
@@ -20,6 +20,14 @@
     known = true;
   }
 
+  /**
+   * Returns the earliest time, on our clock, at which a life may have begun whose clock said so
+   * much in answer to a question that was sent at the given time.
+   */
+  static long earliestBirth(long clock, long sentMillis) {
+    return sentMillis - (long) (clock / SLOWEST);
+  }
+
   /** Returns what the worker's clock said last, in milliseconds; 0 if it never answered. */
   long clockMillis() {
     return clockMillis;
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -0,0 +1,162 @@
+package org.cottontack.core.job;
+
+import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of acknowledgements without an answer that reach a later life of their worker. */
+public class LateAcknowledgementTest {
+
+  private static final long RESTART_MILLIS = 600;
+
+  /** How long before a late look a worker is back: too short for its leader to ask it. */
+  private static final long BACK_BEFORE_MILLIS = 20;
+
+  private static final WorkerId FIRST = new WorkerId("w0");
+
+  private static JobLab fleet(int workers) {
+    JobLab lab =
+        lab(
+            IntStream.range(0, workers)
+                .mapToObj(i -> new LabWorker("w" + i, 8))
+                .toArray(LabWorker[]::new));
+    lab.keepsIds = true;
+    lab.restartMillis = RESTART_MILLIS;
+    lab.listsTheDead = true;
+    lab.run(1_000);
+    return lab;
+  }
+
+  private static boolean acknowledges(JobEffect effect) {
+    return effect instanceof JobEffect.LookAtWorker look && look.acknowledged() > 0;
+  }
+
+  private static List<JobSpec> submit(JobLab lab, String name, int count) {
+    List<JobSpec> jobs =
+        IntStream.range(0, count).mapToObj(i -> job(name + i, step(3, 2, List.of()))).toList();
+    jobs.forEach(lab::submit);
+    return jobs;
+  }
+
+  private static void assertComplete(JobLab lab, List<JobSpec> jobs) {
+    jobs.forEach(job -> assertEquals(lab.phase(job.id()), JobPhase.COMPLETE, job.id().value()));
+  }
+
+  /**
+   * Has the first acknowledgement carried out so late, by a life that began just before it.
+   *
+   * @return jobs whose ends it named, and one that was running when the worker crashed
+   */
+  private static List<JobSpec> reachNextLife(JobLab lab, long delay) {
+    final List<JobSpec> before = submit(lab, "before", 2);
+    lab.delay = effect -> acknowledges(effect) ? delay : 0;
+    while (lab.seen.stream().noneMatch(LateAcknowledgementTest::acknowledges)) {
+      lab.run(10);
+    }
+    lab.run(10);
+    lab.delay = effect -> 0;
+    lab.run(delay - 120 - BACK_BEFORE_MILLIS - RESTART_MILLIS);
+    lab.workMillis = 10_000;
+    final List<JobSpec> interrupted = submit(lab, "interrupted", 1);
+    lab.run(100);
+    lab.workMillis = 500;
+    lab.crash(lab.workers.get(FIRST));
+    return Stream.concat(before.stream(), interrupted.stream()).toList();
+  }
+
+  /** Ends of the next life. */
+  public static class NextLife {
+
+    /** Delays after which a look is carried out, in milliseconds. */
+    @DataProvider
+    public Object[][] lateBy() {
+      return LongStream.iterate(2_500, d -> d <= LateStart.LATEST_MILLIS - 500, d -> d + 250)
+          .mapToObj(delay -> new Object[] {delay})
+          .toArray(Object[][]::new);
+    }
+
+    /** Guards against ends that a life never lists, whose tasks run again. */
+    @Test(dataProvider = "lateBy")
+    public void runsNothingAgainWhoseEndIsNotListed(long delay) {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = reachNextLife(lab, delay);
+      lab.run(RESTART_MILLIS + 1_500);
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+
+    /** Guards against the same where the leader changes before the next life is asked. */
+    @Test(dataProvider = "lateBy")
+    public void runsNothingAgainAfterTakeover(long delay) {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = reachNextLife(lab, delay);
+      lab.leaderDies();
+      lab.run(RESTART_MILLIS + 1_500);
+      lab.takeOver();
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+  }
+
+  /** What it costs. */
+  public static class Cost {
+
+    /** Guards against stopped runs on workers that no acknowledgement can have reached. */
+    @Test
+    public void stopsNothingWhereNoneIsLate() {
+      JobLab lab = fleet(1);
+      submit(lab, "before", 2);
+      lab.run(6_000);
+      lab.crash(lab.workers.get(FIRST));
+      lab.run(RESTART_MILLIS + 3_000);
+      final List<JobSpec> after = submit(lab, "after", 2);
+      lab.run(4_000);
+      assertComplete(lab, after);
+      assertTrue(lab.seen.stream().noneMatch(JobEffect.StopRun.class::isInstance));
+    }
+
+    /** Guards against a restarted worker that gets one task at a time for longer than needed. */
+    @Test
+    public void stopsOneRunWhereNoneArrived() {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = submit(lab, "before", 2);
+      lab.delay = effect -> acknowledges(effect) ? 30_000 : 0;
+      lab.run(700);
+      lab.crash(lab.workers.get(FIRST));
+      lab.delay = effect -> 0;
+      lab.run(RESTART_MILLIS + 1_500);
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(4_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+      long stops = lab.seen.stream().filter(JobEffect.StopRun.class::isInstance).count();
+      assertEquals(stops, 1);
+    }
+
+    /** Guards against acknowledgements that are repeated with nothing to forget. */
+    @Test
+    public void namesNoEndsWhereNoneAreListed() {
+      JobLab lab = fleet(1);
+      submit(lab, "before", 2);
+      lab.run(3_000);
+      lab.seen.clear();
+      lab.run(20_000);
+      assertFalse(lab.seen.stream().anyMatch(LateAcknowledgementTest::acknowledges));
+    }
+  }
+}
--- a/core/src/test/java/org/cottontack/core/job/ReachTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ReachTest.java
@@ -36,7 +36,8 @@
             new WorkerInfo(life, "pool", "w:1", place, room, List.of(), false),
             new Evacuations(),
             0,
-            0);
+            0,
+            new Acknowledgements());
     worker.registered = true;
     return worker;
   }
