--- a/core/src/main/java/org/cottontack/core/job/LearnedText.java
+++ b/core/src/main/java/org/cottontack/core/job/LearnedText.java
@@ -7,13 +7,15 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cottontack.core.id.WorkerId;
 
 /**
- * The stored form of what a leader has learned: one line for each queue and each pair of images. A
- * new leader that starts without it tries harmful pairs all over again. Names are escaped, since
- * callers choose those of images.
+ * The stored form of what a leader has learned: one line for each queue, each pair of images and
+ * each worker that may hide ends. A new leader that starts without it tries harmful pairs all over
+ * again. Names are escaped, since callers choose those of images.
  */
 final class LearnedText {
 
@@ -27,6 +29,11 @@
   private static final String QUEUE = "queue";
   private static final int QUEUE_FIELDS = 8;
 
+  /** A life that may never list some of its ends. */
+  private static final String HIDES = "hides";
+
+  private static final int HIDES_FIELDS = 3;
+
   private final Interference interference;
   private final Estimates estimates;
 
@@ -38,10 +45,11 @@
   /**
    * Returns the text; pairs that were not heard of for longest are left out where it grows large.
    */
-  String write() {
+  String write(Set<WorkerLife> hiding) {
     List<String> pairs = interference.pairs().map(LearnedText::line).toList();
-    Stream<String> lines =
+    Stream<String> learned =
         Stream.concat(estimates.queues().map(LearnedText::line), reversed(pairs).stream());
+    Stream<String> lines = Stream.concat(hiding.stream().map(LearnedText::line), learned);
     int[] bytes = {0};
     return lines
         .takeWhile(line -> (bytes[0] += line.length() + 1) <= MOST_BYTES)
@@ -54,6 +62,10 @@
     return reversed;
   }
 
+  private static String line(WorkerLife hides) {
+    return String.join(" ", HIDES, escape(hides.worker().value()), "" + hides.bornMillis());
+  }
+
   private static String line(Interference.Pair pair) {
     return String.format(
         Locale.ROOT,
@@ -84,16 +96,21 @@
    * this one during a rolling replacement, and a leader that fails at the start of each term would
    * let all jobs stand still.
    *
+   * @param hiding takes the lives that may never list some ends
    * @return how many lines were skipped
    */
-  long restore(String text) {
+  long restore(String text, Set<WorkerLife> hiding) {
     List<String> lines = text.lines().toList();
-    return lines.size() - lines.stream().filter(this::read).count();
+    return lines.size() - lines.stream().filter(line -> read(line, hiding)).count();
   }
 
-  private boolean read(String line) {
+  private boolean read(String line, Set<WorkerLife> hiding) {
     String[] fields = line.split(" ", -1);
     try {
+      if (fields[0].equals(HIDES) && fields.length == HIDES_FIELDS) {
+        return hiding.add(
+            new WorkerLife(new WorkerId(unescape(fields[1])), Long.parseLong(fields[2])));
+      }
       if (fields[0].equals(PAIR) && fields.length == PAIR_FIELDS) {
         interference.restore(
             new Interference.Pair(
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -46,8 +46,7 @@
     }
     worker.acknowledgements.answered();
     if (!worker.heard) {
-      long bornMillis = WorkerClock.earliestBirth(event.report().clockMillis(), event.sentMillis());
-      worker.hiddenEnds.upTo(worker.acknowledgements.mayHaveReached(bornMillis));
+      hideEnds(worker, event);
       earlierLives(worker, event.sentMillis());
     }
     // From this answer on the worker refuses an earlier leader's orders.
@@ -75,6 +74,16 @@
     }
   }
 
+  /** Takes in which ends a life that answers for the first time may never list. */
+  private void hideEnds(Worker worker, JobEvent.WorkerReported event) {
+    long born = WorkerClock.earliestBirth(event.report().clockMillis(), event.sentMillis());
+    worker.hiddenEnds.upTo(worker.acknowledgements.mayHaveReached(born));
+    if (term.inheritedHiding.contains(worker.life())) {
+      worker.hiddenEnds.upTo(HiddenEnds.ANY);
+    }
+    term.inheritedHiding.removeIf(life -> life.worker().equals(worker.info.id()));
+  }
+
   /** Takes in that what an earlier leader placed on earlier lives of a worker has ended there. */
   private void earlierLives(Worker worker, long sentMillis) {
     List<Task> runs =
--- a/core/src/main/java/org/cottontack/core/job/Saver.java
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Saves progress, one transaction at a time. Start orders leave after their placement is saved, and
@@ -19,6 +20,7 @@
   private final List<RunKey> savingStarts = new ArrayList<>();
   private boolean saving;
   private long learnedMillis;
+  private Set<WorkerLife> savedHiding = Set.of();
 
   Saver(Term term, Orders orders, LearnedText learned) {
     this.term = term;
@@ -53,18 +55,21 @@
   }
 
   void restoreLearned(String text) {
-    long skipped = learned.restore(text);
+    long skipped = learned.restore(text, term.inheritedHiding);
     if (skipped > 0) {
       term.note("learned.skipped", "lines", Long.toString(skipped));
     }
   }
 
   private String learnedIfDue() {
-    if (term.now.mono() - learnedMillis < term.timing.learnedMillis()) {
+    Set<WorkerLife> hiding = term.hiding();
+    boolean due = term.now.mono() - learnedMillis >= term.timing.learnedMillis();
+    if (!due && hiding.equals(savedHiding)) {
       return "";
     }
     learnedMillis = term.now.mono();
-    return learned.write();
+    savedHiding = hiding;
+    return learned.write(hiding);
   }
 
   void saved() {
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
 
@@ -39,6 +41,9 @@
   /** When the last renewal of the leader's lease was sent; set with the first tick. */
   Moment renewal;
 
+  /** Lives, not heard of yet, that may never list some ends: the leader before has stored them. */
+  final Set<WorkerLife> inheritedHiding = new LinkedHashSet<>();
+
   boolean roomChanged;
   Moment now;
   List<JobEffect> out = new ArrayList<>();
@@ -85,6 +90,14 @@
     return worker;
   }
 
+  /** Returns the lives that may never list some ends. */
+  Set<WorkerLife> hiding() {
+    Stream<WorkerLife> known =
+        workers.values().stream().filter(worker -> !worker.hiddenEnds.none()).map(Worker::life);
+    return Stream.concat(known, inheritedHiding.stream())
+        .collect(Collectors.toCollection(LinkedHashSet::new));
+  }
+
   Task find(TaskName name) {
     Job job = jobs.get(name.job());
     return job == null || !job.has(name) ? null : job.task(name);
--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -79,6 +79,7 @@
   private JobTable table = JobTable.EMPTY;
   private Moment renewal;
   private Set<DataCentreId> evacuated = Set.of();
+  private String learned = "";
 
   JobLab(LabWorker... all) {
     for (LabWorker worker : all) {
@@ -128,6 +129,7 @@
     waitingSaves.clear();
     long inherited = renewal.mono() + LeaderLease.GRANT_MILLIS;
     leader = new JobScheduler(JobTiming.STANDARD, table, moment(), inherited);
+    post(new JobEvent.LearnedRecovered(learned));
     introduce();
     specs.values().forEach(this::recover);
     tick(leader);
@@ -253,6 +255,7 @@
         () -> {
           if (from == leader) {
             stored.putAll(save.progress());
+            learned = save.learned().isEmpty() ? learned : save.learned();
             post(from, new JobEvent.ProgressSaved());
           }
         });
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -113,6 +113,29 @@
     }
   }
 
+  /** What the next leader knows. */
+  public static class Takeover {
+
+    /** Guards against next leaders that take such a life for one that lists all its ends. */
+    @Test
+    public void remembersLifeThatGotNoWork() {
+      JobLab lab = fleet(1);
+      reachNextLife(lab, 3_000);
+      lab.evacuate("dc");
+      lab.run(RESTART_MILLIS + 1_500);
+      for (int i = 0; i < 2; i++) {
+        lab.leaderDies();
+        lab.run(2_500);
+        lab.takeOver();
+        lab.run(200);
+      }
+      lab.evacuate();
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, after);
+    }
+  }
+
   /** What it costs. */
   public static class Cost {
 
--- a/core/src/test/java/org/cottontack/core/job/LateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -146,6 +146,7 @@
     public void givesUpNothingWhoseWorkerFlaps() {
       JobLab lab = fleet();
       lab.restartMillis = 100;
+      lab.workMillis = 3_000;
       final JobSpec job = submitLate(lab, 30_000, step(3, 2, List.of()));
       for (int i = 0; i < 8; i++) {
         crash(lab);
