Log lines for tasks that are bound and workers that may hide ends

task.bound says for how long a task waits for its worker, worker.hidesEnds which lives get one stopped run first. On call nothing told these waits from a fleet without room. No decision changes.

--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -81,6 +81,9 @@
     if (term.inheritedHiding.contains(worker.life())) {
       worker.hiddenEnds.upTo(HiddenEnds.ANY);
     }
+    if (!worker.hiddenEnds.none()) {
+      term.note("worker.hidesEnds", worker.life(), "");
+    }
     term.inheritedHiding.removeIf(life -> life.worker().equals(worker.info.id()));
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cottontack.core.id.WorkerId;
 
@@ -188,7 +189,15 @@
 
   /** Returns whether a start on its way keeps it from all workers but one. */
   boolean bound(long nowMillis) {
-    return lateStart.filter(start -> !start.expired(nowMillis)).isPresent();
+    return boundMillis(nowMillis).isPresent();
+  }
+
+  /** Returns for how long a start on its way keeps it from all workers but one, if it does. */
+  OptionalLong boundMillis(long nowMillis) {
+    return lateStart.stream()
+        .filter(start -> !start.expired(nowMillis))
+        .mapToLong(start -> start.expiresMillis() - nowMillis)
+        .findFirst();
   }
 
   /** Returns whether a start which may still be on its way was sent to this worker. */
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -109,6 +109,8 @@
         .map(life -> workers.get(life.worker()))
         .ifPresent(worker -> worker.remove(task));
     task.release();
+    task.boundMillis(now.mono())
+        .ifPresent(millis -> note("task.bound", task.key(), "millis=" + millis));
     dirty.add(task.job);
     roomChanged = true;
     if (!task.job.phase.terminal()) {
