An end waits for its acknowledgement while a copy of its start may arrive

Cause: a run's end was acknowledged, and so stands for good, while an order to start that run was still on its way. No order can be sent that bars it on a life which has not heard of its leader.

Change (HeldEnds): such an end is stored and counts, and its job is complete as before, but its worker is told only once the 12 s are over. If that life is lost before, its end goes with it, and what the copy runs stands against no acknowledged end; the leader stops it at its first look. A worker that lists held ends answers at once, so it is asked every 100 ms for as long. Acknowledgements are no longer repeated to a life that lists none of the ends they name: each could be late.

The other way, never to repeat a start in doubt (trial): bars also the work that a copy repeats until it is stopped; a lost order costs its task up to 12 s.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -15,6 +15,9 @@
    */
   private static final long LONGEST_LEASE_MILLIS = 10_300;
 
+  /** Time between looks at a worker that lists held ends: it waits for no further one. */
+  private static final long HELD_LOOK_MILLIS = 100;
+
   private final Term term;
   private final Orders orders;
   private final Losses losses;
@@ -160,6 +163,9 @@
     boolean empty = worker.placed.isEmpty() && worker.strays.isEmpty();
     boolean idle = empty && !worker.listsEnds && !outOfTouch;
     long gap = idle ? term.timing.idleLookMillis() : term.timing.lookAgainMillis();
+    if (!outOfTouch && worker.heldEnds.any(term.now.mono())) {
+      gap = HELD_LOOK_MILLIS;
+    }
     if (!worker.looking && term.now.mono() - worker.lookedMillis >= gap) {
       orders.look(worker, 0);
     }
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -187,9 +187,10 @@
     boolean renew = worker.clock.known() && !worker.silent;
     long until = term.grantEndMillis();
     long leaseEnd = renew && until > term.now.mono() ? worker.clock.leaseEnd(until) : 0;
-    // Only a life that still lists ends is told which ones are stored. Where it has crashed unseen,
-    // the next life would drop its own ends with these numbers.
-    long acknowledged = worker.listsEnds && !worker.silent ? worker.acknowledgedEnd : 0;
+    // Only a life that still lists such ends is told which ones are stored. Where it has crashed
+    // unseen, the next life would drop its own ends with these numbers.
+    boolean lists = worker.listsEnds && worker.firstListedEnd <= worker.acknowledgedEnd;
+    long acknowledged = lists && !worker.silent ? worker.acknowledgedEnd : 0;
     worker.acknowledgements.sent(acknowledged, term.now.mono());
     term.out.add(new JobEffect.LookAtWorker(worker.target(), leaseEnd, acknowledged, waitMillis));
   }
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -54,6 +54,8 @@
     worker.silent = false;
     worker.heardMillis = term.now.mono();
     worker.listsEnds = !event.report().ended().isEmpty();
+    worker.firstListedEnd =
+        event.report().ended().stream().mapToLong(WorkerReport.Ended::number).min().orElse(0);
     worker.clock.observe(event.report().clockMillis(), term.now.mono());
     event.report().ended().stream()
         .filter(ended -> ended.number() > worker.seenEnd)
@@ -190,6 +192,9 @@
       worker.echoes.add(new Worker.Echo(task.spec.image(), task.load, term.now.mono()));
     }
     task.found();
+    if (ended.how() == WorkerReport.End.DONE) {
+      hold(worker, task, ended);
+    }
     if (inForce) {
       task.barred();
     }
@@ -219,6 +224,16 @@
     }
   }
 
+  private void hold(Worker worker, Task task, WorkerReport.Ended ended) {
+    long now = term.now.mono();
+    task.boundMillis(now)
+        .ifPresent(
+            millis -> {
+              worker.heldEnds.hold(ended.number(), now, millis);
+              term.note("end.held", new RunKey(ended.task(), ended.run()), "millis=" + millis);
+            });
+  }
+
   /** Says how long a run took, and why: a run that is only confirmed now may have begun before. */
   private void noteEnd(Worker worker, Task task, WorkerReport.Ended ended) {
     long ran = term.now.mono() - task.placedMillis;
--- a/core/src/main/java/org/cottontack/core/job/Saver.java
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -42,9 +42,10 @@
         .map(Task::key)
         .forEach(savingStarts::add);
     if (term.dirty.isEmpty()) {
+      long now = term.now.mono();
       term.workers.values().stream()
-          .filter(worker -> worker.seenEnd > worker.acknowledgedEnd)
-          .forEach(worker -> savingEnds.put(worker.life(), worker.seenEnd));
+          .filter(worker -> worker.acknowledgeableEnd(now) > worker.acknowledgedEnd)
+          .forEach(worker -> savingEnds.put(worker.life(), worker.acknowledgeableEnd(now)));
     }
     if (!rows.isEmpty()) {
       saving = true;
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -58,6 +58,9 @@
   /** Whether its last answer listed ends. */
   boolean listsEnds;
 
+  /** Lowest number of the ends that its last answer listed. */
+  long firstListedEnd;
+
   long avoidUntilMillis;
   private final Evacuations evacuations;
   private final int restarts;
@@ -69,6 +72,8 @@
   /** Shared by all lives that this leader has seen. */
   final Acknowledgements acknowledgements;
 
+  final HeldEnds heldEnds = new HeldEnds();
+
   long seenEnd;
   long acknowledgedEnd;
   Resources used = Resources.NONE;
@@ -124,6 +129,11 @@
         && nowMillis >= avoidUntilMillis;
   }
 
+  /** Returns the highest end that may be acknowledged once it is stored. */
+  long acknowledgeableEnd(long nowMillis) {
+    return heldEnds.acknowledgeable(seenEnd, nowMillis);
+  }
+
   /** Returns whether the end of a run that begins here will be known. */
   boolean admits(StepSpec spec) {
     return hiddenEnds.none()
--- a/core/src/test/java/org/cottontack/core/job/LateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -122,6 +122,38 @@
     }
   }
 
+  /** Ends of runs whose start may be carried out once more. */
+  public static class Ended {
+
+    /** Guards against a copy that runs on the next life after the end was acknowledged. */
+    @Test(dataProviderClass = Binding.class, dataProvider = "lateBy")
+    public void runsNothingDoneWhereNextLifeGetsCopyOfStart(long delay) {
+      JobLab lab = fleet();
+      final long arrives = lab.now + delay;
+      final JobSpec job = submitLate(lab, delay, step(3, 2, List.of()));
+      lab.run(1_700);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      backJustBefore(lab, Math.max(arrives, lab.now + RESTART_MILLIS + BACK_BEFORE_MILLIS));
+      lab.run(30_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
+    /** Guards against ends that are never acknowledged. */
+    @Test
+    public void acknowledgesEndsOnceNoCopyMayArrive() {
+      JobLab lab = fleet();
+      submitLate(lab, 30_000, step(3, 2, List.of()));
+      lab.run(LateStart.LATEST_MILLIS - 1_000);
+      assertEquals(acknowledged(lab), 0);
+      lab.run(2_000);
+      assertEquals(acknowledged(lab), 3);
+    }
+
+    private static long acknowledged(JobLab lab) {
+      return lab.workers.values().stream().mapToLong(LabWorker::acknowledgedEnds).sum();
+    }
+  }
+
   /** Runs that nobody wants any more. */
   public static class Unwanted {
 
