--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -67,6 +67,7 @@
     List<Task> lost = List.copyOf(worker.placed.values());
     List<Task> hopeless = judge(worker, lost, crashed);
     lost.forEach(term::release);
+    lost.forEach(term::noteBound);
     hopeless.forEach(lifecycle::giveUp);
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -205,6 +205,7 @@
       task.forgetCrashes();
     } else {
       CrashBlame.endedUndone(List.of(task)).forEach(lifecycle::giveUp);
+      term.noteBound(task);
     }
     if (ended.how() == WorkerReport.End.FAILED) {
       worker.failed(task.job.spec.id(), term.now.mono());
@@ -260,6 +261,7 @@
               String detail = worker.info.id() + " " + worker.answers();
               term.note("run.missing", task.key(), detail + (maybeDone ? " maybeDone" : ""));
               term.release(task);
+              term.noteBound(task);
             });
     worker.strays.keySet().stream()
         .filter(run -> !listed.contains(run))
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -103,14 +103,18 @@
     return job == null || !job.has(name) ? null : job.task(name);
   }
 
+  /** Says for how long at most a task that waits again is kept from other workers. */
+  void noteBound(Task task) {
+    task.boundMillis(now.mono())
+        .ifPresent(millis -> note("task.bound", task.key(), "millis=" + millis));
+  }
+
   /** Takes a task off its worker; it waits again unless its job has ended. */
   void release(Task task) {
     Optional.ofNullable(task.worker)
         .map(life -> workers.get(life.worker()))
         .ifPresent(worker -> worker.remove(task));
     task.release();
-    task.boundMillis(now.mono())
-        .ifPresent(millis -> note("task.bound", task.key(), "millis=" + millis));
     dirty.add(task.job);
     roomChanged = true;
     if (!task.job.phase.terminal()) {
