--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -208,8 +208,8 @@
   /** Returns whether no start on its way could run beside a run on this life. */
   boolean mayStartOn(WorkerLife life, long nowMillis) {
     // On the only worker left it would use up its attempts, or be blamed for that one's crashes.
-    boolean worthATry = !failedOn.contains(life) && !CrashBlame.suspect(this);
-    return !bound(nowMillis) || (worthATry && lateStart.orElseThrow().refusedBy(life));
+    boolean eligible = !failedOn.contains(life) && !CrashBlame.suspect(this);
+    return !bound(nowMillis) || (eligible && lateStart.orElseThrow().refusedBy(life));
   }
 
   /** Takes in that a run did not crash its worker. */
--- a/core/src/test/java/org/cottontack/core/job/JobFixtures.java
+++ b/core/src/test/java/org/cottontack/core/job/JobFixtures.java
@@ -1,10 +1,16 @@
 package org.cottontack.core.job;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.List;
+import java.util.stream.IntStream;
 
 /** Jobs, rules and labs that tests of a leader's decisions share. */
 final class JobFixtures {
 
+  /** A usual time until a crashed worker answers again, in milliseconds. */
+  static final long RESTART_MILLIS = 600;
+
   static final JobQueue QUEUE =
       new JobQueue("queue", "host", "/jobs/", "pool", 0, 2, 1.5, 250, false);
   static final JobTable TABLE = new JobTable(1, List.of(QUEUE), List.of());
@@ -41,5 +47,29 @@
     return lab;
   }
 
+  /** Returns a lab whose workers are soon back under their identifiers after a crash. */
+  static JobLab returningFleet(int workers) {
+    JobLab lab =
+        lab(
+            IntStream.range(0, workers)
+                .mapToObj(i -> new LabWorker("w" + i, 8))
+                .toArray(LabWorker[]::new));
+    lab.keepsIds = true;
+    lab.restartMillis = RESTART_MILLIS;
+    return lab;
+  }
+
+  /** Submits jobs of three tasks each. */
+  static List<JobSpec> submit(JobLab lab, String name, int count) {
+    List<JobSpec> jobs =
+        IntStream.range(0, count).mapToObj(i -> job(name + i, step(3, 2, List.of()))).toList();
+    jobs.forEach(lab::submit);
+    return jobs;
+  }
+
+  static void assertComplete(JobLab lab, List<JobSpec> jobs) {
+    jobs.forEach(job -> assertEquals(lab.phase(job.id()), JobPhase.COMPLETE, job.id().value()));
+  }
+
   private JobFixtures() {}
 }
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -1,14 +1,14 @@
 package org.cottontack.core.job;
 
-import static org.cottontack.core.job.JobFixtures.job;
-import static org.cottontack.core.job.JobFixtures.lab;
-import static org.cottontack.core.job.JobFixtures.step;
+import static org.cottontack.core.job.JobFixtures.RESTART_MILLIS;
+import static org.cottontack.core.job.JobFixtures.assertComplete;
+import static org.cottontack.core.job.JobFixtures.returningFleet;
+import static org.cottontack.core.job.JobFixtures.submit;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
-import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
@@ -18,21 +18,13 @@
 /** Tests of acknowledgements without an answer that reach a later life of their worker. */
 public class LateAcknowledgementTest {
 
-  private static final long RESTART_MILLIS = 600;
-
   /** How long before a late look a worker is back: too short for its leader to ask it. */
   private static final long BACK_BEFORE_MILLIS = 20;
 
   private static final WorkerId FIRST = new WorkerId("w0");
 
   private static JobLab fleet(int workers) {
-    JobLab lab =
-        lab(
-            IntStream.range(0, workers)
-                .mapToObj(i -> new LabWorker("w" + i, 8))
-                .toArray(LabWorker[]::new));
-    lab.keepsIds = true;
-    lab.restartMillis = RESTART_MILLIS;
+    JobLab lab = returningFleet(workers);
     lab.listsTheDead = true;
     lab.run(1_000);
     return lab;
@@ -42,17 +34,6 @@
     return effect instanceof JobEffect.LookAtWorker look && look.acknowledged() > 0;
   }
 
-  private static List<JobSpec> submit(JobLab lab, String name, int count) {
-    List<JobSpec> jobs =
-        IntStream.range(0, count).mapToObj(i -> job(name + i, step(3, 2, List.of()))).toList();
-    jobs.forEach(lab::submit);
-    return jobs;
-  }
-
-  private static void assertComplete(JobLab lab, List<JobSpec> jobs) {
-    jobs.forEach(job -> assertEquals(lab.phase(job.id()), JobPhase.COMPLETE, job.id().value()));
-  }
-
   /**
    * Has the first acknowledgement carried out so late, by a life that began just before it.
    *
--- a/core/src/test/java/org/cottontack/core/job/LateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -1,7 +1,8 @@
 package org.cottontack.core.job;
 
+import static org.cottontack.core.job.JobFixtures.RESTART_MILLIS;
 import static org.cottontack.core.job.JobFixtures.job;
-import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.returningFleet;
 import static org.cottontack.core.job.JobFixtures.step;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -15,8 +16,6 @@
 /** Tests of starts without an answer that a later life of their worker may carry out. */
 public class LateStartTest {
 
-  private static final long RESTART_MILLIS = 600;
-
   /** How long before a late start a worker is back: too short for its leader to ask it. */
   private static final long BACK_BEFORE_MILLIS = 20;
 
@@ -26,9 +25,7 @@
   private static final WorkerId FIRST = new WorkerId("w0");
 
   private static JobLab fleet() {
-    JobLab lab = lab(new LabWorker("w0", 8), new LabWorker("w1", 8));
-    lab.keepsIds = true;
-    lab.restartMillis = RESTART_MILLIS;
+    JobLab lab = returningFleet(2);
     lab.listsTheDead = true;
     lab.run(1_000);
     return lab;
--- a/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
@@ -1,8 +1,11 @@
 package org.cottontack.core.job;
 
+import static org.cottontack.core.job.JobFixtures.RESTART_MILLIS;
+import static org.cottontack.core.job.JobFixtures.assertComplete;
 import static org.cottontack.core.job.JobFixtures.job;
-import static org.cottontack.core.job.JobFixtures.lab;
+import static org.cottontack.core.job.JobFixtures.returningFleet;
 import static org.cottontack.core.job.JobFixtures.step;
+import static org.cottontack.core.job.JobFixtures.submit;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -17,42 +20,17 @@
 /** Tests of decisions about workers that crash and start again under the identifier they had. */
 public class RestartedWorkerTest {
 
-  /** A usual time until a crashed worker answers again, in milliseconds. */
-  private static final long RESTART_MILLIS = 600;
-
-  private static JobLab fleet(int workers) {
-    JobLab lab =
-        lab(
-            IntStream.range(0, workers)
-                .mapToObj(i -> new LabWorker("w" + i, 8))
-                .toArray(LabWorker[]::new));
-    lab.keepsIds = true;
-    lab.restartMillis = RESTART_MILLIS;
-    return lab;
-  }
-
   private static LabWorker worker(JobLab lab, int number) {
     return lab.workers.values().stream().skip(number).findFirst().orElseThrow();
   }
 
-  private static List<JobSpec> submit(JobLab lab, String name, int count) {
-    List<JobSpec> jobs =
-        IntStream.range(0, count).mapToObj(i -> job(name + i, step(3, 2, List.of()))).toList();
-    jobs.forEach(lab::submit);
-    return jobs;
-  }
-
-  private static void assertComplete(JobLab lab, List<JobSpec> jobs) {
-    jobs.forEach(job -> assertEquals(lab.phase(job.id()), JobPhase.COMPLETE, job.id().value()));
-  }
-
   /** Ends that are numbered anew. */
   public static class Ends {
 
     /** Guards against ends of a new life that are passed over and acknowledged by old numbers. */
     @Test
     public void startsNothingAgainThatEndedAfterRestart() {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       final List<JobSpec> before = submit(lab, "before", 6);
       lab.run(6_000);
       final List<JobSpec> interrupted = submit(lab, "interrupted", 1);
@@ -69,7 +47,7 @@
     /** Guards against a stale entry that hides a restart which only answers tell. */
     @Test
     public void startsNothingAgainWhereOnlyAnswersTellOfRestart() {
-      JobLab lab = fleet(2);
+      JobLab lab = returningFleet(2);
       submit(lab, "before", 6);
       lab.run(6_000);
       lab.listsTheDead = true;
@@ -83,7 +61,7 @@
     /** Guards against a second run of what was ordered before and runs on the next life. */
     @Test
     public void startsNothingAnewThatNextLifeRuns() {
-      JobLab lab = fleet(2);
+      JobLab lab = returningFleet(2);
       lab.run(1_000);
       lab.listsTheDead = true;
       lab.crash(worker(lab, 0));
@@ -98,7 +76,7 @@
     /** Guards against a save, begun before a restart, that acknowledges ends of the next life. */
     @Test
     public void acknowledgesNothingOfNextLifeWithSaveOfTheLast() {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       submit(lab, "before", 6);
       lab.run(450);
       lab.storeAway = true;
@@ -114,7 +92,7 @@
     /** Guards against the same where the next life has ended something in the meantime. */
     @Test
     public void acknowledgesNoOtherEndsOfNextLifeWithSaveOfTheLast() {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       lab.listsTheDead = true;
       final List<JobSpec> before = submit(lab, "before", 1);
       lab.run(150);
@@ -137,7 +115,7 @@
     /** Guards against a lasting task that stays away after it was stopped on a restarted worker. */
     @Test
     public void movesLastingTaskOffRestartedWorkerThatDrains() {
-      JobLab lab = fleet(2);
+      JobLab lab = returningFleet(2);
       lab.longestWaitMillis = 1_000;
       submit(lab, "before", 6);
       lab.run(6_000);
@@ -170,7 +148,7 @@
     /** Guards against a start that runs on the next life while its task runs elsewhere. */
     @Test(dataProvider = "delays")
     public void runsNoTaskTwiceWhereNextLifeGetsItsStart(long delay) {
-      JobLab lab = fleet(2);
+      JobLab lab = returningFleet(2);
       submit(lab, "before", 6);
       lab.run(6_000);
       lab.workMillis = 9_000;
@@ -186,7 +164,7 @@
     /** Guards against an acknowledgement that reaches the next life late and drops its ends. */
     @Test(dataProvider = "delays")
     public void losesNoEndWhereNextLifeGetsLateAcknowledgement(long delay) {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       submit(lab, "before", 6);
       lab.run(1_000);
       lab.delay = effect -> effect instanceof JobEffect.LookAtWorker ? delay : 0;
@@ -209,7 +187,7 @@
      */
     @Test
     public void runsNoTaskTwiceWhereSecondNextLifeGetsItsStart() {
-      JobLab lab = fleet(2);
+      JobLab lab = returningFleet(2);
       lab.listsTheDead = true;
       lab.workMillis = 9_000;
       lab.run(1_000);
@@ -227,7 +205,7 @@
     /** Guards against a late copy of a start that the next life carries out for a task done. */
     @Test
     public void runsNothingDoneWhereNextLifeGetsCopyOfStart() {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       lab.listsTheDead = true;
       lab.run(1_000);
       lab.delay = effect -> effect instanceof JobEffect.StartRun ? 3_700 : 0;
@@ -243,7 +221,7 @@
     /** Guards against an acknowledgement that makes the next life drop ends it has yet to list. */
     @Test
     public void losesNoEndWhereAcknowledgementComesBeforeLeader() {
-      JobLab lab = fleet(1);
+      JobLab lab = returningFleet(1);
       lab.listsTheDead = true;
       submit(lab, "before", 3);
       lab.delay =
@@ -273,7 +251,7 @@
     /** Guards against a task that crashes one restarted worker after the other without end. */
     @Test
     public void givesUpTaskThatCrashesWorkersWhichKeepTheirIds() {
-      JobLab lab = fleet(4);
+      JobLab lab = returningFleet(4);
       lab.fatal.put(FATAL, 10L);
       lab.submit(job("bad", step(2, 2, List.of())));
       lab.run(40_000);
@@ -283,7 +261,7 @@
     /** Guards against crashes that no leader saw since worker and leader are lost together. */
     @Test
     public void countsRestartsBetweenTwoLeaders() {
-      JobLab lab = fleet(4);
+      JobLab lab = returningFleet(4);
       lab.fatal.put(FATAL, 10L);
       lab.submit(job("bad", step(1, 2, List.of())));
       for (int i = 0; i < 8; i++) {
@@ -366,18 +344,19 @@
     /** Guards against work that runs twice or is lost where workers restart beside other faults. */
     @Test(dataProvider = "seeds")
     public void everyJobEndsOnce(int seed) {
-      everyJobEndsOnce(seed, Storm::late);
+      assertEveryJobEndsOnce(seed, Storm::late);
     }
 
     /** Guards against the same where looks reach the next lives of workers before their leader. */
     @Test(dataProvider = "moreSeeds")
     public void everyJobEndsOnceWhereNextLivesGetLateLooks(int seed) {
-      everyJobEndsOnce(seed, Storm::lateForAny);
+      assertEveryJobEndsOnce(seed, Storm::lateForAny);
     }
 
-    private static void everyJobEndsOnce(int seed, ToLongBiFunction<JobEffect, Random> lateness) {
+    private static void assertEveryJobEndsOnce(
+        int seed, ToLongBiFunction<JobEffect, Random> lateness) {
       Random random = new Random(seed);
-      JobLab lab = fleet(12);
+      JobLab lab = returningFleet(12);
       lab.run(LATEST_MILLIS);
       lab.delay = effect -> lateness.applyAsLong(effect, random);
       List<JobSpec> jobs =
