--- a/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
+++ b/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
@@ -144,13 +144,7 @@
     private static final double HARMFUL = 0.6;
     private static final int SEEDS = 3;
 
-    /**
-     * Services hold 80 % of the processors, and six images in ten do much harm beside them, in
-     * phases, while the services' own load swings and reports are rough. Jobs that fill lose less
-     * than a fifth of their value, and the users of services a tenth. With weights learned for the
-     * logarithm of the tail services lost 16 %: a pair that is mild at rest breaks the bound at the
-     * top of a swing.
-     */
+    /** Guards against weights that are mild at rest and harm services at the top of a swing. */
     @Test
     public void fillsWithoutHarmWhileServicesSwing() {
       ReplayOutcome mean = Replay.mean(ReplayShape.usual().sharing(SERVICES, HARMFUL), SEEDS);
