What has to hold in the lab gets a class of its own

Cause: JobLab had grown to 453 lines and mixed the world with its checks. Change: LabPromises holds them, one place says the time; the checks are the same.

--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -20,8 +20,7 @@
 
 /**
  * A leader, a store and workers in virtual time. Orders take 2 ms each way and saves 12 ms, unless
- * a test holds them back. It checks at every step that no task runs twice at a time and that no
- * worker holds more than it has, and at every start that its data centre is not evacuated.
+ * a test holds them back. {@link LabPromises} are checked at every step and every start.
  */
 final class JobLab {
 
@@ -78,7 +77,8 @@
   private JobScheduler leader;
   private JobTable table = JobTable.EMPTY;
   private Moment renewal;
-  private Set<DataCentreId> evacuated = Set.of();
+  Set<DataCentreId> evacuated = Set.of();
+  private final LabPromises promises = new LabPromises(this);
   private String learned = "";
 
   JobLab(LabWorker... all) {
@@ -173,43 +173,15 @@
       while (!due.isEmpty() && due.peek().at() <= now) {
         due.poll().what().run();
       }
-      check();
+      promises.checkRuns();
     }
   }
 
   /** Returns all lives of all workers. */
-  private Stream<LabWorker> lives() {
+  Stream<LabWorker> lives() {
     return Stream.concat(workers.values().stream(), replaced.stream());
   }
 
-  private void check() {
-    Set<TaskName> done =
-        lives().flatMap(worker -> worker.acknowledgedDone.stream()).collect(Collectors.toSet());
-    Map<TaskName, Long> running =
-        workers.values().stream()
-            .flatMap(worker -> worker.runs().stream())
-            .collect(Collectors.groupingBy(RunKey::task, Collectors.counting()));
-    running.forEach(
-        (task, runs) -> {
-          if (runs > 1) {
-            throw new AssertionError(task + " runs " + runs + " times at " + now);
-          }
-          if (done.contains(task) && !lasts(task)) {
-            throw new AssertionError(task + " runs after its acknowledged end at " + now);
-          }
-        });
-    for (LabWorker worker : workers.values()) {
-      if (!worker.info.capacity().holds(worker.used())) {
-        throw new AssertionError(worker.info.id() + " holds too much at " + now);
-      }
-    }
-  }
-
-  private boolean lasts(TaskName task) {
-    StepId step = task.step();
-    return specs.get(step.job()).steps().get(step.step()).is(StepSpec.Trait.LASTS);
-  }
-
   private void carryOut(JobEffect effect) {
     seen.add(effect);
     JobScheduler from = leader;
@@ -217,8 +189,7 @@
     if (effect instanceof JobEffect.SaveProgress save) {
       save(from, save);
     } else if (effect instanceof JobEffect.StartRun start) {
-      checkStored(start.run());
-      checkNotEvacuated(start);
+      promises.checkStart(start);
       start(from, start.target().fencingToken(inEpoch), start);
     } else if (effect instanceof JobEffect.StopRun stop) {
       stop(from, stop.target().fencingToken(inEpoch), stop);
@@ -227,24 +198,6 @@
     }
   }
 
-  /** An order that leaves before its placement is stored is unknown to the next leader. */
-  private void checkStored(RunKey run) {
-    StepId step = run.task().step();
-    String line =
-        "%d %d %d p %d ".formatted(step.occurrence(), step.step(), run.task().index(), run.run());
-    String progress = stored.getOrDefault(step.job(), "");
-    if (progress.lines().noneMatch(stored -> stored.startsWith(line))) {
-      throw new AssertionError(run + " starts before it is stored at " + now);
-    }
-  }
-
-  private void checkNotEvacuated(JobEffect.StartRun start) {
-    LabWorker worker = workers.get(start.target().life().worker());
-    if (evacuated.contains(worker.info.dataCentre())) {
-      throw new AssertionError(start.run() + " goes to an evacuated data centre at " + now);
-    }
-  }
-
   private void save(JobScheduler from, JobEffect.SaveProgress save) {
     if (storeAway) {
       waitingSaves.add(save);
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/LabPromises.java
@@ -0,0 +1,65 @@
+package org.cottontack.core.job;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** What has to hold in a lab at every moment, whatever goes wrong there. */
+final class LabPromises {
+
+  private final JobLab lab;
+
+  LabPromises(JobLab lab) {
+    this.lab = lab;
+  }
+
+  /** No task runs twice at a time or after its acknowledged end, and no worker holds too much. */
+  void checkRuns() {
+    Set<TaskName> done =
+        lab.lives().flatMap(worker -> worker.acknowledgedDone.stream()).collect(Collectors.toSet());
+    Map<TaskName, Long> running =
+        lab.workers.values().stream()
+            .flatMap(worker -> worker.runs().stream())
+            .collect(Collectors.groupingBy(RunKey::task, Collectors.counting()));
+    running.forEach(
+        (task, runs) -> {
+          if (runs > 1) {
+            throw broken(task + " runs " + runs + " times");
+          }
+          if (done.contains(task) && !lasts(task)) {
+            throw broken(task + " runs after its acknowledged end");
+          }
+        });
+    for (LabWorker worker : lab.workers.values()) {
+      if (!worker.info.capacity().holds(worker.used())) {
+        throw broken(worker.info.id() + " holds too much");
+      }
+    }
+  }
+
+  /** A start leaves after its placement is stored, and not to an evacuated data centre. */
+  void checkStart(JobEffect.StartRun start) {
+    StepId step = start.run().task().step();
+    String line =
+        "%d %d %d p %d "
+            .formatted(
+                step.occurrence(), step.step(), start.run().task().index(), start.run().run());
+    String progress = lab.stored.getOrDefault(step.job(), "");
+    if (progress.lines().noneMatch(stored -> stored.startsWith(line))) {
+      throw broken(start.run() + " starts before it is stored");
+    }
+    LabWorker worker = lab.workers.get(start.target().life().worker());
+    if (lab.evacuated.contains(worker.info.dataCentre())) {
+      throw broken(start.run() + " goes to an evacuated data centre");
+    }
+  }
+
+  private boolean lasts(TaskName task) {
+    StepId step = task.step();
+    return lab.specs.get(step.job()).steps().get(step.step()).is(StepSpec.Trait.LASTS);
+  }
+
+  private AssertionError broken(String what) {
+    return new AssertionError(what + " at " + lab.now);
+  }
+}
