Red: a cancellation that finds no job leaves no trace

Symptom: a DELETE is answered 410, which callers take for an acknowledgement, and the submission is stored after it: a transaction without an answer that the store carries out seconds later, a copy at another instance, or a submission at the same moment. Nobody knows that the job was cancelled; it runs until the caller cancels it again.

The store stand-in's late transactions may take any time; 3 s stays its usual one.

--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -26,7 +26,7 @@
     REFUSED,
     /** It is done, and the answer is lost. */
     ANSWER_LOST,
-    /** It is done three seconds later, if its condition still holds, without an answer. */
+    /** It is done seconds later, if its condition still holds, without an answer. */
     LATE
   }
 
@@ -39,6 +39,9 @@
   private long version = 1;
   Function<Change, Fate> fate = change -> Fate.GOOD;
 
+  /** When a late transaction is done, in milliseconds after its call. */
+  long lateMillis = 3_000;
+
   /** How long a transaction takes; one partition does one after the other. */
   long transactionMillis = ANSWER_MILLIS;
 
@@ -103,7 +106,7 @@
           process.after(timeoutMillis, () -> done.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
         }
         case LATE -> {
-          self.after(3_000, () -> apply(change));
+          self.after(lateMillis, () -> apply(change));
           process.after(timeoutMillis, () -> done.accept(answer(CommitAnswer.Outcome.UNKNOWN)));
         }
         default -> throw new IllegalStateException("no such fate");
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.LongStream;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.Capacity;
@@ -41,6 +42,7 @@
     final FakeTableStore store = new FakeTableStore(time);
     VirtualTimers.View process = time.process();
     final List<RunKey> starts = new ArrayList<>();
+    final List<Long> startMillis = new ArrayList<>();
     final Map<RunKey, Boolean> running = new HashMap<>();
     String hidden = "nothing";
 
@@ -129,6 +131,7 @@
       boolean sent = allowed.getAsBoolean();
       if (sent) {
         starts.add(start.run());
+        startMillis.add(process.now().mono());
         running.put(start.run(), true);
       }
       process.after(2, () -> done.accept(sent ? StartResult.STARTED : StartResult.NOT_SENT));
@@ -244,6 +247,47 @@
     }
   }
 
+  /** What a leader starts of jobs that are cancelled. */
+  public static class Cancelling {
+
+    /** Longest time from an acknowledged cancellation to the last start, in milliseconds. */
+    private static final long CANCEL_MILLIS = 3_000;
+
+    /** Guards against work of a job that is stored after its cancellation was acknowledged. */
+    @Test
+    public void startsNothingOfJobsThatAreStoredLate() {
+      List<Long> started =
+          LongStream.iterate(200, late -> late <= 10_000, late -> late + 200)
+              .filter(Cancelling::startsLate)
+              .boxed()
+              .toList();
+      assertEquals(started, List.of(), started.size() + " of 50 delays");
+    }
+
+    private static boolean startsLate(long lateMillis) {
+      Lab lab = new Lab();
+      RowKey row = JobTables.job(new JobId("a"));
+      lab.store.lateMillis = lateMillis;
+      lab.store.fate =
+          change ->
+              change.writes().containsKey(row)
+                  ? FakeTableStore.Fate.LATE
+                  : FakeTableStore.Fate.GOOD;
+      lab.submit("a");
+      lab.time.run(100);
+      List<Long> acknowledged = new ArrayList<>();
+      lab.entry
+          .intake()
+          .cancel(
+              new JobId("a"),
+              OptionalLong.empty(),
+              answer -> acknowledged.add(lab.process.now().mono()));
+      lab.time.run(20_000);
+      long lastMillis = acknowledged.get(0) + CANCEL_MILLIS;
+      return lab.startMillis.stream().anyMatch(at -> at > lastMillis) || !lab.running.isEmpty();
+    }
+  }
+
   /** What a leader writes. */
   public static class Saving {
 
