A cancellation holds for submissions that come after it

Callers saw: a DELETE answered 410, and tasks of that job started or ran on later. Cause: a cancellation that found no job wrote nothing, so that a submission that the store carried out afterwards was stored and ran, and no instance knew that it had been cancelled.

Change: a cancellation always leaves its row, in the job's partition, in a transaction that names the job's row as it was seen; a submission expects both rows absent. The store carries them out one after the other: either the job is first, then the cancellation conflicts, sees the job and is written for it; or the cancellation is first, then each copy of the submission conflicts. A conflict's rows tell the cases apart: job there (with or without a cancellation): stored; only the cancellation: refused. Rows without a job go after the time that states are kept (120 s or more), by their version, so that a late removal takes nothing written since; the leader learns of them from the table it follows anyway, a new one from its first reading, and counts from then. They are not handed to the scheduler: no job can be stored beside one. A late copy of a cancellation no longer leaves a row once its job's rows are gone.

Calls a cancellation, counted by a test: job stored, one read and one transaction as before; no such job, one read before, one read and one transaction now, and a fiftieth of a transaction to remove its row. A cancellation that meets its job in between takes a second transaction.

Weighed: (1) no read, the transaction for "no job" first: one call less where there is none, but two transactions for each job that is there, by far the usual case, and transactions are what a partition has few of. (2) Submissions that ignore the row, the leader ends such jobs: answers 200, but leans on the leader's memory of any identifier that anybody names, and writes a job, its progress and their removals. (3) 410 only for what was there, otherwise a refusal: callers ask without end for what was never stored. (4) 410 after the longest way of a submission: the store may carry one out seconds later, callers wait 3 s. Cancelling random identifiers costs the store what submitting them does, and leaves at most 120 s and a pass of such rows.

The test cancelsOnlyWhatIsThere asserted the fault: cancelled with ABSENT, the same job was stored next. It now asks the same of another identifier, checks both rows as well, and refusesWhatWasCancelledBeforeItCame holds what has to happen to that job.

The safeguard lies in the store's conditions, outside core, so the list of core's safeguards has no line for it.

--- a/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/CommitAnswer.java
@@ -42,6 +42,8 @@
 
   /** Returns a row as it stood at the time of the conflict. */
   public Optional<Row> current(RowKey at) {
-    return current.stream().filter(row -> row.at().equals(at) && !row.removed()).findFirst();
+    return current.stream()
+        .filter(row -> row.at().equals(at) && !row.removed() && row.version() > 0)
+        .findFirst();
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -55,8 +55,10 @@
     REJECTED,
     /** It may be stored. */
     UNKNOWN,
-    /** There is no such job. */
-    ABSENT
+    /** There is no such job, and a submission of it that comes late is refused. */
+    ABSENT,
+    /** Its job was cancelled before it came: it is certainly not stored and never will be. */
+    CANCELLED
   }
 
   private final WatchedStore store;
@@ -71,7 +73,7 @@
   }
 
   /**
-   * Stores a job unless it is already there.
+   * Stores a job unless it is already there, or was cancelled before it came.
    *
    * @param job the job
    * @param patienceMillis how long the caller waits, if it said
@@ -81,7 +83,7 @@
     RowKey row = JobTables.job(job.id());
     Change change =
         new Change(
-            Map.of(row, 0L),
+            Map.of(row, 0L, JobTables.cancel(job.id()), 0L),
             Map.of(
                 row,
                 Payload.of(JobCodec.write(job)),
@@ -91,10 +93,22 @@
     Consumer<Answer> logged = logged("job.submitted", job.id(), done);
     long untilMillis = untilMillis(patienceMillis);
     ifReached(
-        () -> new Attempt(change, untilMillis, logged).start(),
+        () ->
+            new Attempt(
+                    change, untilMillis, answer -> logged.accept(taken(job.id(), answer)), logged)
+                .start(),
         () -> logged.accept(Answer.REJECTED));
   }
 
+  /** A conflict beside the job's row says that an earlier copy of this submission wrote it. */
+  private static Answer taken(JobId id, CommitAnswer answer) {
+    if (answer.outcome() == CommitAnswer.Outcome.DONE
+        || answer.current(JobTables.job(id)).isPresent()) {
+      return Answer.STORED;
+    }
+    return answer.current(JobTables.cancel(id)).isPresent() ? Answer.CANCELLED : Answer.UNKNOWN;
+  }
+
   /**
    * Turns a caller away at once while the store serves nothing here. Held until its time was up, it
    * had none left for another instance; nothing has been sent, so "not stored" is true.
@@ -108,7 +122,9 @@
   }
 
   /**
-   * Cancels a job, if there is one.
+   * Cancels a job. Where there is none, one that is submitted under this identifier is refused for
+   * as long as the state of a job that ended stays readable: a submission without an answer may be
+   * carried out seconds after its cancellation.
    *
    * @param patienceMillis how long the caller waits, if it said
    */
@@ -126,16 +142,34 @@
         scan -> {
           if (!scan.answered()) {
             done.accept(Answer.UNKNOWN);
-          } else if (scan.rows().isEmpty()) {
-            done.accept(Answer.ABSENT);
           } else {
-            Change change =
-                new Change(Map.of(), Map.of(JobTables.cancel(id), Payload.of("1")), List.of());
-            new Attempt(change, untilMillis, done).start();
+            Optional<Row> job =
+                scan.rows().stream().filter(row -> row.key().equals(id.value())).findFirst();
+            cancelAt(id, versionOf(job), untilMillis, done);
           }
         });
   }
 
+  private static long versionOf(Optional<Row> row) {
+    return row.map(Row::version).orElse(0L);
+  }
+
+  private void cancelAt(JobId id, long jobVersion, long untilMillis, Consumer<Answer> done) {
+    Consumer<CommitAnswer> settled =
+        answer -> {
+          long version = versionOf(answer.current(JobTables.job(id)));
+          if (answer.outcome() == CommitAnswer.Outcome.DONE) {
+            done.accept(Cancellation.of(jobVersion).answer());
+          } else if (version == jobVersion) {
+            done.accept(Answer.UNKNOWN);
+          } else {
+            // The job has come or gone since it was looked for.
+            cancelAt(id, version, untilMillis, done);
+          }
+        };
+    new Attempt(Cancellation.change(id, jobVersion), untilMillis, settled, done).start();
+  }
+
   /**
    * Tells a job's state.
    *
@@ -241,6 +275,7 @@
 
     private final Change change;
     private final long untilMillis;
+    private final Consumer<CommitAnswer> settled;
     private final Consumer<Answer> done;
     private final long beganMillis = timers.now().mono();
     private long sentMillis;
@@ -251,9 +286,18 @@
     private boolean probed;
     private boolean ended;
 
-    Attempt(Change change, long untilMillis, Consumer<Answer> done) {
+    /**
+     * Creates one that does nothing yet.
+     *
+     * @param untilMillis when the caller has gone, on our steady clock
+     * @param settled gets the certain answer: done, or a conflict
+     * @param done gets the answer when there is no certain one
+     */
+    Attempt(
+        Change change, long untilMillis, Consumer<CommitAnswer> settled, Consumer<Answer> done) {
       this.change = change;
       this.untilMillis = untilMillis;
+      this.settled = settled;
       this.done = done;
     }
 
@@ -295,8 +339,7 @@
     private void answered(CommitAnswer answer) {
       open--;
       switch (answer.outcome()) {
-        // A conflict says that the row is there: an earlier copy of this submission wrote it.
-        case DONE, CONFLICT -> end(Answer.STORED);
+        case DONE, CONFLICT -> end(() -> settled.accept(answer));
         case UNKNOWN -> {
           uncertain = true;
           sendSoon();
@@ -315,20 +358,21 @@
         return;
       }
       if (!uncertain && refusals >= REFUSED_TRIES) {
-        end(Answer.REJECTED);
+        end(() -> done.accept(Answer.REJECTED));
       } else {
         timers.after(PAUSE_MILLIS, this::send);
       }
     }
 
     private void giveUp() {
-      end(uncertain || open > 0 ? Answer.UNKNOWN : Answer.REJECTED);
+      Answer answer = uncertain || open > 0 ? Answer.UNKNOWN : Answer.REJECTED;
+      end(() -> done.accept(answer));
     }
 
-    private void end(Answer answer) {
+    private void end(Runnable tell) {
       if (!ended) {
         ended = true;
-        done.accept(answer);
+        tell.run();
       }
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -164,10 +164,14 @@
   }
 
   private void cancel(Row row) {
-    JobId id = new JobId(row.key());
     if (row.removed()) {
       return;
     }
+    if (Cancellation.in(row) == Cancellation.AHEAD_OF_JOB) {
+      retention.ahead(row);
+      return;
+    }
+    JobId id = new JobId(row.key());
     if (scheduler == null) {
       cancelled.add(id);
     } else {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -14,8 +16,9 @@
 import org.cottontack.core.job.JobId;
 
 /**
- * Removes the rows of jobs that ended long ago. A new leader reads all rows before it starts work;
- * without removal each takeover would take longer than the one before. Confined to the event loop.
+ * Removes the rows of jobs that ended long ago, and of cancellations that came long ago without a
+ * job. A new leader reads all rows before it starts work; without removal each takeover would take
+ * longer than the one before. Confined to the event loop.
  */
 final class Retention {
 
@@ -24,18 +27,23 @@
   /** Time between two passes, in milliseconds: at 28 jobs a second eight calls each. */
   private static final long PASS_MILLIS = 5_000;
 
-  /** Jobs in one transaction: two rows each, of which the store takes 100. */
-  private static final int JOBS = 50;
+  /** Jobs, or cancellations, in one transaction: two entries each, of which the store takes 100. */
+  private static final int BATCH = 50;
 
   /** Longest wait for one answer, in milliseconds: covers a store that is 60 times slower. */
   private static final long ANSWER_MILLIS = 2_400;
 
+  private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
+
   private record Ended(JobId id, long sinceMillis) {}
 
+  private record Ahead(Row row, long sinceMillis) {}
+
   private final TableStore store;
   private final Timers timers;
   private final long keepMillis;
   private final Deque<Ended> ended = new ArrayDeque<>();
+  private final Map<RowKey, Ahead> ahead = new HashMap<>();
   private boolean stopped;
 
   /**
@@ -55,6 +63,14 @@
     ended.add(new Ended(id, timers.now().mono()));
   }
 
+  /**
+   * Takes in a cancellation that came before its job. It stays as long as the state of a job that
+   * ended: by far longer than a submission may be under way.
+   */
+  void ahead(Row row) {
+    ahead.put(row.at(), new Ahead(row, timers.now().mono()));
+  }
+
   /** Begins to remove rows. */
   void start() {
     if (!stopped) {
@@ -69,21 +85,52 @@
   }
 
   private void pass() {
-    List<JobId> old = new ArrayList<>();
     long before = timers.now().mono() - keepMillis;
+    List<JobId> jobs = new ArrayList<>();
     while (!ended.isEmpty() && ended.peek().sinceMillis() <= before) {
-      old.add(ended.poll().id());
+      jobs.add(ended.poll().id());
     }
-    old.stream()
-        .collect(Collectors.groupingBy(id -> JobTables.job(id).part()))
-        .values()
-        .forEach(this::removeInTurn);
+    batches(jobs, id -> JobTables.job(id).part()).forEach(this::removeJobs);
+    List<Row> rows =
+        ahead.values().stream().filter(one -> one.sinceMillis() <= before).map(Ahead::row).toList();
+    rows.forEach(row -> ahead.remove(row.at()));
+    batches(rows, row -> row.at().part()).forEach(this::removeAhead);
+  }
+
+  private static <T> List<List<T>> batches(List<T> all, Function<T, String> part) {
+    return all.stream().collect(Collectors.groupingBy(part)).values().stream()
+        .flatMap(Retention::inBatches)
+        .toList();
+  }
+
+  private static <T> Stream<List<T>> inBatches(List<T> all) {
+    return IntStream.iterate(0, from -> from < all.size(), from -> from + BATCH)
+        .mapToObj(from -> all.subList(from, Math.min(all.size(), from + BATCH)));
+  }
+
+  /**
+   * Removes cancellations that are as they were. A late copy must not remove one of a job that was
+   * submitted and cancelled since.
+   */
+  private void removeAhead(List<Row> rows) {
+    Map<RowKey, Long> versions = rows.stream().collect(Collectors.toMap(Row::at, Row::version));
+    store.commit(
+        new Change(versions, Map.of(), List.copyOf(versions.keySet())),
+        ANSWER_MILLIS,
+        answer -> {
+          if (answer.outcome() == CommitAnswer.Outcome.DONE) {
+            log("cancels.removed", rows.stream().map(Row::key).toList());
+          } else {
+            rows.stream()
+                .filter(
+                    row -> answer.outcome() != CommitAnswer.Outcome.CONFLICT || same(row, answer))
+                .forEach(row -> ahead.putIfAbsent(row.at(), new Ahead(row, LONG_AGO_MILLIS)));
+          }
+        });
   }
 
-  private void removeInTurn(List<JobId> jobs) {
-    IntStream.iterate(0, from -> from < jobs.size(), from -> from + JOBS)
-        .mapToObj(from -> jobs.subList(from, Math.min(jobs.size(), from + JOBS)))
-        .forEach(this::removeJobs);
+  private static boolean same(Row row, CommitAnswer answer) {
+    return answer.current(row.at()).stream().anyMatch(now -> now.version() == row.version());
   }
 
   /**
@@ -98,7 +145,7 @@
 
   private void removeProgress(List<JobId> jobs) {
     List<RowKey> rows = jobs.stream().map(JobTables::progress).toList();
-    remove(rows, jobs, () -> log(jobs));
+    remove(rows, jobs, () -> log("jobs.removed", jobs));
   }
 
   private void remove(List<RowKey> rows, List<JobId> jobs, Runnable then) {
@@ -110,16 +157,16 @@
             then.run();
           } else {
             // Removing a row twice does nothing, so the whole job is tried again.
-            jobs.forEach(id -> ended.addFirst(new Ended(id, Long.MIN_VALUE / 2)));
+            jobs.forEach(id -> ended.addFirst(new Ended(id, LONG_AGO_MILLIS)));
           }
         });
   }
 
-  private static void log(List<JobId> jobs) {
+  private static void log(String event, List<?> removed) {
     LOG.info(
         new StringMapMessage()
-            .with("event", "jobs.removed")
-            .with("count", jobs.size())
-            .with("jobs", jobs));
+            .with("event", event)
+            .with("count", removed.size())
+            .with("jobs", removed));
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -309,11 +309,12 @@
       assertEquals(states, List.of(new Intake.State(false, Optional.empty())));
     }
 
+    /** Guards against a cancellation that is acknowledged for nothing. */
     @Test
     public void cancelsOnlyWhatIsThere() {
       Lab lab = new Lab();
       Intake intake = lab.instance();
-      intake.cancel(ID, OptionalLong.of(3_000), lab.answers::add);
+      intake.cancel(new JobId("never"), OptionalLong.of(3_000), lab.answers::add);
       lab.time.run(100);
       lab.submit(intake);
       lab.time.run(100);
@@ -321,7 +322,81 @@
       lab.time.run(100);
       assertEquals(
           lab.answers, List.of(Intake.Answer.ABSENT, Intake.Answer.STORED, Intake.Answer.STORED));
-      assertEquals(lab.store.table(JobTables.CANCELS).size(), 1);
+      assertEquals(lab.store.table(JobTables.CANCELS), Map.of("never", "0", ID.value(), "1"));
+    }
+
+    /** Guards against a job that is stored and runs although its caller was told that it is not. */
+    @Test
+    public void refusesWhatWasCancelledBeforeItCame() {
+      Lab lab = new Lab();
+      Intake intake = lab.instance();
+      intake.cancel(ID, OptionalLong.of(3_000), lab.answers::add);
+      lab.time.run(100);
+      lab.submit(lab.instance());
+      lab.time.run(100);
+      assertEquals(lab.answers, List.of(Intake.Answer.ABSENT, Intake.Answer.CANCELLED));
+      assertTrue(lab.store.table(JobTables.JOBS).isEmpty());
+      assertTrue(lab.store.table(JobTables.WAITING).isEmpty());
+      List<Intake.State> states = new ArrayList<>();
+      intake.state(ID, states::add);
+      lab.time.run(100);
+      assertEquals(states, List.of(new Intake.State(true, Optional.empty())));
+    }
+
+    /** Guards against a refusal of a job that was accepted before it was cancelled. */
+    @Test
+    public void tellsLateCopiesOfCancelledJobsThatTheyAreStored() {
+      Lab lab = new Lab();
+      lab.submit(lab.instance());
+      lab.time.run(100);
+      lab.instance().cancel(ID, OptionalLong.of(3_000), lab.answers::add);
+      lab.time.run(100);
+      lab.submit(lab.instance());
+      lab.time.run(100);
+      assertEquals(
+          lab.answers, List.of(Intake.Answer.STORED, Intake.Answer.STORED, Intake.Answer.STORED));
+    }
+
+    /** Guards against a late copy of a cancellation that writes a row which nobody removes. */
+    @Test
+    public void leavesNoCancellationOfJobsThatWereRemoved() {
+      Lab lab = new Lab();
+      lab.submit(lab.instance());
+      lab.time.run(100);
+      lab.store.fate =
+          change ->
+              change.writes().containsKey(JobTables.cancel(ID))
+                  ? FakeTableStore.Fate.LATE
+                  : FakeTableStore.Fate.GOOD;
+      lab.instance().cancel(ID, OptionalLong.of(500), lab.answers::add);
+      lab.time.run(1_000);
+      VirtualTimers.View process = lab.time.process();
+      Change removal = new Change(Map.of(), Map.of(), List.of(JobTables.job(ID)));
+      lab.store.seenBy(process, call -> true).commit(removal, 1_000, answer -> {});
+      lab.time.run(10_000);
+      assertEquals(lab.answers.get(1), Intake.Answer.UNKNOWN);
+      assertTrue(lab.store.table(JobTables.CANCELS).isEmpty());
+    }
+
+    /** Guards against calls to the store that a cancellation does not need: each has its price. */
+    @Test
+    public void cancelsWithOneReadAndOneTransaction() {
+      Lab lab = new Lab();
+      List<String> calls = new ArrayList<>();
+      VirtualTimers.View process = lab.time.process();
+      Intake intake = intake(lab.store.seenBy(process, calls::add), process);
+      List<String> expected = List.of("scan " + JobTables.JOBS, "commit");
+      intake.cancel(ID, OptionalLong.of(3_000), lab.answers::add);
+      lab.time.run(1_000);
+      assertEquals(calls, expected);
+      JobId stored = new JobId("stored");
+      lab.instance().submit(TestJobs.job(stored, 1), OptionalLong.empty(), answer -> {});
+      lab.time.run(100);
+      calls.clear();
+      intake.cancel(stored, OptionalLong.of(3_000), lab.answers::add);
+      lab.time.run(1_000);
+      assertEquals(calls, expected);
+      assertEquals(lab.answers, List.of(Intake.Answer.ABSENT, Intake.Answer.STORED));
     }
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -264,6 +264,21 @@
       assertEquals(started, List.of(), started.size() + " of 50 delays");
     }
 
+    /** Guards against rows of cancellations without a job that stay since their leader is gone. */
+    @Test
+    public void removesCancellationsWithoutJobs() {
+      Lab lab = new Lab();
+      lab.entry.intake().cancel(new JobId("a"), OptionalLong.empty(), answer -> {});
+      lab.time.run(1_000);
+      lab.restart();
+      lab.time.run(10_000);
+      lab.entry.intake().cancel(new JobId("b"), OptionalLong.empty(), answer -> {});
+      lab.time.run(60_000);
+      assertEquals(lab.store.table(JobTables.CANCELS).keySet(), Set.of("a", "b"));
+      lab.time.run(80_000);
+      assertEquals(lab.store.table(JobTables.CANCELS), Map.of());
+    }
+
     private static boolean startsLate(long lateMillis) {
       Lab lab = new Lab();
       RowKey row = JobTables.job(new JobId("a"));
--- a/daemon/src/test/java/org/cottontack/daemon/job/RetentionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/RetentionTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.peer.Payload;
 import org.testng.annotations.Test;
@@ -117,4 +119,85 @@
       assertEquals(calls[0], 4);
     }
   }
+
+  /** Rows of cancellations that came before their job. */
+  public static class Ahead {
+
+    private static final RowKey AT = JobTables.cancel(new JobId("ahead"));
+
+    /** Writes such a row and tells it as a follower does. */
+    private static void write(Lab lab, RowKey at) {
+      Change change = new Change(Map.of(), Map.of(at, Payload.of("0")), List.of());
+      lab.seen.commit(
+          change,
+          1_000,
+          answer -> lab.retention.ahead(new Row(at, Payload.of("0"), answer.version(), false)));
+      lab.time.run(20);
+    }
+
+    /**
+     * Guards against rows that stay for good, and against ones that go before a late submission.
+     */
+    @Test
+    public void staysForItsTimeAndNoLonger() {
+      Lab lab = new Lab();
+      write(lab, AT);
+      lab.time.run(KEEP_MILLIS - 1_000);
+      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      lab.time.run(10_000);
+      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+    }
+
+    /** Guards against a repeated cancellation whose row goes with the time of the first. */
+    @Test
+    public void countsFromTheLastCancellation() {
+      Lab lab = new Lab();
+      write(lab, AT);
+      lab.time.run(KEEP_MILLIS - 1_000);
+      write(lab, AT);
+      lab.time.run(KEEP_MILLIS - 1_000);
+      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      lab.time.run(10_000);
+      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+    }
+
+    /** Guards against a late removal that takes the cancellation of a job submitted since. */
+    @Test
+    public void removesNothingThatWasWrittenSince() {
+      Lab lab = new Lab();
+      write(lab, AT);
+      write(lab, JobTables.cancel(new JobId("other")));
+      lab.time.run(KEEP_MILLIS - 1_000);
+      lab.write(AT);
+      lab.time.run(20_000);
+      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      assertFalse(lab.has(JobTables.CANCELS, "other"));
+    }
+
+    /** Guards against rows that stay since one removal was refused or had no answer. */
+    @Test
+    public void triesAgain() {
+      Lab lab = new Lab();
+      write(lab, AT);
+      List<FakeTableStore.Fate> fates =
+          new ArrayList<>(
+              List.of(
+                  FakeTableStore.Fate.REFUSED,
+                  FakeTableStore.Fate.LATE,
+                  FakeTableStore.Fate.ANSWER_LOST));
+      lab.store.fate = change -> fates.isEmpty() ? FakeTableStore.Fate.GOOD : fates.remove(0);
+      lab.time.run(KEEP_MILLIS + 30_000);
+      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+      assertTrue(fates.size() <= 1);
+    }
+
+    /** Guards against rows that pile up when somebody cancels what was never submitted. */
+    @Test
+    public void keepsUpWithManyCancellations() {
+      Lab lab = new Lab();
+      IntStream.range(0, 3_000).forEach(i -> write(lab, JobTables.cancel(new JobId("id" + i))));
+      lab.time.run(KEEP_MILLIS + 10_000);
+      assertEquals(lab.store.table(JobTables.CANCELS).size(), 0);
+    }
+  }
 }
