Red: a new leader forgets early cancellations beside old ones

Symptom: a leader that takes over reads the cancellation of a job before the job itself, and starts that job.

--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
@@ -27,6 +29,7 @@
 import org.cottontack.core.job.WorkerLife;
 import org.cottontack.core.job.WorkerReport;
 import org.cottontack.core.peer.Payload;
+import org.cottontack.wire.JobCodec;
 import org.testng.annotations.Test;
 
 /** Tests of a term of leading over a store that loses, delays and hides. */
@@ -75,7 +78,11 @@
     }
 
     void write(RowKey row, String text) {
-      Change change = new Change(Map.of(), Map.of(row, Payload.of(text)), List.of());
+      write(Map.of(row, Payload.of(text)));
+    }
+
+    void write(Map<RowKey, Payload> rows) {
+      Change change = new Change(Map.of(), rows, List.of());
       store.seenBy(process, call -> true).commit(change, 1_000, answer -> {});
       time.run(100);
     }
@@ -264,6 +271,31 @@
       assertEquals(started, List.of(), started.size() + " of 50 delays");
     }
 
+    /** Guards against a cancellation that is told before its job and forgotten beside old ones. */
+    @Test
+    public void startsNothingOfJobsThatCancellationsOvertook() {
+      Lab lab = new Lab();
+      Map<RowKey, Payload> rows = new HashMap<>();
+      for (int i = 0; i < 20_000; i++) {
+        JobId ended = new JobId("ended" + i);
+        rows.put(JobTables.cancel(ended), Payload.of("1"));
+        rows.put(JobTables.progress(ended), Payload.of("x"));
+      }
+      List<JobId> overtaken = IntStream.range(0, 40).mapToObj(i -> new JobId("job" + i)).toList();
+      overtaken.forEach(id -> rows.put(JobTables.cancel(id), Payload.of("1")));
+      lab.write(rows);
+      lab.restart();
+      lab.time.run(10_000);
+      assertEquals(lab.entry.leadingEpoch(), 2);
+      lab.write(
+          overtaken.stream()
+              .collect(
+                  Collectors.toMap(
+                      JobTables::job, id -> Payload.of(JobCodec.write(TestJobs.job(id, 1))))));
+      lab.time.run(5_000);
+      assertEquals(lab.starts.size(), 0, "of 40 jobs");
+    }
+
     /** Guards against rows of cancellations without a job that stay since their leader is gone. */
     @Test
     public void removesCancellationsWithoutJobs() {
