A new leader passes on cancellations of open jobs only

Cause: at a takeover each kept cancellation was handed to the scheduler; those of jobs that ended find no job there and take the 10,000 places kept for cancellations that come before their jobs, in no order.

Change: the leader leaves out those whose stored progress says that the job has ended and nothing of it runs; it has read that progress before. Evidence: the test failed with 30 of 40 jobs started beside 20,000 old cancellations, and passes. Weighed: a larger set (moves the bound; a week of kept states has any number), and forgetting the newest first (an early cancellation is one of the newest). Left: 10,000 jobs that ended under earlier leaders, each cancelled again while the leader hears of cancellations and not of jobs.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -206,7 +206,9 @@
         .filter(job -> !ended(progress.get(job.id())))
         .sorted(Comparator.comparing(JobSpec::id))
         .forEach(job -> recover(job, progress.get(job.id())));
-    cancelled.forEach(id -> post(new JobEvent.JobCancelled(id)));
+    cancelled.stream()
+        .filter(id -> !ended(progress.get(id)))
+        .forEach(id -> post(new JobEvent.JobCancelled(id)));
     LOG.info(
         new StringMapMessage()
             .with("event", "leader.ready")
