--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerGapsTest.java
@@ -0,0 +1,292 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.cottontack.core.peer.Payload;
+import org.testng.annotations.Test;
+
+/** Tests that a follower passes over no change, whatever the store answers in between. */
+public class FollowerGapsTest {
+
+  private static final String TABLE = "table";
+  private static final List<String> PARTS = List.of("one", "two");
+
+  private static Row row(String part, String key, long version) {
+    return new Row(new RowKey(TABLE, part, key), Payload.of("v" + version), version, false);
+  }
+
+  private static Row removed(String part, String key, long version) {
+    return new Row(new RowKey(TABLE, part, key), Payload.EMPTY, version, true);
+  }
+
+  /** A store whose answers the test gives one by one. */
+  private static final class Script implements TableStore {
+    final VirtualTimers time = new VirtualTimers();
+    final VirtualTimers.View process = time.process();
+    final List<String> told = new ArrayList<>();
+    final List<String> calls = new ArrayList<>();
+    private final Deque<Consumer<Scan>> scans = new ArrayDeque<>();
+    private final Deque<Consumer<News>> feeds = new ArrayDeque<>();
+    final Follower follower =
+        new Follower(this, process, TABLE, PARTS, this::tell, () -> told.add("current"));
+
+    Script() {
+      follower.start();
+    }
+
+    private void tell(Row row) {
+      told.add(row.key() + (row.removed() ? "-" : "+") + row.version());
+    }
+
+    @Override
+    public void commit(Change change, long timeoutMillis, Consumer<CommitAnswer> done) {
+      throw new AssertionError("a follower writes nothing");
+    }
+
+    @Override
+    public void scan(String table, String part, String prefix, Consumer<Scan> done) {
+      calls.add(part);
+      scans.add(done);
+    }
+
+    @Override
+    public void follow(String table, long after, long waitMillis, Consumer<News> done) {
+      calls.add("after " + after);
+      feeds.add(done);
+    }
+
+    void page(long version, Row... rows) {
+      scans.remove().accept(new Scan(true, List.of(rows), version, 1));
+    }
+
+    void noPage() {
+      scans.remove().accept(Scan.FAILED);
+      time.run(1_000);
+    }
+
+    void news(long version, Row... rows) {
+      feeds.remove().accept(new News(News.Outcome.CURRENT, List.of(rows), version));
+    }
+
+    void news(News.Outcome outcome) {
+      feeds.remove().accept(News.of(outcome));
+      time.run(1_000);
+    }
+  }
+
+  /** Readings of the whole table. */
+  public static class Reading {
+
+    /** Guards against a change of a partition that was read while another was still to be read. */
+    @Test
+    public void goesOnFromTheOldestReading() {
+      Script script = new Script();
+      script.page(5, row("one", "a", 3));
+      script.page(9, row("two", "b", 8));
+      script.news(9, row("one", "c", 7), row("two", "b", 8), removed("one", "a", 9));
+      assertEquals(script.told, List.of("a+3", "b+8", "current", "c+7", "a-9"));
+      assertEquals(script.calls, List.of("one", "two", "after 5", "after 9"));
+    }
+
+    /** Guards against work that starts on news of some partitions while one is away. */
+    @Test
+    public void tellsNothingWhileOnePartitionIsAway() {
+      Script script = new Script();
+      script.page(5, row("one", "a", 3));
+      script.noPage();
+      script.page(6, row("one", "a", 3));
+      script.noPage();
+      assertEquals(script.told, List.of());
+      assertTrue(script.follower.contactMillis() < 0);
+      script.page(7);
+      script.page(7, row("two", "b", 2));
+      assertEquals(script.told, List.of("b+2", "current"));
+    }
+
+    /** Guards against rows that were removed, changed or written while changes were forgotten. */
+    @Test
+    public void tellsWhatHappenedInForgottenChanges() {
+      Script script = new Script();
+      script.page(5, row("one", "a", 3), row("one", "b", 4));
+      script.page(5);
+      script.news(TableStore.News.Outcome.FORGOTTEN);
+      final long contact = script.follower.contactMillis();
+      script.page(20, row("one", "b", 12), row("one", "c", 13));
+      script.noPage();
+      assertEquals(script.follower.contactMillis(), contact);
+      script.page(21, row("one", "b", 12), row("one", "c", 13));
+      script.page(22, row("two", "d", 22));
+      script.news(22, row("two", "d", 22));
+      assertEquals(script.told, List.of("a+3", "b+4", "current", "a-21", "b+12", "c+13", "d+22"));
+    }
+
+    /** Guards against a removal between two readings that is lost since its version looks old. */
+    @Test
+    public void tellsRemovalsBetweenTwoReadings() {
+      Script script = new Script();
+      script.page(8);
+      script.page(8, row("two", "a", 8));
+      script.news(TableStore.News.Outcome.FORGOTTEN);
+      script.page(8);
+      script.page(9);
+      script.news(9, removed("two", "a", 9));
+      assertEquals(script.told, List.of("a+8", "current", "a-9"));
+    }
+  }
+
+  /** Answers about changes. */
+  public static class Following {
+
+    private static Script read() {
+      Script script = new Script();
+      script.page(5);
+      script.page(5);
+      script.calls.clear();
+      script.told.clear();
+      return script;
+    }
+
+    /** Guards against a question that begins after changes whose answer never came. */
+    @Test
+    public void asksAgainForWhatWasNotAnswered() {
+      Script script = read();
+      script.news(TableStore.News.Outcome.FAILED);
+      script.news(TableStore.News.Outcome.FAILED);
+      script.news(7, row("one", "a", 6));
+      assertEquals(script.calls, List.of("after 5", "after 5", "after 7"));
+      assertEquals(script.told, List.of("a+6"));
+    }
+
+    /** Guards against rows told again, or taken back, by an answer that lies further back. */
+    @Test
+    public void tellsNoRowOlderThanItsLast() {
+      Script script = read();
+      script.news(9, row("one", "a", 9));
+      script.news(7, row("one", "a", 7), removed("one", "a", 8), row("one", "a", 9));
+      script.news(TableStore.News.Outcome.FAILED);
+      assertEquals(script.told, List.of("a+9"));
+      assertEquals(script.calls, List.of("after 9", "after 9", "after 9"));
+    }
+
+    /** Guards against rows of other partitions that are taken for ours. */
+    @Test
+    public void passesOverOtherPartitionsOnly() {
+      Script script = read();
+      script.news(8, row("other", "x", 6), row("two", "b", 7), row("other", "y", 8));
+      assertEquals(script.told, List.of("b+7"));
+      assertFalse(script.calls.isEmpty());
+    }
+  }
+
+  /** Stores in trouble at random, in virtual time. */
+  public static class Storm {
+
+    private static final int SEEDS = 500;
+    private static final int WRITES = 150;
+
+    /** Guards against a table that is not as the store has it once the trouble is over. */
+    @Test
+    public void endsWithTheTableAsItIs() {
+      List<Integer> wrong =
+          IntStream.range(0, SEEDS).filter(seed -> !new Troubled(seed).agrees()).boxed().toList();
+      assertEquals(wrong, List.of(), "seeds of " + SEEDS);
+    }
+  }
+
+  /** A store that answers late, not at all, or has forgotten; and one follower. */
+  private static final class Troubled implements TableStore {
+    final VirtualTimers time = new VirtualTimers();
+    private final FakeTableStore store = new FakeTableStore(time);
+    private final VirtualTimers.View process = time.process();
+    private final TableStore calm = store.seenBy(process, call -> true);
+    private final Random random;
+    private final Map<String, String> mirror = new TreeMap<>();
+    private final Map<String, Long> versions = new HashMap<>();
+    private boolean ordered = true;
+    private boolean over;
+
+    Troubled(int seed) {
+      random = new Random(seed);
+      new Follower(this, process, TABLE, PARTS, this::tell, () -> {}).start();
+    }
+
+    boolean agrees() {
+      for (int i = 0; i < Storm.WRITES; i++) {
+        write("k" + random.nextInt(20), "v" + i);
+        time.run(random.nextInt(200));
+      }
+      over = true;
+      time.run(10_000);
+      return ordered && mirror.equals(store.table(TABLE));
+    }
+
+    private void write(String key, String text) {
+      RowKey at = new RowKey(TABLE, PARTS.get(Math.floorMod(key.hashCode(), 2)), key);
+      boolean removal = random.nextInt(4) == 0;
+      calm.commit(
+          removal
+              ? new Change(Map.of(), Map.of(), List.of(at))
+              : new Change(Map.of(), Map.of(at, Payload.of(text)), List.of()),
+          1_000,
+          answer -> {});
+    }
+
+    private void tell(Row row) {
+      Long before = versions.put(row.key(), row.version());
+      ordered &= before == null || before < row.version();
+      if (row.removed()) {
+        mirror.remove(row.key());
+      } else {
+        mirror.put(row.key(), row.text());
+      }
+    }
+
+    @Override
+    public void commit(Change change, long timeoutMillis, Consumer<CommitAnswer> done) {
+      throw new AssertionError("a follower writes nothing");
+    }
+
+    private boolean strikes(int percent) {
+      return !over && random.nextInt(100) < percent;
+    }
+
+    private void later(Runnable call) {
+      process.after(over ? 0 : random.nextInt(150), call);
+    }
+
+    @Override
+    public void scan(String table, String part, String prefix, Consumer<Scan> done) {
+      if (strikes(20)) {
+        later(() -> done.accept(Scan.FAILED));
+        return;
+      }
+      later(() -> calm.scan(table, part, prefix, scan -> later(() -> done.accept(scan))));
+    }
+
+    @Override
+    public void follow(String table, long after, long waitMillis, Consumer<News> done) {
+      if (strikes(15)) {
+        later(() -> done.accept(News.of(News.Outcome.FORGOTTEN)));
+        return;
+      }
+      boolean lost = strikes(20);
+      calm.follow(
+          table,
+          after,
+          waitMillis,
+          news -> later(() -> done.accept(lost ? News.of(News.Outcome.FAILED) : news)));
+    }
+  }
+}
