Tests: cancellations in trouble leave neither work nor rows behind

The check of LateSubmissionTest is stricter: a job counts as cancelled only by a row that its leader ends it for.

--- a/daemon/src/test/java/org/cottontack/daemon/job/LateSubmissionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateSubmissionTest.java
@@ -60,7 +60,7 @@
     /** Returns what does not hold of the answers. */
     Optional<String> fault() {
       boolean stored = store.table(JobTables.JOBS).containsKey(ID.value());
-      boolean open = stored && !store.table(JobTables.CANCELS).containsKey(ID.value());
+      boolean open = stored && !"1".equals(store.table(JobTables.CANCELS).get(ID.value()));
       String told = "submitted %s, cancelled %s".formatted(submitted, cancelled);
       if (open && cancelled.stream().anyMatch(ACKNOWLEDGED::contains)) {
         return Optional.of("cancelled and open: " + told);
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.Capacity;
@@ -335,6 +337,92 @@
     }
   }
 
+  /** Jobs submitted and cancelled in any order while calls come late, and what they leave. */
+  public static class CancellingInTrouble {
+
+    private static final int SEEDS = 10;
+    private static final int JOBS = 20;
+
+    /**
+     * Guards against work after acknowledged cancellations, and against rows that nobody removes.
+     */
+    @Test
+    public void endsWorkAndLeavesNoRows() {
+      List<String> faults =
+          IntStream.range(0, SEEDS)
+              .mapToObj(seed -> new Scene(seed).faults())
+              .filter(found -> !found.isEmpty())
+              .toList();
+      assertEquals(faults, List.of(), "seeds of " + SEEDS);
+    }
+
+    /** The callers of some jobs, each of whom cancels until that is acknowledged. */
+    private static final class Scene {
+      private static final long LONGEST_MILLIS = 20_000;
+
+      private final Lab lab = new Lab();
+      private final Random random;
+      private final VirtualTimers.View callers = lab.time.process();
+      private final Map<JobId, Long> acknowledged = new HashMap<>();
+
+      Scene(int seed) {
+        random = new Random(seed);
+        lab.store.fate = this::fate;
+        IntStream.range(0, JOBS).mapToObj(i -> "job" + i).forEach(this::plan);
+      }
+
+      private FakeTableStore.Fate fate(Change change) {
+        lab.store.lateMillis = 50L + random.nextInt(10_000);
+        boolean leading =
+            change.writes().keySet().stream().anyMatch(row -> !row.part().startsWith("intake"));
+        FakeTableStore.Fate[] fates = FakeTableStore.Fate.values();
+        return leading || random.nextBoolean()
+            ? FakeTableStore.Fate.GOOD
+            : fates[random.nextInt(fates.length)];
+      }
+
+      private void plan(String id) {
+        callers.after(random.nextInt(5_000), () -> lab.submit(id));
+        if (random.nextBoolean()) {
+          callers.after(random.nextInt((int) LONGEST_MILLIS), () -> lab.submit(id));
+        }
+        callers.after(random.nextInt((int) LONGEST_MILLIS), () -> cancel(new JobId(id)));
+      }
+
+      private void cancel(JobId id) {
+        lab.entry.intake().cancel(id, OptionalLong.empty(), answer -> answered(id, answer));
+      }
+
+      private void answered(JobId id, Intake.Answer answer) {
+        if (answer == Intake.Answer.STORED || answer == Intake.Answer.ABSENT) {
+          acknowledged.putIfAbsent(id, callers.now().mono());
+        } else {
+          callers.after(500, () -> cancel(id));
+        }
+      }
+
+      String faults() {
+        lab.time.run(10 * LONGEST_MILLIS);
+        long late =
+            IntStream.range(0, lab.starts.size())
+                .filter(
+                    i ->
+                        lab.startMillis.get(i)
+                            > acknowledged.get(lab.starts.get(i).task().job())
+                                + Cancelling.CANCEL_MILLIS)
+                .count();
+        List<String> rows =
+            Stream.of(JobTables.JOBS, JobTables.CANCELS, JobTables.WAITING)
+                .filter(table -> !lab.store.table(table).isEmpty())
+                .toList();
+        return acknowledged.size() == JOBS && late == 0 && lab.running.isEmpty() && rows.isEmpty()
+            ? ""
+            : "acknowledged %d, late starts %d, running %s, rows in %s"
+                .formatted(acknowledged.size(), late, lab.running.keySet(), rows);
+      }
+    }
+  }
+
   /** What a leader writes. */
   public static class Saving {
 
