Log when cancellations are heard and which of their runs are seen after

Tasks of cancelled jobs were started more than 3 s after the acknowledgement, and the logs could not tell an old news from a late order or a lost stop. No decision changes.

job.cancelHeard, one line for each cancellation that the leader reads: how long ago its news was asked for and answered, the job's phase and how many of its runs were placed (unknown: not read yet, or ended long ago; of those that are read at a takeover only the ones of open jobs, as kept ones are thousands). Asked and answered far apart speak for news that was held; unknown for a job that was not stored yet. run.cancelled, once for each run and life of its worker: a start was answered or a look listed the run after its job was known to be cancelled, how long ago the start left, or that the run is not tracked. Shows late orders and lost stops. leader_newsAge: age of the news of cancellations, from when it was asked for, at each start that leaves. No line for ordinary starts.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -62,6 +62,12 @@
     return occurrences.stream().flatMap(o -> o.steps.stream()).flatMap(List::stream);
   }
 
+  /** Returns its phase and how many of its runs are placed, for a log line. */
+  String describe() {
+    long placed = tasks().filter(task -> task.phase == Task.Phase.PLACED).count();
+    return phase + " placed=" + placed;
+  }
+
   Task task(TaskName name) {
     while (occurrences.size() <= name.step().occurrence()) {
       occurrences.add(new Occurrence(this, occurrences.size()));
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
 
@@ -109,6 +110,14 @@
     return term.worker(worker).filter(Worker::evacuated).isEmpty();
   }
 
+  /**
+   * Returns what is known of a job, for a log line: its phase and how many of its runs are placed.
+   * Empty when it is not known, as one that had ended before this term.
+   */
+  public Optional<String> describe(JobId id) {
+    return Optional.ofNullable(term.jobs.get(id)).map(Job::describe);
+  }
+
   private void apply(JobEvent event) {
     if (event instanceof JobEvent.WorkerReported e) {
       reports.reported(e);
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -61,6 +61,19 @@
     return given - term.now.mono() > LEAST_START_LEASE_MILLIS ? given : term.grantEndMillis();
   }
 
+  /**
+   * Says once of each run that a worker has it though its job is known to be cancelled.
+   *
+   * @param how what showed it
+   */
+  void noteCancelled(Worker worker, Task task, String how) {
+    if (task.job.phase == JobPhase.CANCELLED && !task.cancelNoted) {
+      task.cancelNoted = true;
+      long sent = task.sentMillis() == 0 ? 0 : term.now.mono() - task.sentMillis();
+      term.note("run.cancelled", task.key(), worker.info.id() + " " + how + " sentMillis=" + sent);
+    }
+  }
+
   void stop(Worker worker, RunKey run) {
     Long last = worker.stopsSent.get(run);
     if (worker.info.reachable()
@@ -87,6 +100,9 @@
     if (event.result() != StartResult.STARTED) {
       term.note("start.refused", event.run(), event.worker().worker() + " " + event.result());
     }
+    if (event.result() == StartResult.STARTED) {
+      noteCancelled(worker, task, "started");
+    }
     if (event.result() == StartResult.STARTED && worker.hiddenEnds.stops(task.spec)) {
       stop(worker, task.key());
     }
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -144,11 +144,16 @@
     Task task = term.find(running.task());
     if (task == null || !task.runsAs(worker.life(), running.run())) {
       // A run that nobody wants still uses the worker, and it could end beside the wanted one.
-      worker.addStray(key, task == null ? worker.info.capacity() : task.spec.reserved());
+      boolean first =
+          worker.addStray(key, task == null ? worker.info.capacity() : task.spec.reserved());
+      if (first && task != null && task.job.phase == JobPhase.CANCELLED) {
+        term.note("run.cancelled", key, worker.info.id() + " not tracked");
+      }
       orders.stop(worker, key);
       return key;
     }
     orders.confirm(task);
+    orders.noteCancelled(worker, task, "listed");
     task.found();
     task.listedMillis = term.now.mono();
     if (task.crashes > 0 && CrashBlame.cleared(task)) {
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -91,6 +91,10 @@
   long listedMillis;
 
   boolean uncertain;
+
+  /** Whether it was said that the present run is on a worker though its job is cancelled. */
+  boolean cancelNoted;
+
   private boolean sentByUs;
   private long sentMillis;
   private Optional<LateStart> lateStart = Optional.empty();
@@ -224,6 +228,7 @@
     worker = on;
     order = Order.UNSAVED;
     uncertain = false;
+    cancelNoted = false;
     sentByUs = false;
     placedMillis = nowMillis;
     listedMillis = 0;
@@ -247,6 +252,7 @@
     order = Order.CONFIRMED;
     confirmedMillis = sinceMillis - 1;
     listedMillis = 0;
+    cancelNoted = false;
   }
 
   /** Takes in that the run was ordered to another pace. */
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -259,11 +259,14 @@
     return services;
   }
 
-  void addStray(RunKey run, Resources amount) {
-    if (strays.putIfAbsent(run, amount) == null) {
-      used = used.plus(amount);
-      changed();
+  /** Takes in a run that is not in force; returns whether it is the first time. */
+  boolean addStray(RunKey run, Resources amount) {
+    if (strays.putIfAbsent(run, amount) != null) {
+      return false;
     }
+    used = used.plus(amount);
+    changed();
+    return true;
   }
 
   void removeStray(RunKey run) {
--- a/core/src/test/java/org/cottontack/core/job/LateOrdersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateOrdersTest.java
@@ -125,6 +125,23 @@
       assertTrue(watch.longestMillis < BEARABLE_MILLIS, "ran for " + watch.longestMillis);
     }
 
+    /** Guards against a run of a cancelled job of which the log says nothing, or too much. */
+    @Test(dataProvider = "delays")
+    public void saysOnceThatTheRunIsThere(long delay) {
+      Watch watch = withStartOnItsWay(delay);
+      watch.lab.lost = JobEffect.StopRun.class::isInstance;
+      watch.cancel(ID);
+      watch.run(delay + 5_000);
+      List<String> said =
+          watch.lab.seen.stream()
+              .filter(JobEffect.Note.class::isInstance)
+              .map(JobEffect.Note.class::cast)
+              .filter(note -> note.name().equals("run.cancelled"))
+              .map(JobEffect.Note::subject)
+              .toList();
+      assertEquals(said.size(), watch.lab.starts(), said.toString());
+    }
+
     /**
      * The leader is removed right after the job was cancelled. The next one finds the task placed;
      * its first look bars older orders, and shows what began before.
--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.cottontack.core.Moment;
 import org.cottontack.core.peer.Payload;
 
 /**
@@ -27,6 +28,8 @@
   /** Pause after a call that failed, in milliseconds: an outage costs few calls this way. */
   private static final long PAUSE_MILLIS = 150;
 
+  private static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
+
   private final TableStore store;
   private final Timers timers;
   private final String table;
@@ -37,7 +40,8 @@
   private boolean stopped;
   private long gapMillis;
   private long position;
-  private long contactMillis = Long.MIN_VALUE / 2;
+  private Moment asked = NEVER;
+  private Moment answered = NEVER;
   private boolean failing;
   private boolean current;
 
@@ -77,7 +81,7 @@
 
   /** Begins to read. */
   public void start() {
-    scan(new ArrayList<>(), Long.MAX_VALUE, 0);
+    scan(timers.now(), new ArrayList<>(), Long.MAX_VALUE, 0);
   }
 
   /** Ends; nothing is told afterwards. */
@@ -87,15 +91,28 @@
 
   /** Returns when the store last answered, on our steady clock. */
   public long contactMillis() {
-    return contactMillis;
+    return answered.mono();
+  }
+
+  /**
+   * Returns when the question was sent that the store answered last: every change that was in the
+   * store by then has been told.
+   */
+  public Moment asked() {
+    return asked;
+  }
+
+  /** Returns when the store's last answer was taken in. */
+  public Moment answered() {
+    return answered;
   }
 
-  private void scan(List<Row> rows, long oldest, int index) {
+  private void scan(Moment began, List<Row> rows, long oldest, int index) {
     if (stopped) {
       return;
     }
     if (index == parts.size()) {
-      scanned(rows, oldest);
+      scanned(began, rows, oldest);
       return;
     }
     store.scan(
@@ -105,19 +122,19 @@
         scan -> {
           if (!scan.answered()) {
             failed("scan");
-            timers.after(PAUSE_MILLIS, () -> scan(new ArrayList<>(), Long.MAX_VALUE, 0));
+            timers.after(PAUSE_MILLIS, this::start);
             return;
           }
           rows.addAll(scan.rows());
-          scan(rows, Math.min(oldest, scan.version()), index + 1);
+          scan(began, rows, Math.min(oldest, scan.version()), index + 1);
         });
   }
 
-  private void scanned(List<Row> rows, long version) {
+  private void scanned(Moment began, List<Row> rows, long version) {
     if (stopped) {
       return;
     }
-    answered();
+    heard(began);
     Set<RowKey> present = new HashSet<>();
     rows.forEach(row -> present.add(row.at()));
     List<RowKey> vanished = known.keySet().stream().filter(k -> !present.contains(k)).toList();
@@ -133,17 +150,18 @@
 
   private void follow() {
     if (!stopped) {
-      store.follow(table, position, WAIT_MILLIS, this::news);
+      Moment sent = timers.now();
+      store.follow(table, position, WAIT_MILLIS, news -> news(sent, news));
     }
   }
 
-  private void news(TableStore.News news) {
+  private void news(Moment sent, TableStore.News news) {
     if (stopped) {
       return;
     }
     switch (news.outcome()) {
       case CURRENT -> {
-        answered();
+        heard(sent);
         news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
         position = Math.max(position, news.version());
         if (gapMillis > 0 && !news.rows().isEmpty()) {
@@ -184,8 +202,9 @@
     }
   }
 
-  private void answered() {
-    contactMillis = timers.now().mono();
+  private void heard(Moment sent) {
+    asked = sent;
+    answered = timers.now();
     if (failing) {
       failing = false;
       LOG.info("the store answers again about {}", table);
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -48,6 +48,11 @@
     timer("leader.decision").update(nanos, TimeUnit.NANOSECONDS);
   }
 
+  /** Records how old the news of cancellations was with which a start left. */
+  void started(long newsMillis) {
+    timer("leader.newsAge").update(newsMillis, TimeUnit.MILLISECONDS);
+  }
+
   /** Records the time until a save of progress was answered. */
   void saved(long millis) {
     timer("leader.save").update(millis, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
@@ -175,10 +176,25 @@
     if (scheduler == null) {
       cancelled.add(id);
     } else {
+      logCancelled(id, scheduler.describe(id).orElse("unknown"));
       post(new JobEvent.JobCancelled(id));
     }
   }
 
+  private void logCancelled(JobId id, String job) {
+    LOG.info(
+        new StringMapMessage()
+            .with("event", "job.cancelHeard")
+            .with("subject", id)
+            .with("askedMillis", sinceMillis(cancels.asked()))
+            .with("answeredMillis", sinceMillis(cancels.answered()))
+            .with("job", job));
+  }
+
+  private long sinceMillis(Moment earlier) {
+    return timers.now().longestSince(earlier);
+  }
+
   private void onTableRead(ProgressStore.Found found) {
     toRead--;
     if (toRead == 0) {
@@ -208,7 +224,11 @@
         .forEach(job -> recover(job, progress.get(job.id())));
     cancelled.stream()
         .filter(id -> !ended(progress.get(id)))
-        .forEach(id -> post(new JobEvent.JobCancelled(id)));
+        .forEach(
+            id -> {
+              scheduler.describe(id).ifPresent(job -> logCancelled(id, job));
+              post(new JobEvent.JobCancelled(id));
+            });
     LOG.info(
         new StringMapMessage()
             .with("event", "leader.ready")
@@ -278,7 +298,7 @@
       workers.start(
           start,
           epoch,
-          () -> mayStart(start.target().life()),
+          () -> leaves(start.target().life()),
           result -> post(new JobEvent.StartEnded(start.target().life(), start.run(), result)));
     } else if (effect instanceof JobEffect.StopRun stop) {
       workers.stop(
@@ -310,6 +330,15 @@
     }
   }
 
+  /** Returns whether a start may leave now, and takes in how old the news is if it does. */
+  private boolean leaves(WorkerLife worker) {
+    boolean may = mayStart(worker);
+    if (may) {
+      metrics.started(sinceMillis(cancels.asked()));
+    }
+    return may;
+  }
+
   /**
    * A start needs the lease, and news of cancellations and of evacuations that are not old. While
    * these are out of reach, callers may be told elsewhere that a job is cancelled and operators
