Tests that fail: starts after cancellations whose news is late

Each checks the rule itself over 100 seeds: nothing starts later than 3,000 ms after the row of a job's cancellation is in the store, while a job of many short tasks starts something all the time. What is drawn: delays, when the row is written, how often others write.

The store of the tests reads a page when the store would, not when the answer arrives, gives up on answers as the client does, and can hold them; a process of the tests can stand still.

--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.cottontack.core.peer.Payload;
 
@@ -18,6 +19,12 @@
 
   private static final long ANSWER_MILLIS = 10;
 
+  /** After which a client gives up on a page, in milliseconds. */
+  private static final long SCAN_PATIENCE_MILLIS = 1_500;
+
+  /** After which a client gives up on news, beyond the wait that it asked for, in milliseconds. */
+  private static final long FOLLOW_SLACK_MILLIS = 700;
+
   /** What becomes of a transaction. */
   enum Fate {
     /** It is done and answered. */
@@ -48,6 +55,12 @@
   private final Map<String, Long> partFreeMillis = new HashMap<>();
   int transactions;
 
+  /** How long a read takes, and the store to begin to wait for news, in milliseconds. */
+  long readMillis = ANSWER_MILLIS;
+
+  /** How long the answer to a call is on its way beyond that, in milliseconds. */
+  ToLongFunction<String> heldMillis = call -> 0;
+
   FakeTableStore(VirtualTimers time) {
     this.self = time.process();
   }
@@ -123,43 +136,65 @@
         process.after(1_000, () -> done.accept(Scan.FAILED));
         return;
       }
+      long latest = self.now().mono() + SCAN_PATIENCE_MILLIS;
+      self.after(
+          readMillis,
+          () -> deliver("scan " + table, latest, read(table, part, prefix), Scan.FAILED, done));
+    }
+
+    private Scan read(String table, String part, String prefix) {
+      return new Scan(
+          true,
+          rows.values().stream()
+              .filter(row -> row.at().table().equals(table))
+              .filter(row -> row.at().part().equals(part))
+              .filter(row -> row.key().startsWith(prefix))
+              .toList(),
+          version,
+          clock());
+    }
+
+    /** Brings an answer to the process, or none when that gives up first. */
+    private <T> void deliver(String call, long latest, T answer, T none, Consumer<T> done) {
+      long now = self.now().mono();
+      long held = heldMillis.applyAsLong(call);
+      boolean lost = now + held > latest;
       process.after(
-          ANSWER_MILLIS,
-          () ->
-              done.accept(
-                  new Scan(
-                      true,
-                      rows.values().stream()
-                          .filter(row -> row.at().table().equals(table))
-                          .filter(row -> row.at().part().equals(part))
-                          .filter(row -> row.key().startsWith(prefix))
-                          .toList(),
-                      version,
-                      clock())));
+          lost ? Math.max(0, latest - now) : held, () -> done.accept(lost ? none : answer));
     }
 
     @Override
     public void follow(String table, long after, long waitMillis, Consumer<News> done) {
       if (!reachable.test("follow " + table)) {
-        process.after(waitMillis + 700, () -> done.accept(News.of(News.Outcome.FAILED)));
+        process.after(
+            waitMillis + FOLLOW_SLACK_MILLIS, () -> done.accept(News.of(News.Outcome.FAILED)));
         return;
       }
+      long latest = self.now().mono() + waitMillis + FOLLOW_SLACK_MILLIS;
       boolean[] told = {false};
       Consumer<News> once =
           news -> {
             if (!told[0]) {
               told[0] = true;
-              process.after(0, () -> done.accept(news));
+              deliver("follow " + table, latest, news, News.of(News.Outcome.FAILED), done);
             }
           };
       Waiting wait = new Waiting(table, after, once);
+      if (readMillis > ANSWER_MILLIS) {
+        self.after(readMillis, () -> await(wait, waitMillis));
+      } else {
+        await(wait, waitMillis);
+      }
+    }
+
+    private void await(Waiting wait, long waitMillis) {
       waiting.add(wait);
       tell(wait);
       self.after(
           waitMillis,
           () -> {
             waiting.remove(wait);
-            once.accept(new News(News.Outcome.CURRENT, List.of(), version));
+            wait.done().accept(new News(News.Outcome.CURRENT, List.of(), version));
           });
     }
   }
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -0,0 +1,124 @@
+package org.cottontack.daemon.job;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/** Tests of what a leader starts while news of the store reaches it late. */
+public class LateNewsTest {
+
+  private static final int SEEDS = 100;
+
+  /** How long after a cancellation something may start, in milliseconds. */
+  private static final long CANCEL_MILLIS = 3_000;
+
+  /** How long it takes until an answer counts as lost, and longer, in milliseconds. */
+  private static final long LOST_MILLIS = 60_000;
+
+  /** What is late in one case. */
+  private interface Trouble {
+
+    /** Arranges for it, and returns in how many milliseconds it begins. */
+    long begin(StartsLab lab, Random random);
+  }
+
+  /** Checks that nothing starts too long after a row is in the store, whatever the seed. */
+  private static void check(RowKey row, long boundMillis, Trouble trouble) {
+    List<String> late =
+        IntStream.range(0, SEEDS)
+            .mapToObj(seed -> late(seed, row, boundMillis, trouble))
+            .filter(text -> !text.isEmpty())
+            .toList();
+    assertTrue(late.isEmpty(), late.size() + " of " + SEEDS + ": " + late);
+  }
+
+  private static String late(int seed, RowKey row, long boundMillis, Trouble trouble) {
+    Random random = new Random(seed);
+    StartsLab lab = new StartsLab();
+    lab.time.run(500 + random.nextInt(2_000));
+    assertTrue(!lab.starts.isEmpty(), "nothing started in seed " + seed);
+    long begins = trouble.begin(lab, random);
+    lab.writeAfter(Math.max(0, begins - 300 + random.nextInt(1_500)), row);
+    lab.time.run(12_000);
+    long after = lab.lastStartAfter(row);
+    return after > boundMillis ? "seed " + seed + ": " + after + " ms after" : "";
+  }
+
+  /** Has one answer of a kind held from a time on, and later ones lost for five seconds more. */
+  private static void hold(StartsLab lab, String call, long fromMillis, long heldMillis) {
+    long from = lab.time.now() + fromMillis;
+    long until = from + heldMillis + 5_000;
+    boolean[] first = {true};
+    lab.store.heldMillis =
+        asked -> {
+          long now = lab.time.now();
+          if (!asked.equals(call) || now < from || now > until) {
+            return 0;
+          }
+          boolean one = first[0];
+          first[0] = false;
+          return one ? heldMillis : LOST_MILLIS;
+        };
+  }
+
+  /** One answer lies on its way, and the connection is silent afterwards. */
+  private static long held(StartsLab lab, String table, Random random) {
+    long begins = random.nextInt(1_000);
+    lab.writeOthers(20 + random.nextInt(300), 3_000);
+    hold(lab, "follow " + table, begins, random.nextInt(1_700));
+    return begins;
+  }
+
+  /** Another process takes over; each page of a table takes long, and news of it is lost. */
+  private static long readSlowly(StartsLab lab, String table, Random random) {
+    long page = random.nextInt(1_400);
+    long until = lab.time.now() + 9_000;
+    lab.store.heldMillis =
+        call -> {
+          boolean news = call.equals("follow " + table) && lab.time.now() < until;
+          return news ? LOST_MILLIS : call.equals("scan " + table) ? page : 0;
+        };
+    lab.restart();
+    return random.nextInt(4_000);
+  }
+
+  /** The process stands still, with or without its steady clock, and is cut off afterwards. */
+  private static long pause(StartsLab lab, String table, Random random) {
+    long begins = random.nextInt(1_000);
+    long pause = 500L + random.nextInt(5_000);
+    boolean clockToo = random.nextBoolean();
+    lab.writeOthers(20 + random.nextInt(1_500), 3_000);
+    lab.pauseAfter(begins, pause, clockToo);
+    hold(lab, "follow " + table, begins, 0);
+    return begins + random.nextInt((int) pause);
+  }
+
+  /** Jobs that are cancelled while the news of it comes late. */
+  public static class Cancelling {
+
+    private static void check(Trouble trouble) {
+      LateNewsTest.check(StartsLab.CANCEL, CANCEL_MILLIS, trouble);
+    }
+
+    /** Guards against starts that rely on an answer which lay on its way for a second. */
+    @Test
+    public void startsNothingLateAfterHeldAnswers() {
+      check((lab, random) -> held(lab, JobTables.CANCELS, random));
+    }
+
+    /** Guards against starts that rely on a table whose first part was read seconds ago. */
+    @Test
+    public void startsNothingLateAfterSlowReadings() {
+      check((lab, random) -> readSlowly(lab, JobTables.CANCELS, random));
+    }
+
+    /** Guards against starts that rely on what was heard before the process stood still. */
+    @Test
+    public void startsNothingLateAfterPauses() {
+      check((lab, random) -> pause(lab, JobTables.CANCELS, random));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -0,0 +1,250 @@
+package org.cottontack.daemon.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.JobEvent;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobTable;
+import org.cottontack.core.job.Resources;
+import org.cottontack.core.job.RunKey;
+import org.cottontack.core.job.StartResult;
+import org.cottontack.core.job.TaskName;
+import org.cottontack.core.job.WorkerInfo;
+import org.cottontack.core.job.WorkerLife;
+import org.cottontack.core.job.WorkerReport;
+import org.cottontack.core.peer.Payload;
+
+/**
+ * One instance, a store and a worker with two places, where a job of many short tasks starts
+ * something all the time. Other instances take cancellations, an operator empties the data centre,
+ * and the worker's list says that it drains: each is a row of the store.
+ */
+final class StartsLab implements WorkerRegistry, WorkerCalls {
+
+  static final JobId JOB = new JobId("long");
+  static final RowKey CANCEL = JobTables.cancel(JOB);
+  static final RowKey EVACUATION = new RowKey("op", "", "evacuate/dc");
+  static final RowKey DRAIN = new RowKey("workers", "", "w");
+
+  private static final int TASKS = 400;
+  private static final long WORK_MILLIS = 100;
+  private static final long LOOK_MILLIS = 50;
+  private static final long ORDER_MILLIS = 900;
+
+  final VirtualTimers time = new VirtualTimers();
+  final FakeTableStore store = new FakeTableStore(time);
+  VirtualTimers.View process = time.process();
+
+  /** How long an order to start waits for its connection, in milliseconds. */
+  long connectMillis;
+
+  /** How long a start is on its way, in milliseconds. */
+  long wayMillis = 1;
+
+  /** When each run began. */
+  final List<Long> starts = new ArrayList<>();
+
+  /** How many orders to start came after the end of their lease. */
+  int late;
+
+  private final VirtualTimers.View others = time.process();
+  private final Map<RowKey, Long> written = new HashMap<>();
+  private final Map<RunKey, Long> running = new HashMap<>();
+  private final Map<TaskName, Integer> barred = new HashMap<>();
+  private final List<WorkerReport.Ended> ended = new ArrayList<>();
+  private long ends;
+  private long leaseEndMillis;
+  private boolean draining;
+  JobEntry entry;
+
+  StartsLab() {
+    restart();
+    time.run(500);
+    entry.intake().submit(TestJobs.job(JOB, TASKS), OptionalLong.empty(), answer -> {});
+    time.run(500);
+  }
+
+  /** Ends the instance's process and starts another. */
+  void restart() {
+    process.killed = true;
+    process = time.process();
+    WatchedStore watched = new WatchedStore(store.seenBy(process, call -> true), process);
+    entry = new JobEntry(TestJobs.INSTANCE, 120_000, watched, process, rules(), this, this);
+    entry.start();
+  }
+
+  /** Has another instance, the operator or the worker write a row. */
+  void write(RowKey row) {
+    Change change = new Change(Map.of(), Map.of(row, Payload.of("now")), List.of());
+    store
+        .seenBy(others, call -> true)
+        .commit(change, 1_000, answer -> written.put(row, others.now().mono()));
+  }
+
+  /** Has others write a row after a time. */
+  void writeAfter(long millis, RowKey row) {
+    others.after(millis, () -> write(row));
+  }
+
+  /** Stops the instance's process after a time; its steady clock may stand still meanwhile. */
+  void pauseAfter(long millis, long pauseMillis, boolean clockToo) {
+    others.after(millis, () -> process.pause(pauseMillis, clockToo));
+  }
+
+  /** Returns how long after a row was in the store the last run began; 0 if none did. */
+  long lastStartAfter(RowKey row) {
+    return starts.stream().mapToLong(at -> at - written.get(row)).max().orElse(0);
+  }
+
+  private RuleSource rules() {
+    TableStore seen = store.seenBy(process, call -> true);
+    return new RuleSource() {
+      private Follower follower;
+
+      @Override
+      public void start(Consumer<JobTable> tables, Consumer<Set<DataCentreId>> evacuations) {
+        tables.accept(new JobTable(1, List.of(TestJobs.QUEUE), List.of()));
+        Consumer<Row> told = row -> evacuations.accept(Set.of(new DataCentreId("dc")));
+        follower = new Follower(seen, process, "op", List.of(""), told, () -> {});
+        follower.start();
+      }
+
+      @Override
+      public long contactMillis() {
+        return follower.contactMillis();
+      }
+    };
+  }
+
+  @Override
+  public Follower follower(Consumer<JobEvent> listener, Runnable onCurrent) {
+    Consumer<Row> told =
+        row -> {
+          draining = true;
+          replay(listener);
+        };
+    TableStore seen = store.seenBy(process, call -> true);
+    return new Follower(seen, process, "workers", List.of(""), told, onCurrent);
+  }
+
+  @Override
+  public void replay(Consumer<JobEvent> listener) {
+    listener.accept(
+        new JobEvent.WorkerSeen(
+            new WorkerInfo(
+                WorkerLife.only(new WorkerId("w")),
+                "pool",
+                "w:1",
+                new DataCentreId("dc"),
+                new Resources(1_000, 10_000, 0),
+                List.of(),
+                draining)));
+  }
+
+  @Override
+  public void start(
+      JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done) {
+    process.after(connectMillis, () -> connected(start, allowed, done));
+  }
+
+  private void connected(
+      JobEffect.StartRun start, BooleanSupplier allowed, Consumer<StartResult> done) {
+    if (!allowed.getAsBoolean()) {
+      done.accept(StartResult.NOT_SENT);
+      return;
+    }
+    boolean answers = wayMillis < ORDER_MILLIS;
+    others.after(
+        wayMillis,
+        () -> {
+          StartResult result = begin(start);
+          if (answers) {
+            process.after(1, () -> done.accept(result));
+          }
+        });
+    if (!answers) {
+      process.after(ORDER_MILLIS, () -> done.accept(StartResult.UNKNOWN));
+    }
+  }
+
+  private StartResult begin(JobEffect.StartRun start) {
+    long now = others.now().mono();
+    RunKey run = start.run();
+    if (running.containsKey(run)) {
+      return StartResult.STARTED;
+    }
+    if (run.run() <= barred.getOrDefault(run.task(), 0)) {
+      return StartResult.OLD;
+    }
+    if (start.leaseEndMillis() <= now) {
+      late++;
+      return StartResult.LATE;
+    }
+    leaseEndMillis = Math.max(leaseEndMillis, start.leaseEndMillis());
+    starts.add(now);
+    running.put(run, now);
+    others.after(WORK_MILLIS, () -> end(run, WorkerReport.End.DONE));
+    return StartResult.STARTED;
+  }
+
+  private void end(RunKey run, WorkerReport.End how) {
+    barred.merge(run.task(), run.run(), Math::max);
+    if (running.remove(run) != null) {
+      ends++;
+      boolean lapsed = others.now().mono() > leaseEndMillis;
+      WorkerReport.End told = lapsed ? WorkerReport.End.LAPSED : how;
+      ended.add(new WorkerReport.Ended(ends, run.task(), run.run(), told, ""));
+    }
+  }
+
+  /** Returns how many runs ended since no lease was in force. */
+  long lapsed() {
+    return ended.stream().filter(end -> end.how() == WorkerReport.End.LAPSED).count();
+  }
+
+  @Override
+  public void stop(JobEffect.StopRun stop, long epoch, Consumer<Boolean> done) {
+    others.after(1, () -> end(stop.run(), WorkerReport.End.STOPPED));
+    process.after(2, () -> done.accept(true));
+  }
+
+  @Override
+  public void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done) {
+    process.after(2, () -> done.accept(true));
+  }
+
+  @Override
+  public void look(
+      JobEffect.LookAtWorker look, long epoch, BooleanSupplier allowed, Consumer<Look> done) {
+    leaseEndMillis = Math.max(leaseEndMillis, look.leaseEndMillis());
+    others.after(
+        Math.max(2, Math.min(look.waitMillis(), LOOK_MILLIS)),
+        () -> {
+          List<WorkerReport.Running> list =
+              running.keySet().stream()
+                  .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 50, 0))
+                  .toList();
+          List<WorkerReport.Ended> news =
+              ended.stream().filter(end -> end.number() > look.acknowledged()).toList();
+          long clock = others.now().mono();
+          WorkerReport report = new WorkerReport(WorkerLife.UNSTATED, clock, list, news);
+          process.after(0, () -> done.accept(new Look(Look.Outcome.ANSWERED, report)));
+        });
+  }
+
+  /** Writes cancellations of jobs that nobody knows, one each so many milliseconds. */
+  void writeOthers(long eachMillis, long forMillis) {
+    IntStream.range(0, (int) (forMillis / eachMillis))
+        .forEach(i -> writeAfter(i * eachMillis, JobTables.cancel(new JobId("other" + i))));
+  }
+}
--- a/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
@@ -22,9 +22,18 @@
     /** How late timers and answers come since the process is busy, in milliseconds. */
     long lateMillis;
 
+    private long resumesMillis;
+    private long stoodMillis;
+
+    /** Stops the process for so long; its steady clock may stand still meanwhile. */
+    void pause(long millis, boolean clockToo) {
+      resumesMillis = now + millis;
+      stoodMillis += clockToo ? millis : 0;
+    }
+
     @Override
     public Moment now() {
-      return new Moment(now, now);
+      return new Moment(now - stoodMillis, now);
     }
 
     @Override
@@ -34,6 +43,11 @@
     }
   }
 
+  /** Returns the time, in milliseconds. */
+  long now() {
+    return now;
+  }
+
   View process() {
     return new View();
   }
@@ -43,7 +57,9 @@
     while (!due.isEmpty() && due.peek().at() <= end) {
       Due next = due.poll();
       now = Math.max(now, next.at());
-      if (!next.view().killed) {
+      if (now < next.view().resumesMillis) {
+        due.add(new Due(next.view().resumesMillis, next.order(), next.view(), next.task()));
+      } else if (!next.view().killed) {
         next.task().run();
       }
     }
