Date the news of cancellations by when it was asked for

Callers saw tasks of a cancelled job start more than 3 s after the acknowledgement. News counted from when its answer was processed. An answer that had lain on its way, in the socket of a process that stood still, or that was put together from pages read one after the other, made old news new, and starts left for 2 s more. The steady clock stands still while a process is suspended, so that news from before counted as new after it.

The answer to a question knows at least all that was in the store when it was sent. News is now dated by that, by the steady clock or the time of day, whichever says more; a reading of the table by its beginning. This holds whatever delays the answer, since no delay makes the question later. Budget to 3,000 ms: news under 2,000 when the order leaves, which leaves 1,000 for its way.

Dated so, with waits of 1 s, news would be 1 to 2 s old in calm. The table is asked after 500 ms without a change, and without a wait after a reading or a failure. That is one call to the store a second more, by the leader alone (2,000 a second are allowed).

Weighed besides: dating by the store's clock, which the feed's answers carry. It needs a bound for the offset of the clocks from earlier answers, which is wrong after a suspension: just then it would call old news new. An answer without changes shows that the store waited, so it could count from the end of the wait; that relies on the store waiting in full and saves one call a second.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -28,6 +28,9 @@
   /** Pause after a call that failed, in milliseconds: an outage costs few calls this way. */
   private static final long PAUSE_MILLIS = 150;
 
+  /** Wait where an answer is wanted at once, in milliseconds; the store may not know one of 0. */
+  private static final long NO_WAIT_MILLIS = 1;
+
   private static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
 
   private final TableStore store;
@@ -38,6 +41,8 @@
   private final Runnable onCurrent;
   private final Map<RowKey, Long> known = new HashMap<>();
   private boolean stopped;
+  private long waitMillis = WAIT_MILLIS;
+  private long firstWaitMillis = WAIT_MILLIS;
   private long gapMillis;
   private long position;
   private Moment asked = NEVER;
@@ -79,6 +84,19 @@
     return this;
   }
 
+  /**
+   * Has the news kept newer than usual: the store is asked again after a shorter wait, and with
+   * none where the news is old already, after a reading of the whole table and after a failure.
+   *
+   * @param millis longest wait for a change, in milliseconds
+   * @return this
+   */
+  public Follower keptNew(long millis) {
+    waitMillis = millis;
+    firstWaitMillis = NO_WAIT_MILLIS;
+    return this;
+  }
+
   /** Begins to read. */
   public void start() {
     scan(timers.now(), new ArrayList<>(), Long.MAX_VALUE, 0);
@@ -145,13 +163,13 @@
       current = true;
       onCurrent.run();
     }
-    follow();
+    follow(firstWaitMillis);
   }
 
-  private void follow() {
+  private void follow(long wait) {
     if (!stopped) {
       Moment sent = timers.now();
-      store.follow(table, position, WAIT_MILLIS, news -> news(sent, news));
+      store.follow(table, position, wait, news -> news(sent, news));
     }
   }
 
@@ -165,9 +183,9 @@
         news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
         position = Math.max(position, news.version());
         if (gapMillis > 0 && !news.rows().isEmpty()) {
-          timers.after(gapMillis, this::follow);
+          timers.after(gapMillis, () -> follow(waitMillis));
         } else {
-          follow();
+          follow(waitMillis);
         }
       }
       case FORGOTTEN -> {
@@ -176,7 +194,7 @@
       }
       case FAILED -> {
         failed("follow");
-        timers.after(PAUSE_MILLIS, this::follow);
+        timers.after(PAUSE_MILLIS, () -> follow(firstWaitMillis));
       }
       default -> throw new IllegalStateException("no such outcome: " + news.outcome());
     }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -31,11 +31,17 @@
   private static final Logger LOG = LogManager.getLogger(Leader.class);
 
   /**
-   * Oldest news of cancellations with which work is started, in milliseconds: two waits of 1 s,
-   * under the 3 s in which a cancelled job must stop starting.
+   * Oldest news of cancellations with which work is started, in milliseconds, counted from when it
+   * was asked for: under the 3 s in which a cancelled job must stop starting.
    */
   private static final long CANCELS_AGE_MILLIS = 2_000;
 
+  /**
+   * Longest wait for a cancellation, in milliseconds. News is as old as one wait when it comes, and
+   * as two when the next comes; at a store that is 60 times slower, by 240 ms each more.
+   */
+  private static final long CANCELS_WAIT_MILLIS = 500;
+
   /**
    * Oldest news of evacuations with which work is started, in milliseconds: an order that leaves
    * then arrives within the 5 s after which nothing more may begin in a data centre.
@@ -141,7 +147,9 @@
     Runnable onCurrent = () -> onTableRead(found);
     List<String> parts = JobTables.intakeParts();
     followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, onCurrent));
-    cancels = new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent);
+    cancels =
+        new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent)
+            .keptNew(CANCELS_WAIT_MILLIS);
     followers.add(cancels);
     followers.add(registry.follower(this::post, onCurrent));
     toRead = followers.size();
@@ -348,7 +356,7 @@
     long now = timers.now().mono();
     return !stopped
         && leadership.mayStart()
-        && now - cancels.contactMillis() < CANCELS_AGE_MILLIS
+        && sinceMillis(cancels.asked()) < CANCELS_AGE_MILLIS
         && now - rules.contactMillis() < EVACUATIONS_AGE_MILLIS
         && scheduler.maySend(worker);
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -1,5 +1,6 @@
 package org.cottontack.daemon.job;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -121,4 +122,43 @@
       check((lab, random) -> pause(lab, JobTables.CANCELS, random));
     }
   }
+
+  /** What is not to be held back by any of this. */
+  public static class Calm {
+
+    private static StartsLab runs(long readMillis, long transactionMillis) {
+      StartsLab lab = new StartsLab();
+      lab.store.readMillis = readMillis;
+      lab.store.transactionMillis = transactionMillis;
+      lab.time.run(20_000);
+      return lab;
+    }
+
+    /** Guards against starts that wait for news although the store answers at once. */
+    @Test
+    public void holdsNothingBack() {
+      StartsLab lab = runs(4, 10);
+      assertEquals(lab.heldBack, 0);
+      assertTrue(lab.starts.size() > 100, "starts: " + lab.starts.size());
+    }
+
+    /** Guards against starts that wait for news whenever the store is slow. */
+    @Test
+    public void holdsNothingBackAtSlowStores() {
+      StartsLab lab = runs(240, 500);
+      assertEquals(lab.heldBack, 0);
+      assertTrue(lab.starts.size() > 20, "starts: " + lab.starts.size());
+    }
+
+    /** Guards against starts that wait for news after one lost answer. */
+    @Test
+    public void holdsNothingBackAfterOneLostAnswer() {
+      StartsLab lab = new StartsLab();
+      hold(lab, "follow " + JobTables.CANCELS, 500, LOST_MILLIS);
+      lab.time.run(1_000);
+      lab.store.heldMillis = call -> 0;
+      lab.time.run(3_000);
+      assertEquals(lab.heldBack, 0);
+    }
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -54,6 +54,9 @@
   /** When each run began. */
   final List<Long> starts = new ArrayList<>();
 
+  /** How many orders to start did not leave. */
+  int heldBack;
+
   /** How many orders to start came after the end of their lease. */
   int late;
 
@@ -160,6 +163,7 @@
   private void connected(
       JobEffect.StartRun start, BooleanSupplier allowed, Consumer<StartResult> done) {
     if (!allowed.getAsBoolean()) {
+      heldBack++;
       done.accept(StartResult.NOT_SENT);
       return;
     }
