--- a/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -123,6 +123,39 @@
     }
   }
 
+  /** Orders that are late, though the news is not. */
+  public static class Orders {
+
+    /** Longest time until a cancellation is read where nothing is late, in milliseconds. */
+    private static final long HEARD_MILLIS = 100;
+
+    /** Guards against orders that are carried out long after they left, and before their stop. */
+    @Test
+    public void nothingBeginsLateByHeldOrders() {
+      LateNewsTest.check(
+          StartsLab.CANCEL,
+          CANCEL_MILLIS,
+          (lab, random) -> {
+            long begins = random.nextInt(1_000);
+            lab.holdOrdersAfter(begins, random.nextInt(6_000));
+            return begins;
+          });
+    }
+
+    /** Guards against orders that wait for their connection while the stop of their run is lost. */
+    @Test
+    public void nothingLeavesThatWaitedForItsConnection() {
+      LateNewsTest.check(
+          StartsLab.CANCEL,
+          HEARD_MILLIS,
+          (lab, random) -> {
+            lab.connectMillis = random.nextInt(1_000);
+            lab.losesStops = true;
+            return 500L + random.nextInt(1_000);
+          });
+    }
+  }
+
   /** What is not to be held back by any of this. */
   public static class Calm {
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -40,6 +40,7 @@
   private static final long WORK_MILLIS = 100;
   private static final long LOOK_MILLIS = 50;
   private static final long ORDER_MILLIS = 900;
+  private static final long NEVER_MILLIS = 1_000_000;
 
   final VirtualTimers time = new VirtualTimers();
   final FakeTableStore store = new FakeTableStore(time);
@@ -48,9 +49,12 @@
   /** How long an order to start waits for its connection, in milliseconds. */
   long connectMillis;
 
-  /** How long a start is on its way, in milliseconds. */
+  /** How long an order about a run is on its way, in milliseconds. */
   long wayMillis = 1;
 
+  /** Whether no order to stop arrives. */
+  boolean losesStops;
+
   /** When each run began. */
   final List<Long> starts = new ArrayList<>();
 
@@ -104,6 +108,11 @@
     others.after(millis, () -> process.pause(pauseMillis, clockToo));
   }
 
+  /** Has orders about runs that leave from a time on stay on their way for so long. */
+  void holdOrdersAfter(long millis, long heldMillis) {
+    others.after(millis, () -> wayMillis = heldMillis);
+  }
+
   /** Returns how long after a row was in the store the last run began; 0 if none did. */
   long lastStartAfter(RowKey row) {
     return starts.stream().mapToLong(at -> at - written.get(row)).max().orElse(0);
@@ -218,8 +227,10 @@
 
   @Override
   public void stop(JobEffect.StopRun stop, long epoch, Consumer<Boolean> done) {
-    others.after(1, () -> end(stop.run(), WorkerReport.End.STOPPED));
-    process.after(2, () -> done.accept(true));
+    boolean answers = wayMillis < ORDER_MILLIS && !losesStops;
+    others.after(
+        losesStops ? NEVER_MILLIS : wayMillis, () -> end(stop.run(), WorkerReport.End.STOPPED));
+    process.after(answers ? wayMillis + 1 : ORDER_MILLIS, () -> done.accept(answers));
   }
 
   @Override
