Ask again before a start leaves whether its run is still wanted

An order to start may wait up to a second for its connection. If its job was cancelled meanwhile, or its task taken off the worker, it left all the same, and where the stop of the run was lost a task began of a job that the leader knew to be cancelled. Right before it leaves the scheduler is now asked about the run as well as about the worker's data centre.

--- a/core/src/test/java/org/cottontack/core/job/JobLab.java
+++ b/core/src/test/java/org/cottontack/core/job/JobLab.java
@@ -370,6 +370,11 @@
         });
   }
 
+  /** Returns whether an order that waited for its connection may leave now. */
+  boolean maySend(JobEffect.StartRun start) {
+    return leader.maySend(start.target().life(), start.run());
+  }
+
   /** Returns whether the leader may give the lead to an instance of a data centre. */
   boolean mayMakeWay(String dataCentre) {
     return leader.mayMakeWay(new DataCentreId(dataCentre));
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -306,7 +306,7 @@
       workers.start(
           start,
           epoch,
-          () -> leaves(start.target().life()),
+          () -> leaves(start),
           result -> post(new JobEvent.StartEnded(start.target().life(), start.run(), result)));
     } else if (effect instanceof JobEffect.StopRun stop) {
       workers.stop(
@@ -339,8 +339,8 @@
   }
 
   /** Returns whether a start may leave now, and takes in how old the news is if it does. */
-  private boolean leaves(WorkerLife worker) {
-    boolean may = mayStart(worker);
+  private boolean leaves(JobEffect.StartRun start) {
+    boolean may = mayStart(start);
     if (may) {
       metrics.started(sinceMillis(cancels.asked()));
     }
@@ -352,13 +352,13 @@
    * these are out of reach, callers may be told elsewhere that a job is cancelled and operators
    * that a data centre is being emptied, and tasks would go on starting here.
    */
-  private boolean mayStart(WorkerLife worker) {
+  private boolean mayStart(JobEffect.StartRun start) {
     long now = timers.now().mono();
     return !stopped
         && leadership.mayStart()
         && sinceMillis(cancels.asked()) < CANCELS_AGE_MILLIS
         && now - rules.contactMillis() < EVACUATIONS_AGE_MILLIS
-        && scheduler.maySend(worker);
+        && scheduler.maySend(start.target().life(), start.run());
   }
 
   private void look(JobEffect.LookAtWorker look) {
