A start ends at its worker when its news has grown old

An order to start that left in time, and was held on its way, began a task of a job that had been cancelled 3 s before and more. All that barred it at its worker was the end of the lease that it brought, 5 to 8 s away; a stop sent after it may be held as well.

The leader now tells the scheduler until when work may begin by what it knows: 2,900 ms after the news of cancellations was asked for. A start to a worker that an answered look has given a lease for 5.5 s more brings no lease, but ends at that time by the worker's clock, and is refused there as late. The worker keeps its longer lease, which an order never shortens. Where no such lease is known (a worker that has been idle) the start brings the lease as before, since the short one would end the run.

Budget to 3,000 ms, all counted from when the news was asked for: age when the order leaves under 2,000; then connection, link and worker until 2,900, whatever part each takes; 100 ms for clocks. A clock of a worker that is slow by 2 % is reckoned in; one that is not ends the order up to 2 % sooner.

Not covered: starts to workers without such a lease.

--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -27,7 +27,8 @@
    * @param target on which worker
    * @param run the run
    * @param payload the job's opaque text
-   * @param leaseEndMillis end of the lease on the worker's clock
+   * @param leaseEndMillis end of the lease on the worker's clock, which refuses the order
+   *     afterwards
    * @param checkpoint where to resume from, empty to start afresh
    */
   record StartRun(
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -66,6 +66,13 @@
   /** The last {@link JobEffect.SaveProgress} is in the store. */
   record ProgressSaved() implements JobEvent {}
 
+  /**
+   * News has come with which work may be started for some time.
+   *
+   * @param untilMillis when nothing may begin any more by what is known, on our steady clock
+   */
+  record StartsBounded(long untilMillis) implements JobEvent {}
+
   /**
    * Time has passed.
    *
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -134,6 +134,8 @@
       orders.paceLost(e);
     } else if (event instanceof JobEvent.ProgressSaved) {
       saver.saved();
+    } else if (event instanceof JobEvent.StartsBounded e) {
+      term.startsUntilMillis = e.untilMillis();
     } else if (event instanceof JobEvent.Tick e) {
       term.renewal = e.renewal();
       tick();
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -47,10 +47,22 @@
             worker.target(),
             task.key(),
             task.job.spec.payload(),
-            worker.clock.leaseEnd(startLeaseEnd(worker)),
+            worker.clock.leaseEnd(startEnd(worker)),
             task.checkpoint));
   }
 
+  /**
+   * Returns until when, on our clock, a worker may carry out a start. While a look has given what
+   * runs there a lease that lasts, the start needs to bring none, and ends as soon as by what is
+   * known now nothing may begin: held on its way it would start work of a job that was cancelled.
+   * Where none is known to be in force, so short a lease would end the run.
+   */
+  private long startEnd(Worker worker) {
+    long lease = startLeaseEnd(worker);
+    boolean held = worker.heldLeaseMillis() - term.now.mono() > LEAST_START_LEASE_MILLIS;
+    return held ? Math.min(lease, term.startsUntilMillis) : lease;
+  }
+
   /**
    * Returns the end, on our clock, of the lease that a start brings: that of the last look, while
    * it lasts. Orders to a worker that is lost, sent before that is noticed, would otherwise put off
@@ -202,7 +214,9 @@
     // would never be sure to have ended, and its tasks would wait for it for ever.
     boolean renew = worker.clock.known() && !worker.silent;
     long until = term.grantEndMillis();
-    long leaseEnd = renew && until > term.now.mono() ? worker.clock.leaseEnd(until) : 0;
+    boolean lasts = renew && until > term.now.mono();
+    long leaseEnd = lasts ? worker.clock.leaseEnd(until) : 0;
+    worker.offeredLeaseMillis = lasts ? until : 0;
     // Only a life that still lists such ends is told which ones are stored. Where it has crashed
     // unseen, the next life would drop its own ends with these numbers.
     boolean lists = worker.listsEnds && worker.firstListedEnd <= worker.acknowledgedEnd;
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -52,6 +52,7 @@
     // From this answer on the worker refuses an earlier leader's orders.
     worker.heard = true;
     worker.silent = false;
+    worker.answered(event.sentMillis());
     worker.heardMillis = term.now.mono();
     worker.listsEnds = !event.report().ended().isEmpty();
     worker.firstListedEnd =
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -41,6 +41,9 @@
   /** When the last renewal of the leader's lease was sent; set with the first tick. */
   Moment renewal;
 
+  /** When nothing may begin any more by what is known, on our steady clock. */
+  long startsUntilMillis = Long.MAX_VALUE;
+
   /** Lives, not heard of yet, that may never list some ends: the leader before has stored them. */
   final Set<WorkerLife> inheritedHiding = new LinkedHashSet<>();
 
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -55,6 +55,12 @@
   /** When its last answer came. */
   long heardMillis;
 
+  /** End, on our clock, of the lease that the last look brings; 0 when it brings none. */
+  long offeredLeaseMillis;
+
+  /** Latest end, on our clock, of a lease that an answered look brought. */
+  private long heldLeaseMillis;
+
   /** Whether its last answer listed ends. */
   boolean listsEnds;
 
@@ -204,6 +210,20 @@
     return free().cpuMillis() - filling + (long) (IDLE_WHILE_SERVING * servingCpu);
   }
 
+  /**
+   * Takes in that it answered a look that was sent at a time, and took the lease that it brought.
+   */
+  void answered(long sentMillis) {
+    if (sentMillis >= lookedMillis) {
+      heldLeaseMillis = Math.max(heldLeaseMillis, offeredLeaseMillis);
+    }
+  }
+
+  /** Returns until when, on our clock, what runs here is known to hold a lease. */
+  long heldLeaseMillis() {
+    return heldLeaseMillis;
+  }
+
   /** Returns when all leases, our own and those of leaders before us, have certainly ended. */
   long lapsedMillis() {
     return Math.max(clock.allLapsedMillis(), inheritedLapseMillis) + LAPSE_MARGIN_MILLIS;
--- a/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
@@ -3,6 +3,7 @@
 import static org.cottontack.core.job.JobFixtures.job;
 import static org.cottontack.core.job.JobFixtures.lab;
 import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -53,4 +54,69 @@
       assertFalse(lab.maySend(start));
     }
   }
+
+  /** Orders that stay on their way. */
+  public static class Ending {
+
+    private static final long BOUND_MILLIS = 1_000;
+    private static final long LONG_LEASE_MILLIS = 5_000;
+
+    /** Returns a lab in which looks have given a worker a lease that lasts. */
+    private static JobLab withLease(LabWorker worker) {
+      JobLab lab = lab(worker);
+      lab.workMillis = 60_000;
+      lab.submit(job("before", step(1, 2, List.of())));
+      lab.run(2_000);
+      return lab;
+    }
+
+    private static JobEffect.StartRun lastStart(JobLab lab) {
+      return starts(lab).get(starts(lab).size() - 1);
+    }
+
+    /** Guards against a start that is carried out when its job may long be cancelled. */
+    @Test
+    public void beginsNothingAfterTheBound() {
+      JobLab lab = withLease(new LabWorker("w1", 8));
+      lab.delay = effect -> effect instanceof JobEffect.StartRun ? BOUND_MILLIS + 100 : 0;
+      lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
+      lab.submit(job(ID.value(), step(1, 2, List.of())));
+      lab.run(4_000);
+      assertEquals(lab.starts(), 1);
+      lab.delay = effect -> 0;
+      lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
+      lab.run(1_000);
+      assertEquals(lab.starts(), 2);
+    }
+
+    /** Guards against runs that end with a short bound since they hold no other lease. */
+    @Test
+    public void bringsLeasesToIdleWorkers() {
+      JobLab lab = lab(new LabWorker("w1", 8));
+      lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
+      lab.submit(job(ID.value(), step(1, 2, List.of())));
+      lab.run(100);
+      assertTrue(lastStart(lab).leaseEndMillis() > lab.now + LONG_LEASE_MILLIS);
+    }
+
+    /** Guards against trust in a lease that a look brings which no answer has confirmed. */
+    @Test
+    public void bringsLeasesWhereLooksAreUnanswered() {
+      LabWorker worker = new LabWorker("w1", 8);
+      JobLab lab = lab(worker);
+      lab.run(3_000);
+      final long asked = lab.now;
+      lab.delay = effect -> effect instanceof JobEffect.LookAtWorker ? 60_000 : 0;
+      for (int before = lab.seen.size(); lab.seen.size() == before; ) {
+        lab.run(10);
+      }
+      WorkerReport overtaken =
+          new WorkerReport(worker.info.life().bornMillis(), asked, List.of(), List.of());
+      lab.post(new JobEvent.WorkerReported(worker.info.life(), asked, overtaken));
+      lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
+      lab.submit(job(ID.value(), step(1, 2, List.of())));
+      lab.run(100);
+      assertTrue(lastStart(lab).leaseEndMillis() > lab.now + LONG_LEASE_MILLIS);
+    }
+  }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -36,6 +36,12 @@
    */
   private static final long CANCELS_AGE_MILLIS = 2_000;
 
+  /**
+   * How long after news of cancellations was asked for work may begin by it, in milliseconds: the 3
+   * s without what clocks and a worker's answer may differ by.
+   */
+  private static final long CANCELS_BUDGET_MILLIS = 2_900;
+
   /**
    * Longest wait for a cancellation, in milliseconds. News is as old as one wait when it comes, and
    * as two when the next comes; at a store that is 60 times slower, by 240 ms each more.
@@ -276,6 +282,7 @@
       return;
     }
     leadership.renewIfDue();
+    boundStarts();
     metrics.event(event);
     scheduler.take(timers.now(), event).forEach(this::run);
     if (!deciding) {
@@ -284,6 +291,12 @@
     }
   }
 
+  /** Tells until when work may begin by the news that there is. */
+  private void boundStarts() {
+    long until = timers.now().mono() + CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked());
+    scheduler.take(timers.now(), new JobEvent.StartsBounded(until));
+  }
+
   /** Decides about all events since the last time; the pause bounds its share of the processor. */
   private void decide() {
     deciding = false;
@@ -291,6 +304,7 @@
       return;
     }
     leadership.renewIfDue();
+    boundStarts();
     long began = System.nanoTime();
     scheduler.decide(timers.now()).forEach(this::run);
     long took = System.nanoTime() - began;
