--- a/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -123,6 +123,46 @@
     }
   }
 
+  /** Data centres that are to be emptied while the news of it comes late. */
+  public static class Evacuating {
+
+    /** How long after the request something may start there, in milliseconds. */
+    private static final long EVACUATE_MILLIS = 5_000;
+
+    private static void check(Trouble trouble) {
+      LateNewsTest.check(StartsLab.EVACUATION, EVACUATE_MILLIS, trouble);
+    }
+
+    /** Guards against starts that rely on an answer which lay on its way for a second. */
+    @Test
+    public void startsNothingLateAfterHeldAnswers() {
+      check((lab, random) -> held(lab, "op", random));
+    }
+
+    /** Guards against starts that rely on a table that was read long ago. */
+    @Test
+    public void startsNothingLateAfterSlowReadings() {
+      check((lab, random) -> readSlowly(lab, "op", random));
+    }
+
+    /** Guards against starts that rely on what was heard before the process stood still. */
+    @Test
+    public void startsNothingLateAfterPauses() {
+      check((lab, random) -> pause(lab, "op", random));
+    }
+
+    /** Guards against orders that are carried out long after they left. */
+    @Test
+    public void nothingBeginsLateByHeldOrders() {
+      check(
+          (lab, random) -> {
+            long begins = random.nextInt(1_000);
+            lab.holdOrdersAfter(begins, random.nextInt(8_000));
+            return begins;
+          });
+    }
+  }
+
   /** Orders that are late, though the news is not. */
   public static class Orders {
 
