Date the news of evacuations by when it was asked for

As with cancellations, news of evacuations counted from when its answer was processed, so that after a pause of the process work started in a data centre more than 5 s after the request to empty it. It is now dated by the question, and a start to a worker with a lease ends there 4,900 ms after it.

Every instance follows these rows, so the wait stays 1 s: shorter ones would cost each a call a second more. Instead, news may be 4 s old where 3 s by the answer were allowed, since its way is bounded as for cancellations.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -31,7 +31,8 @@
   /** Wait where an answer is wanted at once, in milliseconds; the store may not know one of 0. */
   private static final long NO_WAIT_MILLIS = 1;
 
-  private static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
+  /** Stands for a time long ago, where there was no answer yet. */
+  public static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
 
   private final TableStore store;
   private final Timers timers;
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -49,10 +49,14 @@
   private static final long CANCELS_WAIT_MILLIS = 500;
 
   /**
-   * Oldest news of evacuations with which work is started, in milliseconds: an order that leaves
-   * then arrives within the 5 s after which nothing more may begin in a data centre.
+   * Oldest news of evacuations with which work is started, in milliseconds, counted from when it
+   * was asked for: an order that leaves then arrives within the 5 s after which nothing more may
+   * begin in a data centre.
    */
-  private static final long EVACUATIONS_AGE_MILLIS = 3_000;
+  private static final long EVACUATIONS_AGE_MILLIS = 4_000;
+
+  /** The same as the budget of cancellations for the 5 s of evacuations, in milliseconds. */
+  private static final long EVACUATIONS_BUDGET_MILLIS = 4_900;
 
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
@@ -293,8 +297,12 @@
 
   /** Tells until when work may begin by the news that there is. */
   private void boundStarts() {
-    long until = timers.now().mono() + CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked());
-    scheduler.take(timers.now(), new JobEvent.StartsBounded(until));
+    long left =
+        Math.min(
+            CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked()),
+            EVACUATIONS_BUDGET_MILLIS - sinceMillis(rules.asked()));
+    Moment now = timers.now();
+    scheduler.take(now, new JobEvent.StartsBounded(now.mono() + left));
   }
 
   /** Decides about all events since the last time; the pause bounds its share of the processor. */
@@ -367,11 +375,10 @@
    * that a data centre is being emptied, and tasks would go on starting here.
    */
   private boolean mayStart(JobEffect.StartRun start) {
-    long now = timers.now().mono();
     return !stopped
         && leadership.mayStart()
         && sinceMillis(cancels.asked()) < CANCELS_AGE_MILLIS
-        && now - rules.contactMillis() < EVACUATIONS_AGE_MILLIS
+        && sinceMillis(rules.asked()) < EVACUATIONS_AGE_MILLIS
         && scheduler.maySend(start.target().life(), start.run());
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/RuleSource.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/RuleSource.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.function.Consumer;
+import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobTable;
 
@@ -19,4 +20,10 @@
 
   /** Returns when the source last answered, on our steady clock in milliseconds. */
   long contactMillis();
+
+  /**
+   * Returns when the question was sent that the source answered last: all that the operator wanted
+   * by then has been told.
+   */
+  Moment asked();
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.JobEffect;
@@ -135,6 +136,11 @@
       public long contactMillis() {
         return follower.contactMillis();
       }
+
+      @Override
+      public Moment asked() {
+        return follower.asked();
+      }
     };
   }
 
