A run whose end may not be listed is stopped until a stop is answered

Cause: on a life that may hide ends a run proves what is listed. It is stopped as soon as it is there, once; the next stop waited 400 ms and for a look that shows the run. Held up, the stop came after the end.

Change: a tick stops such a run again after 50 ms, until a stop is answered, seen or not, also one whose start has no answer yet: a stop that comes first bars the start. Such a run ends nothing, so it uses up a hidden number only where the worker said that it began. An answer in time stands when one of the other stops comes later.

Weighed: * kept: repeated stops. Not certain: all stops of 200 ms late at once, or a leader lost within that time, still leave a run that may be done. * a start whose lease ends before the run can be done needs no stop and would be certain, also across leaders. The late look that hides ends also gives a lease of up to 10 s, and a lease is never shortened: the worker would get nothing that is not lasting for 10.3 s.

Cost: no stop more where the first is answered within 50 ms (LateAcknowledgementTest.Cost, unchanged).

--- a/core/src/main/java/org/cottontack/core/job/HiddenEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/HiddenEnds.java
@@ -60,21 +60,22 @@
 
   /** Takes in that a stop was answered, so long after the run's start was sent. */
   void stopped(long sinceMillis) {
-    stoppedInTime = sinceMillis <= TOO_SHORT_MILLIS;
+    stoppedInTime |= sinceMillis <= TOO_SHORT_MILLIS;
   }
 
   /**
    * Takes in that a run is gone without a listed end.
    *
+   * @param began whether it is known to have begun, so that its end has a number
    * @return whether it may have been done
    */
-  boolean vanished(StepSpec spec) {
+  boolean vanished(StepSpec spec, boolean began) {
     if (!stops(spec)) {
       return false;
     }
     boolean undone = stoppedInTime;
     stoppedInTime = false;
-    hidden -= undone && hidden != ANY ? 1 : 0;
+    hidden -= undone && began && hidden != ANY ? 1 : 0;
     return !undone;
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -12,6 +12,9 @@
    */
   private static final long LEAST_START_LEASE_MILLIS = 5_500;
 
+  /** Time between stops of a run that is to be ended before it can be done, in milliseconds. */
+  private static final long PROOF_STOP_MILLIS = 50;
+
   private final Term term;
 
   Orders(Term term) {
@@ -87,14 +90,28 @@
   }
 
   void stop(Worker worker, RunKey run) {
+    stop(worker, run, term.timing.stopAgainMillis());
+  }
+
+  private void stop(Worker worker, RunKey run, long againMillis) {
     Long last = worker.stopsSent.get(run);
-    if (worker.info.reachable()
-        && (last == null || term.now.mono() - last >= term.timing.stopAgainMillis())) {
+    if (worker.info.reachable() && (last == null || term.now.mono() - last >= againMillis)) {
       worker.stopsSent.put(run, term.now.mono());
       term.out.add(new JobEffect.StopRun(worker.target(), run));
     }
   }
 
+  /**
+   * Stops a run whose end may not be listed until a stop is answered. Its start may have no answer
+   * yet: where the stop comes first, the worker refuses the start.
+   */
+  void stopUnproven(Worker worker, Task task) {
+    boolean due = term.now.mono() - task.sentMillis() >= PROOF_STOP_MILLIS;
+    if (due && task.mayHaveBegun() && !task.stopped && worker.hiddenEnds.stops(task.spec)) {
+      stop(worker, task.key(), PROOF_STOP_MILLIS);
+    }
+  }
+
   /**
    * Takes in the answer to a start.
    *
@@ -115,7 +132,8 @@
     if (event.result() == StartResult.STARTED) {
       noteCancelled(worker, task, "started");
     }
-    if (event.result() == StartResult.STARTED && worker.hiddenEnds.stops(task.spec)) {
+    task.began |= event.result() == StartResult.STARTED;
+    if (task.began && worker.hiddenEnds.stops(task.spec)) {
       stop(worker, task.key());
     }
     switch (event.result()) {
@@ -179,6 +197,7 @@
     }
     if (task != null && task.runsAs(event.worker(), event.run().run())) {
       task.barred();
+      task.stopped = true;
       worker.hiddenEnds.stopped(term.now.mono() - task.sentMillis());
     }
     // A stop that is answered again says nothing new. Counted as news each time, it would put off
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -155,6 +155,7 @@
     }
     orders.confirm(task);
     orders.noteCancelled(worker, task, "listed");
+    task.began = true;
     task.found();
     task.listedMillis = term.now.mono();
     if (task.crashes > 0 && CrashBlame.cleared(task)) {
@@ -263,7 +264,7 @@
         .toList()
         .forEach(
             task -> {
-              boolean maybeDone = worker.hiddenEnds.vanished(task.spec);
+              boolean maybeDone = worker.hiddenEnds.vanished(task.spec, task.began);
               String detail = worker.info.id() + " " + worker.answers();
               term.note("run.missing", task.key(), detail + (maybeDone ? " maybeDone" : ""));
               term.release(task);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -97,6 +97,13 @@
 
   private boolean sentByUs;
   private long sentMillis;
+
+  /** Whether its worker has said that the present run began. */
+  boolean began;
+
+  /** Whether a stop of the present run was answered. */
+  boolean stopped;
+
   private Optional<LateStart> lateStart = Optional.empty();
   int progress;
   long progressMillis;
@@ -230,6 +237,8 @@
     uncertain = false;
     cancelNoted = false;
     sentByUs = false;
+    began = false;
+    stopped = false;
     placedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
@@ -251,6 +260,8 @@
     worker = next;
     order = Order.CONFIRMED;
     confirmedMillis = sinceMillis - 1;
+    began = false;
+    stopped = false;
     listedMillis = 0;
     cancelNoted = false;
   }
--- a/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
@@ -72,7 +72,7 @@
       for (int i = 0; i < 2; i++) {
         assertFalse(ends.none());
         ends.stopped(20);
-        assertFalse(ends.vanished(TASK));
+        assertFalse(ends.vanished(TASK, true));
       }
       assertTrue(ends.none());
     }
@@ -82,7 +82,7 @@
     public void countsNoRunThatWasStoppedLate() {
       HiddenEnds ends = upTo(1);
       ends.stopped(900);
-      assertTrue(ends.vanished(TASK));
+      assertTrue(ends.vanished(TASK, true));
       assertFalse(ends.none());
     }
 
@@ -91,8 +91,8 @@
     public void countsEachStopOnce() {
       HiddenEnds ends = upTo(2);
       ends.stopped(20);
-      assertFalse(ends.vanished(TASK));
-      assertTrue(ends.vanished(TASK));
+      assertFalse(ends.vanished(TASK, true));
+      assertTrue(ends.vanished(TASK, true));
     }
 
     /** Guards against a highest number that a lower one replaces. */
@@ -101,7 +101,7 @@
       HiddenEnds ends = upTo(2);
       ends.upTo(1);
       ends.stopped(20);
-      assertFalse(ends.vanished(TASK));
+      assertFalse(ends.vanished(TASK, true));
       assertFalse(ends.none());
     }
   }
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -9,6 +9,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
@@ -94,6 +96,51 @@
     }
   }
 
+  /** The run that shows whether ends are listed. */
+  public static class Proof {
+
+    /** For how long no look at the worker is answered, in milliseconds. */
+    private static final long UNSEEN_MILLIS = 1_000;
+
+    /** Delays after which a stop or a start is carried out, in milliseconds. */
+    @DataProvider
+    public Object[][] lateBy() {
+      return LongStream.iterate(50, d -> d <= LateStart.LATEST_MILLIS, d -> 2 * d)
+          .mapToObj(delay -> new Object[] {delay})
+          .toArray(Object[][]::new);
+    }
+
+    private static void assertDoneOnce(Predicate<JobEffect> late, long delay) {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = reachNextLife(lab, 3_000);
+      AtomicLong sent = new AtomicLong();
+      lab.delay =
+          effect -> {
+            if (late.test(effect) && sent.compareAndSet(0, lab.now)) {
+              return delay;
+            }
+            boolean unseen = sent.get() > 0 && lab.now - sent.get() < UNSEEN_MILLIS;
+            return unseen && effect instanceof JobEffect.LookAtWorker ? 2 * UNSEEN_MILLIS : 0;
+          };
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(40_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+
+    /** Guards against a run that is done since its stop is late, and whose task runs again. */
+    @Test(dataProvider = "lateBy")
+    public void runsNothingAgainWhoseStopIsLate(long delay) {
+      assertDoneOnce(JobEffect.StopRun.class::isInstance, delay);
+    }
+
+    /** Guards against a run that begins late and is done before it is seen. */
+    @Test(dataProvider = "lateBy")
+    public void runsNothingAgainWhoseStartIsLate(long delay) {
+      assertDoneOnce(JobEffect.StartRun.class::isInstance, delay);
+    }
+  }
+
   /** What the next leader knows. */
   public static class Takeover {
 
