The next leader knows which lives were told of ends

Cause: that an acknowledgement may still be on its way to a worker was known to the leader that sent it, and to the next one by the runs stored on an earlier life. A worker lost together with its leader and with nothing placed there left no trace.

Change: a life is stored, beside what was learned, before the first acknowledgement to it leaves, once for each life. For a next leader every other life under that identifier born up to 12 s after its term began may hide ends; later nothing that was sent before can arrive. Lives and marks are saved at once, with or without progress, and a marked life that is dropped before its entry is listed stays known.

Weighed: * kept: lives stored. One line of about 30 bytes a worker, by paper 14 of the 32 KB for 470 workers; pairs go first where it grows too long. * by time alone: every life born shortly before a takeover is marked. Nothing to store, but after a loss of all power all workers would be, also where none returns under its identifier. * marked unless stored as clean: the same bytes, and idle workers that no leader ever asked are marked too. * the numbers in doubt stored with each acknowledgement: a narrower mark, for a write of what was learned with each batch of ends. * rarer acknowledgements: fewer in doubt, none that cannot arrive; a worker that lists ends answers at once, so its looks turn into a loop.

--- a/core/src/main/java/org/cottontack/core/job/Acknowledgements.java
+++ b/core/src/main/java/org/cottontack/core/job/Acknowledgements.java
@@ -1,5 +1,7 @@
 package org.cottontack.core.job;
 
+import java.util.Optional;
+
 /**
  * Which ends of a worker are stored and named to it, over all its lives. One of these messages that
  * got no answer may reach a later life.
@@ -10,11 +12,47 @@
   private long askedMillis;
   private long late;
   private long lateUntilMillis;
+  private Optional<WorkerLife> told = Optional.empty();
+  private long toldUntilMillis;
+  private long inheritedUntilMillis;
+
+  /**
+   * Takes in that a life may be named ends from now on.
+   *
+   * @return whether the next leader has to know of it before
+   */
+  boolean tell(WorkerLife life, long nowMillis) {
+    boolean known = told.filter(life::equals).isPresent();
+    if (life.mayReturn()) {
+      told = Optional.of(life);
+      toldUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
+    }
+    return life.mayReturn() && !known;
+  }
+
+  /** Takes in that an earlier leader may have named ends to a life, and when this one began. */
+  void inherit(WorkerLife life, long startMillis) {
+    tell(life, startMillis);
+    inheritedUntilMillis = toldUntilMillis;
+  }
+
+  /** Returns the life that the next leader has to know: others may get what was meant for it. */
+  Optional<WorkerLife> told() {
+    return told;
+  }
+
+  /** Returns whether a look that names ends may still be on its way. */
+  boolean onTheirWay(long nowMillis) {
+    return toldUntilMillis > nowMillis;
+  }
 
   /** Takes in that a look leaves which names ends up to a number; 0 for none. */
   void sent(long number, long nowMillis) {
     asked = number;
     askedMillis = nowMillis;
+    if (number > 0) {
+      toldUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
+    }
   }
 
   /** Takes in that the life which the last look was for has answered it. */
@@ -32,11 +70,17 @@
   }
 
   /**
-   * Returns the highest number that a late look may have named to a life before it answered.
+   * Takes in that a life has answered for the first time: what it may hide is known from now on.
    *
    * @param bornMillis when that life began at the earliest, on our steady clock
+   * @return the highest number that a late look may have named to it before
    */
-  long mayHaveReached(long bornMillis) {
+  long mayHaveReached(WorkerLife life, long bornMillis) {
+    boolean inherited = told.filter(other -> !other.equals(life)).isPresent();
+    told = told.map(other -> life);
+    if (inherited && inheritedUntilMillis > bornMillis) {
+      return HiddenEnds.ANY;
+    }
     return lateUntilMillis > bornMillis ? late : 0;
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -155,7 +155,7 @@
       losses.lapsed(worker);
     }
     if (!worker.registered && worker.placed.isEmpty() && worker.strays.isEmpty()) {
-      term.workers.remove(worker.info.id());
+      term.forget(worker);
       return;
     }
     // A stop of a run that nobody wants goes out again only after a look that shows the run. Were
--- a/core/src/main/java/org/cottontack/core/job/LearnedText.java
+++ b/core/src/main/java/org/cottontack/core/job/LearnedText.java
@@ -14,8 +14,9 @@
 
 /**
  * The stored form of what a leader has learned: one line for each queue, each pair of images and
- * each worker that may hide ends. A new leader that starts without it tries harmful pairs all over
- * again. Names are escaped, since callers choose those of images.
+ * each life of a worker that may hide ends or was told which are stored. A new leader that starts
+ * without it tries harmful pairs all over again. Names are escaped, since callers choose those of
+ * images.
  */
 final class LearnedText {
 
@@ -32,7 +33,10 @@
   /** A life that may never list some of its ends. */
   private static final String HIDES = "hides";
 
-  private static final int HIDES_FIELDS = 3;
+  /** A life to which ends were acknowledged. */
+  private static final String TOLD = "told";
+
+  private static final int LIFE_FIELDS = 3;
 
   private final Interference interference;
   private final Estimates estimates;
@@ -45,11 +49,15 @@
   /**
    * Returns the text; pairs that were not heard of for longest are left out where it grows large.
    */
-  String write(Set<WorkerLife> hiding) {
+  String write(Set<WorkerLife> hiding, Set<WorkerLife> told) {
     List<String> pairs = interference.pairs().map(LearnedText::line).toList();
     Stream<String> learned =
         Stream.concat(estimates.queues().map(LearnedText::line), reversed(pairs).stream());
-    Stream<String> lines = Stream.concat(hiding.stream().map(LearnedText::line), learned);
+    Stream<String> lives =
+        Stream.concat(
+            hiding.stream().map(life -> lifeLine(HIDES, life)),
+            told.stream().map(life -> lifeLine(TOLD, life)));
+    Stream<String> lines = Stream.concat(lives, learned);
     int[] bytes = {0};
     return lines
         .takeWhile(line -> (bytes[0] += line.length() + 1) <= MOST_BYTES)
@@ -62,8 +70,12 @@
     return reversed;
   }
 
-  private static String line(WorkerLife hides) {
-    return String.join(" ", HIDES, escape(hides.worker().value()), "" + hides.bornMillis());
+  private static String lifeLine(String what, WorkerLife life) {
+    return String.join(" ", what, escape(life.worker().value()), "" + life.bornMillis());
+  }
+
+  private static WorkerLife life(String[] fields) {
+    return new WorkerLife(new WorkerId(unescape(fields[1])), Long.parseLong(fields[2]));
   }
 
   private static String line(Interference.Pair pair) {
@@ -97,19 +109,22 @@
    * let all jobs stand still.
    *
    * @param hiding takes the lives that may never list some ends
+   * @param told takes those to which ends were acknowledged
    * @return how many lines were skipped
    */
-  long restore(String text, Set<WorkerLife> hiding) {
+  long restore(String text, Set<WorkerLife> hiding, Set<WorkerLife> told) {
     List<String> lines = text.lines().toList();
-    return lines.size() - lines.stream().filter(line -> read(line, hiding)).count();
+    return lines.size() - lines.stream().filter(line -> read(line, hiding, told)).count();
   }
 
-  private boolean read(String line, Set<WorkerLife> hiding) {
+  private boolean read(String line, Set<WorkerLife> hiding, Set<WorkerLife> told) {
     String[] fields = line.split(" ", -1);
     try {
-      if (fields[0].equals(HIDES) && fields.length == HIDES_FIELDS) {
-        return hiding.add(
-            new WorkerLife(new WorkerId(unescape(fields[1])), Long.parseLong(fields[2])));
+      if (fields[0].equals(HIDES) && fields.length == LIFE_FIELDS) {
+        return hiding.add(life(fields));
+      }
+      if (fields[0].equals(TOLD) && fields.length == LIFE_FIELDS) {
+        return told.add(life(fields));
       }
       if (fields[0].equals(PAIR) && fields.length == PAIR_FIELDS) {
         interference.restore(
--- a/core/src/main/java/org/cottontack/core/job/Lives.java
+++ b/core/src/main/java/org/cottontack/core/job/Lives.java
@@ -2,6 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.cottontack.core.id.WorkerId;
 
 /** What a leader keeps of each worker identifier over all lives that have it. */
@@ -21,6 +24,18 @@
     return acknowledgements.computeIfAbsent(id, key -> new Acknowledgements());
   }
 
+  /**
+   * Returns the lives of workers whose next ones may get acknowledgements that were meant for them.
+   *
+   * @param known whether a worker is there
+   */
+  Set<WorkerLife> told(Predicate<WorkerId> known, long nowMillis) {
+    return acknowledgements.entrySet().stream()
+        .filter(entry -> known.test(entry.getKey()) || entry.getValue().onTheirWay(nowMillis))
+        .flatMap(entry -> entry.getValue().told().stream())
+        .collect(Collectors.toSet());
+  }
+
   private static Last next(Last before, Last now) {
     return before.life().equals(now.life()) ? before : new Last(now.life(), before.restarts() + 1);
   }
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -80,11 +80,12 @@
   /** Takes in which ends a life that answers for the first time may never list. */
   private void hideEnds(Worker worker, JobEvent.WorkerReported event) {
     long born = WorkerClock.earliestBirth(event.report().clockMillis(), event.sentMillis());
-    worker.hiddenEnds.upTo(worker.acknowledgements.mayHaveReached(born));
+    worker.hiddenEnds.upTo(worker.acknowledgements.mayHaveReached(worker.life(), born));
     if (term.inheritedHiding.contains(worker.life())) {
       worker.hiddenEnds.upTo(HiddenEnds.ANY);
     }
     if (!worker.hiddenEnds.none()) {
+      term.livesUnsaved = true;
       term.note("worker.hidesEnds", worker.life(), "");
     }
     term.inheritedHiding.removeIf(life -> life.worker().equals(worker.info.id()));
--- a/core/src/main/java/org/cottontack/core/job/Saver.java
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     if (saving) {
       return;
     }
+    final long now = term.now.mono();
     Map<JobId, String> rows = new HashMap<>();
     List<Job> batch = term.dirty.stream().limit(term.timing.jobsPerSave()).toList();
     batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
@@ -42,12 +44,12 @@
         .map(Task::key)
         .forEach(savingStarts::add);
     if (term.dirty.isEmpty()) {
-      long now = term.now.mono();
       term.workers.values().stream()
           .filter(worker -> worker.acknowledgeableEnd(now) > worker.acknowledgedEnd)
           .forEach(worker -> savingEnds.put(worker.life(), worker.acknowledgeableEnd(now)));
     }
-    if (!rows.isEmpty()) {
+    savingEnds.keySet().forEach(term::tell);
+    if (!rows.isEmpty() || term.livesUnsaved) {
       saving = true;
       term.out.add(new JobEffect.SaveProgress(rows, learnedIfDue()));
     } else if (!savingEnds.isEmpty()) {
@@ -56,7 +58,9 @@
   }
 
   void restoreLearned(String text) {
-    long skipped = learned.restore(text, term.inheritedHiding);
+    Set<WorkerLife> told = new HashSet<>();
+    long skipped = learned.restore(text, term.inheritedHiding, told);
+    told.forEach(term::inheritTold);
     if (skipped > 0) {
       term.note("learned.skipped", "lines", Long.toString(skipped));
     }
@@ -65,12 +69,13 @@
   private String learnedIfDue() {
     Set<WorkerLife> hiding = term.hiding();
     boolean due = term.now.mono() - learnedMillis >= term.timing.learnedMillis();
-    if (!due && hiding.equals(savedHiding)) {
+    if (!due && hiding.equals(savedHiding) && !term.livesUnsaved) {
       return "";
     }
     learnedMillis = term.now.mono();
     savedHiding = hiding;
-    return learned.write(hiding);
+    term.livesUnsaved = false;
+    return learned.write(hiding, term.told());
   }
 
   void saved() {
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -44,9 +44,15 @@
   /** When nothing may begin any more by what is known, on our steady clock. */
   long startsUntilMillis = Long.MAX_VALUE;
 
-  /** Lives, not heard of yet, that may never list some ends: the leader before has stored them. */
+  /**
+   * Lives that may never list some ends and are not among the workers: those not heard of yet,
+   * which the leader before has stored, and those that are no longer listed.
+   */
   final Set<WorkerLife> inheritedHiding = new LinkedHashSet<>();
 
+  /** Whether the next leader would not know which lives hide ends, or may come to do so. */
+  boolean livesUnsaved;
+
   boolean roomChanged;
   Moment now;
   List<JobEffect> out = new ArrayList<>();
@@ -93,6 +99,29 @@
     return worker;
   }
 
+  /** Takes in that a life may be named ends as soon as this is stored. */
+  void tell(WorkerLife life) {
+    livesUnsaved |= lives.acknowledgements(life.worker()).tell(life, now.mono());
+  }
+
+  /** Takes in that an earlier leader may have named ends to a life. */
+  void inheritTold(WorkerLife life) {
+    lives.acknowledgements(life.worker()).inherit(life, startMillis);
+  }
+
+  /** Returns the lives whose next ones may get acknowledgements that were meant for them. */
+  Set<WorkerLife> told() {
+    return lives.told(workers::containsKey, now.mono());
+  }
+
+  /** Drops a worker that is not listed; one that may hide ends can be listed again. */
+  void forget(Worker worker) {
+    workers.remove(worker.info.id());
+    if (!worker.hiddenEnds.none()) {
+      inheritedHiding.add(worker.life());
+    }
+  }
+
   /** Returns the lives that may never list some ends. */
   Set<WorkerLife> hiding() {
     Stream<WorkerLife> known =
--- a/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
+++ b/core/src/test/java/org/cottontack/core/job/InterferenceTest.java
@@ -128,7 +128,8 @@
       }
       Interference next = new LearnedInterference();
       LearnedText old = new LearnedText(interference, new Estimates());
-      new LearnedText(next, new Estimates()).restore(old.write(Set.of()), new HashSet<>());
+      new LearnedText(next, new Estimates())
+          .restore(old.write(Set.of(), Set.of()), new HashSet<>(), new HashSet<>());
       Task serving = worker.serving().findFirst().orElseThrow();
       assertEquals(
           next.effect(worker, serving, harmful),
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -162,6 +162,54 @@
       lab.run(30_000);
       assertComplete(lab, after);
     }
+
+    /** Guards against lives that are told late where the leader is lost with one that is idle. */
+    @Test(dataProvider = "lateBy", dataProviderClass = NextLife.class)
+    public void knowsLifeThatHeldNothing(long delay) {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = submit(lab, "before", 2);
+      lab.delay = effect -> acknowledges(effect) ? delay : 0;
+      while (lab.seen.stream().noneMatch(LateAcknowledgementTest::acknowledges)) {
+        lab.run(10);
+      }
+      lab.delay = effect -> 0;
+      lab.run(delay - BACK_BEFORE_MILLIS - RESTART_MILLIS);
+      lab.crash(lab.workers.get(FIRST));
+      lab.leaderDies();
+      lab.run(2_500);
+      lab.takeOver();
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+
+    /** Guards against a life that is forgotten between its first answer and its entry. */
+    @Test
+    public void remembersLifeThatIsNotListedYet() {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = submit(lab, "before", 2);
+      lab.delay = effect -> acknowledges(effect) ? 6_000 : 0;
+      while (lab.seen.stream().noneMatch(LateAcknowledgementTest::acknowledges)) {
+        lab.run(10);
+      }
+      lab.delay = effect -> 0;
+      lab.leaderDies();
+      lab.run(2_500);
+      lab.takeOver();
+      lab.run(3_400 - BACK_BEFORE_MILLIS - RESTART_MILLIS);
+      lab.workMillis = 10_000;
+      final List<JobSpec> interrupted = submit(lab, "interrupted", 1);
+      lab.run(100);
+      lab.workMillis = 500;
+      lab.crash(lab.workers.get(FIRST));
+      lab.run(RESTART_MILLIS + 1_500);
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, before);
+      assertComplete(lab, interrupted);
+      assertComplete(lab, after);
+    }
   }
 
   /** What it costs. */
--- a/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
+import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -58,7 +59,10 @@
       Interference next = new LearnedInterference();
       Estimates nextEstimates = new Estimates();
       new LearnedText(next, nextEstimates)
-          .restore(new LearnedText(interference, estimates).write(Set.of()), new HashSet<>());
+          .restore(
+              new LearnedText(interference, estimates).write(Set.of(), Set.of()),
+              new HashSet<>(),
+              new HashSet<>());
       assertEquals(effect(next, image, image), effect(interference, image, image), 0.01);
       assertEquals(
           nextEstimates.millis(QUEUE, TestStep.tasks(1).of()),
@@ -87,11 +91,28 @@
     public void skipsWhatItCannotRead(String text) {
       Interference interference = new LearnedInterference();
       new LearnedText(interference, new Estimates())
-          .restore(text + "\nheadroom web batch 5.00 0.05", new HashSet<>());
+          .restore(text + "\nheadroom web batch 5.00 0.05", new HashSet<>(), new HashSet<>());
       assertTrue(effect(interference, "web", "batch") > 0.5);
     }
   }
 
+  /** Lives of workers. */
+  public static class OfLives {
+
+    /** Guards against a leader that takes lives which were told of ends for ones that hide them. */
+    @Test
+    public void keepsBothKindsApart() {
+      Set<WorkerLife> hiding = Set.of(new WorkerLife(new WorkerId("a b"), 5));
+      Set<WorkerLife> told = Set.of(new WorkerLife(new WorkerId("c"), 6));
+      LearnedText text = new LearnedText(new LearnedInterference(), new Estimates());
+      Set<WorkerLife> nextHiding = new HashSet<>();
+      Set<WorkerLife> nextTold = new HashSet<>();
+      text.restore(text.write(hiding, told), nextHiding, nextTold);
+      assertEquals(nextHiding, hiding);
+      assertEquals(nextTold, told);
+    }
+  }
+
   /** Callers with ever new images. */
   public static class Bounds {
 
@@ -108,7 +129,7 @@
             crowd(TestWorker.serving("s", image.substring(i % 3)), TestWorker.filling("f", image)),
             500L * i);
       }
-      String text = new LearnedText(interference, new Estimates()).write(Set.of());
+      String text = new LearnedText(interference, new Estimates()).write(Set.of(), Set.of());
       assertTrue(
           text.getBytes(StandardCharsets.UTF_8).length <= LearnedText.MOST_BYTES,
           "bytes: " + text.length());
@@ -128,7 +149,10 @@
       }
       Interference next = new LearnedInterference();
       new LearnedText(next, new Estimates())
-          .restore(new LearnedText(interference, new Estimates()).write(Set.of()), new HashSet<>());
+          .restore(
+              new LearnedText(interference, new Estimates()).write(Set.of(), Set.of()),
+              new HashSet<>(),
+              new HashSet<>());
       assertEquals(effect(next, "web", "batch"), effect(interference, "web", "batch"), 0.01);
       assertTrue(effect(next, "web", "batch") > 1, "harm is known");
     }
