Red tests of two late starts that were known by reading

runsNothingDoneWhereCopyComesAfterTakeover: a start is 10 s late, its repetition is done and the end held; the leader changes, the next one acknowledges at once, and the worker's next life runs the copy at 12,220. To hold them the next leader has to know which ends are held: a task that is done would have to name the life in its line as a waiting one does, and jobs that are complete be read back for it.

runsNoLastingTaskTwiceWhereItsStartOutlastsLeases: a lasting task's start is 11 s late and its worker is back just before; at 13,220 it runs there and on the worker that took it over after the leases, 8.5 s.

--- a/core/src/test/java/org/cottontack/core/job/LateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateStartTest.java
@@ -94,6 +94,19 @@
       assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
     }
 
+    /** Guards against a lasting task beside a start that comes after the end of its leases. */
+    @Test
+    public void runsNoLastingTaskTwiceWhereItsStartOutlastsLeases() {
+      JobLab lab = fleet();
+      lab.workMillis = 600_000;
+      final long arrives = lab.now + 11_000;
+      submitLate(lab, 11_000, step(3, 2, List.of(), StepSpec.Trait.LASTS));
+      lab.restartMillis = arrives - BACK_BEFORE_MILLIS - lab.now;
+      crash(lab);
+      lab.run(30_000);
+      assertEquals(lab.workers.values().stream().mapToLong(LabWorker::count).sum(), 3);
+    }
+
     /** Guards against tasks that wait although another worker is at their worker's address. */
     @Test
     public void waitsNoLongerWhereItsWorkerIsReplaced() {
@@ -135,6 +148,22 @@
       assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
     }
 
+    /** Guards against a next leader that acknowledges at once what the one before held. */
+    @Test
+    public void runsNothingDoneWhereCopyComesAfterTakeover() {
+      JobLab lab = fleet();
+      final long arrives = lab.now + 10_000;
+      final JobSpec job = submitLate(lab, 10_000, step(3, 2, List.of()));
+      lab.run(1_700);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+      lab.leaderDies();
+      lab.run(2_500);
+      lab.takeOver();
+      backJustBefore(lab, arrives);
+      lab.run(30_000);
+      assertEquals(lab.phase(job.id()), JobPhase.COMPLETE);
+    }
+
     /** Guards against ends that are never acknowledged. */
     @Test
     public void acknowledgesEndsOnceNoCopyMayArrive() {
