A test of held ends that are named when nothing else is to be saved

A life is stored before the first acknowledgement to it leaves, also where no progress is to be saved by then: its ends were held. Without it the next leader does not know that life; no test noticed that.

--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -184,6 +184,29 @@
       assertComplete(lab, after);
     }
 
+    /** Guards against the same where nothing is left to save when ends are named at last. */
+    @Test
+    public void knowsLifeWhoseEndsWereHeld() {
+      JobLab lab = fleet(1);
+      lab.delay = effect -> effect instanceof JobEffect.StartRun ? 30_000 : 0;
+      final List<JobSpec> before = submit(lab, "before", 1);
+      lab.run(100);
+      lab.delay = effect -> acknowledges(effect) ? 3_000 : 0;
+      while (lab.seen.stream().noneMatch(LateAcknowledgementTest::acknowledges)) {
+        lab.run(10);
+      }
+      lab.delay = effect -> 0;
+      lab.run(3_000 - BACK_BEFORE_MILLIS - RESTART_MILLIS);
+      lab.crash(lab.workers.get(FIRST));
+      lab.leaderDies();
+      lab.run(2_500);
+      lab.takeOver();
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(30_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+
     /** Guards against a life that is forgotten between its first answer and its entry. */
     @Test
     public void remembersLifeThatIsNotListedYet() {
