Connections without use are closed, and one in use is kept for the next call

What callers could see: a stop that no worker takes. A worker takes a limited number of connections, 64 of ours, from all instances together, and the client kept up to 64 idle ones to each address for ever, so that instances that had led before held theirs. Besides, a connection was put back only after its result had been told, so that whoever made the next call at once opened a second one.

Evidence, over real sockets: four former leaders with 16 orders at once each fill a worker's 64 connections, and the present leader's order, made again each time it is lost after 900 ms, got no answer in 10 s; calls one after the other opened 3 connections. So shown as a mechanism; that it drew the incident is not shown.

Now a connection closes after 10 s without a call, and is kept before its result is told. The last connection kept is the first used, so one in regular use stays: looks come every 5 s at least. The idle event and the next call run on the connection's own event loop, and a call that finds it closed opens another one: nothing is sent on a connection that is closing.

Ways weighed. A leader that ends its term closes what it holds: a frozen or cut off one does not know that its term is over. A small bound for each address: a burst beyond it opens connections anew each time, and each is paid for.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -44,11 +46,24 @@
   private static final int CONNECT_MILLIS = 1_000;
   private static final int MAX_IDLE = 64;
 
+  /**
+   * Time without use after which a connection is closed, in milliseconds: two of the longest pauses
+   * between calls to one worker. Workers take a limited number of connections from all of us.
+   */
+  private static final long IDLE_MILLIS = 10_000;
+
   private final Bootstrap bootstrap;
   private final Map<Address, Deque<Channel>> idle = new ConcurrentHashMap<>();
+  private final long idleMillis;
 
   /** Creates a client on event loops. */
   public HttpClient(EventLoopGroup group) {
+    this(group, IDLE_MILLIS);
+  }
+
+  /** Creates a client that closes connections after some time without use. */
+  HttpClient(EventLoopGroup group, long idleMillis) {
+    this.idleMillis = idleMillis;
     this.bootstrap =
         new Bootstrap()
             .group(group)
@@ -168,6 +183,15 @@
     channel.close();
   }
 
+  private void forget(Address address, Channel channel) {
+    Deque<Channel> channels = idle.get(address);
+    if (channels != null) {
+      synchronized (channels) {
+        channels.remove(channel);
+      }
+    }
+  }
+
   /**
    * Closes the idle connections to an address. One that went silent is rarely alone: without this
    * each of the next calls would wait out its own time on another dead connection.
@@ -217,7 +241,10 @@
   private final class Pipeline extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
-      channel.pipeline().addLast(new HttpClientCodec());
+      channel
+          .pipeline()
+          .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+          .addLast(new HttpClientCodec());
       channel.pipeline().addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES));
       channel.pipeline().addLast(new Exchange());
     }
@@ -247,13 +274,17 @@
     }
 
     void end(HttpResult result) {
-      if (waiting == null) {
-        return;
+      if (waiting != null) {
+        taken().accept(result);
       }
+    }
+
+    /** Ends the exchange and returns who waits for its result. */
+    private Consumer<HttpResult> taken() {
       Consumer<HttpResult> done = waiting;
       waiting = null;
       timeout.cancel(false);
-      done.accept(result);
+      return done;
     }
 
     @Override
@@ -268,14 +299,14 @@
               response.status().code(),
               lowerCase(response),
               Payload.of(ByteBufUtil.getBytes(response.content())));
-      boolean keep = HttpUtil.isKeepAlive(response);
-      Address to = address;
-      end(result);
-      if (keep) {
-        keepIdle(to, context.channel());
+      Consumer<HttpResult> done = taken();
+      // Before the result is told: whoever gets it often makes the next call at once.
+      if (HttpUtil.isKeepAlive(response)) {
+        keepIdle(address, context.channel());
       } else {
         context.close();
       }
+      done.accept(result);
     }
 
     private Map<String, String> lowerCase(FullHttpResponse response) {
@@ -289,9 +320,19 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      if (address != null) {
+        forget(address, context.channel());
+      }
       end(HttpResult.lost());
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof IdleStateEvent && waiting == null) {
+        context.close();
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       context.close();
