An order that must not leave now keeps its connection

What operators saw: many new connections to workers, each of which is paid for, while a leader's news was old. A start is asked right before its first byte whether it may leave; when it might not, the client closed the connection that it had taken for it, and the next try opened another one.

Evidence: five orders that must not leave and one that may opened 6 connections; the test failed before and passes now.

Now the connection is kept, as nothing was written on it. One that was opened just for that order is kept as well: its next try comes soon, and without use it closes by itself.

Ways weighed. Asking before a connection is taken saves nothing where one has to be opened first, and the answer may be old by the time of the first byte, which is why it is asked there; the leader could try less often, which would delay starts.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -206,13 +206,18 @@
   }
 
   private void send(Channel channel, Spec spec, Consumer<HttpResult> done) {
-    // Between the decision and this point the process may have been paused for long.
-    if (!channel.isActive() || !spec.allowed().getAsBoolean()) {
-      channel.close();
+    if (!channel.isActive()) {
       done.accept(HttpResult.notSent());
       return;
     }
     Exchange exchange = channel.pipeline().get(Exchange.class);
+    exchange.address = spec.address();
+    // Between the decision and this point the process may have been paused for long.
+    if (!spec.allowed().getAsBoolean()) {
+      keepIdle(spec.address(), channel);
+      done.accept(HttpResult.notSent());
+      return;
+    }
     exchange.begin(channel, spec, done);
     channel
         .writeAndFlush(request(spec))
@@ -259,7 +264,6 @@
 
     void begin(Channel channel, Spec spec, Consumer<HttpResult> done) {
       waiting = done;
-      address = spec.address();
       timeout =
           channel
               .eventLoop()
--- a/adapters/src/test/java/org/cottontack/adapters/http/HttpClientTest.java
+++ b/adapters/src/test/java/org/cottontack/adapters/http/HttpClientTest.java
@@ -88,6 +88,19 @@
       assertEquals(worker.opened(), 1);
     }
 
+    /** Guards against connections that are opened anew for each order that must not leave now. */
+    @Test
+    public void orderThatMustNotLeaveKeepsItsConnection() throws Exception {
+      HttpClient client = new HttpClient(group, IDLE_MILLIS);
+      HttpClient.Spec order = HttpClient.Spec.get(worker.address(), "/", ORDER_MILLIS);
+      for (int i = 0; i < 5; i++) {
+        HttpResult barred = call(client, order.onlyIf(() -> false)).get();
+        assertEquals(barred.outcome(), HttpResult.Outcome.NOT_SENT);
+      }
+      assertTrue(call(client, order).get().is(200));
+      assertEquals(worker.opened(), 1);
+    }
+
     /** Makes calls that are all under way at one moment. */
     private void atOnce(HttpClient client, int calls) throws Exception {
       worker.together = new CountDownLatch(calls);
@@ -112,8 +125,12 @@
     }
 
     private CompletableFuture<HttpResult> call(HttpClient client, long timeoutMillis) {
+      return call(client, HttpClient.Spec.get(worker.address(), "/", timeoutMillis));
+    }
+
+    private CompletableFuture<HttpResult> call(HttpClient client, HttpClient.Spec spec) {
       CompletableFuture<HttpResult> result = new CompletableFuture<>();
-      client.call(HttpClient.Spec.get(worker.address(), "/", timeoutMillis), result::complete);
+      client.call(spec, result::complete);
       return result;
     }
   }
