--- a/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
@@ -95,6 +95,25 @@
       assertTrue(ends.vanished(TASK, true));
     }
 
+    /** Guards against numbers that are used up by runs which a stop barred before they began. */
+    @Test
+    public void keepsNumberOfRunThatNeverBegan() {
+      HiddenEnds ends = upTo(1);
+      ends.stopped(20);
+      assertFalse(ends.vanished(TASK, false));
+      assertFalse(ends.none());
+    }
+
+    /** Guards against a stop in time that the answer of a later one hides. */
+    @Test
+    public void countsFirstOfSeveralStops() {
+      HiddenEnds ends = upTo(1);
+      ends.stopped(20);
+      ends.stopped(900);
+      assertFalse(ends.vanished(TASK, true));
+      assertTrue(ends.none());
+    }
+
     /** Guards against a highest number that a lower one replaces. */
     @Test
     public void keepsHighestNumber() {
