A stop shows something of its own run only, from that run's first start

What callers see: nothing; `run.missing` leaves `maybeDone` out for a run that may have been done, so whoever looks into a task that ran twice is led away from the cause.

Cause: that a stop was answered in time was kept with the worker's life, and reset only where a run vanishes. Where run A is stopped in time and then refused (no room), its task is released without that, and A's stop stands for run B. And the time was counted from the last copy of the start: where the first one began unanswered 0.9 s before, a stop 20 ms after the second one counted as in time.

Change: the task keeps it for its present run, and when that run's start first left. A run that this leader has not started is never counted.

Evidence: countsStopForItsOwnRunOnly and countsTimeFromFirstCopyOfStart fail before (the note lacks maybeDone), and pass now.

Weighed: a reset with each start of a run on that life, which keeps the flag apart from `Task.stopped` and fails where two runs overlap.

Tests: HiddenEndsTest hands tasks over instead of numbers, since the flag is theirs now; each check stands, and countsEachStopOnce also asks for a task that is placed anew.

--- a/core/src/main/java/org/cottontack/core/job/HiddenEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/HiddenEnds.java
@@ -26,7 +26,6 @@
   private static final long LEAST_EXPECTED_MILLIS = 2 * TOO_SHORT_MILLIS;
 
   private long hidden;
-  private boolean stoppedInTime;
 
   /** Takes in that ends up to a number may not be listed. */
   void upTo(long number) {
@@ -58,24 +57,23 @@
     return !none() && matters(spec);
   }
 
-  /** Takes in that a stop was answered, so long after the run's start was sent. */
-  void stopped(long sinceMillis) {
-    stoppedInTime |= sinceMillis <= TOO_SHORT_MILLIS;
+  /** Returns whether a run cannot be done so long after its start was first sent. */
+  static boolean undoneAfter(long sinceMillis) {
+    return sinceMillis <= TOO_SHORT_MILLIS;
   }
 
   /**
-   * Takes in that a run is gone without a listed end.
+   * Takes in that a task's present run is gone without a listed end. Where it is known to have
+   * begun, that end had a number.
    *
-   * @param began whether it is known to have begun, so that its end has a number
    * @return whether it may have been done
    */
-  boolean vanished(StepSpec spec, boolean began) {
-    if (!stops(spec)) {
+  boolean vanished(Task task) {
+    if (!stops(task.spec)) {
       return false;
     }
-    boolean undone = stoppedInTime;
-    stoppedInTime = false;
-    hidden -= undone && began && hidden != ANY ? 1 : 0;
+    boolean undone = task.stoppedInTime();
+    hidden -= undone && task.began && hidden != ANY ? 1 : 0;
     return !undone;
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -196,9 +196,7 @@
       return;
     }
     if (task != null && task.runsAs(event.worker(), event.run().run())) {
-      task.barred();
-      task.stopped = true;
-      worker.hiddenEnds.stopped(term.now.mono() - task.sentMillis());
+      task.stopAnswered(term.now.mono());
     }
     // A stop that is answered again says nothing new. Counted as news each time, it would put off
     // for ever that a run which its worker no longer lists is missing.
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -265,7 +265,7 @@
         .toList()
         .forEach(
             task -> {
-              boolean maybeDone = worker.hiddenEnds.vanished(task.spec, task.began);
+              boolean maybeDone = worker.hiddenEnds.vanished(task);
               String detail = worker.info.id() + " " + worker.answers();
               term.note("run.missing", task.key(), detail + (maybeDone ? " maybeDone" : ""));
               term.release(task);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -97,6 +97,7 @@
 
   private boolean sentByUs;
   private long sentMillis;
+  private long firstSentMillis;
 
   /** Whether its worker has said that the present run began. */
   boolean began;
@@ -104,6 +105,9 @@
   /** Whether a stop of the present run was answered. */
   boolean stopped;
 
+  /** Whether one of these answers came before the present run could be done. */
+  private boolean stoppedInTime;
+
   private Optional<LateStart> lateStart = Optional.empty();
   int progress;
   long progressMillis;
@@ -150,6 +154,7 @@
   /** Takes in that its start leaves. */
   void sent(long nowMillis) {
     order = Order.SENT;
+    firstSentMillis = sentByUs ? firstSentMillis : nowMillis;
     sentByUs = true;
     sentMillis = nowMillis;
   }
@@ -159,6 +164,18 @@
     return sentMillis;
   }
 
+  /** Takes in that a stop of the present run was answered. */
+  void stopAnswered(long nowMillis) {
+    barred();
+    stopped = true;
+    stoppedInTime |= sentByUs && HiddenEnds.undoneAfter(nowMillis - firstSentMillis);
+  }
+
+  /** Returns whether the present run was stopped before it could be done. */
+  boolean stoppedInTime() {
+    return stoppedInTime;
+  }
+
   /** Takes in that its start got no answer, or that its worker ended before one came. */
   void unanswered() {
     uncertain = true;
@@ -239,6 +256,7 @@
     sentByUs = false;
     began = false;
     stopped = false;
+    stoppedInTime = false;
     placedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
@@ -262,6 +280,7 @@
     confirmedMillis = sinceMillis - 1;
     began = false;
     stopped = false;
+    stoppedInTime = false;
     listedMillis = 0;
     cancelNoted = false;
   }
--- a/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.Test;
 
 /** Tests of what begins where ends may not be listed. */
@@ -13,6 +14,27 @@
   private static final StepSpec COPIED = TestStep.tasks(1).of(StepSpec.Trait.SPECULATIVE);
   private static final StepSpec BRIEF = TestStep.tasks(1).estimate(50).of();
 
+  /** Returns a task whose run began and whose stop was answered so long after its start. */
+  private static Task stopped(long afterMillis) {
+    Task task = begun();
+    task.stopAnswered(afterMillis);
+    return task;
+  }
+
+  private static Task begun() {
+    Job job = new Job(JobFixtures.job("job", TASK), 0);
+    job.advance(0);
+    Task task = job.tasks().findFirst().orElseThrow();
+    begin(task);
+    return task;
+  }
+
+  private static void begin(Task task) {
+    task.place(WorkerLife.only(new WorkerId("w")), 0);
+    task.sent(0);
+    task.began = true;
+  }
+
   private static HiddenEnds upTo(long number) {
     HiddenEnds ends = new HiddenEnds();
     ends.upTo(number);
@@ -71,8 +93,7 @@
       HiddenEnds ends = upTo(2);
       for (int i = 0; i < 2; i++) {
         assertFalse(ends.none());
-        ends.stopped(20);
-        assertFalse(ends.vanished(TASK, true));
+        assertFalse(ends.vanished(stopped(20)));
       }
       assertTrue(ends.none());
     }
@@ -81,8 +102,7 @@
     @Test
     public void countsNoRunThatWasStoppedLate() {
       HiddenEnds ends = upTo(1);
-      ends.stopped(900);
-      assertTrue(ends.vanished(TASK, true));
+      assertTrue(ends.vanished(stopped(900)));
       assertFalse(ends.none());
     }
 
@@ -90,9 +110,11 @@
     @Test
     public void countsEachStopOnce() {
       HiddenEnds ends = upTo(2);
-      ends.stopped(20);
-      assertFalse(ends.vanished(TASK, true));
-      assertTrue(ends.vanished(TASK, true));
+      Task task = stopped(20);
+      assertFalse(ends.vanished(task));
+      begin(task);
+      assertTrue(ends.vanished(task));
+      assertTrue(ends.vanished(begun()));
     }
 
     /** Guards against numbers that are used up by runs which a stop barred before they began. */
@@ -119,8 +141,7 @@
     public void keepsHighestNumber() {
       HiddenEnds ends = upTo(2);
       ends.upTo(1);
-      ends.stopped(20);
-      assertFalse(ends.vanished(TASK, true));
+      assertFalse(ends.vanished(stopped(20)));
       assertFalse(ends.none());
     }
   }
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -139,6 +139,66 @@
     public void runsNothingAgainWhoseStartIsLate(long delay) {
       assertDoneOnce(JobEffect.StartRun.class::isInstance, delay);
     }
+
+    private static <T extends JobEffect> List<T> seen(JobLab lab, Class<T> kind) {
+      return lab.seen.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+
+    /** Returns the first start or stop that comes next. */
+    private static <T extends JobEffect> T next(JobLab lab, Class<T> kind) {
+      int before = seen(lab, kind).size();
+      while (seen(lab, kind).size() == before) {
+        lab.run(10);
+      }
+      return seen(lab, kind).get(before);
+    }
+
+    /** Returns what is said of the run that is missing next. */
+    private static String nextMissing(JobLab lab) {
+      JobEffect.Note note = next(lab, JobEffect.Note.class);
+      while (!note.name().equals("run.missing")) {
+        note = next(lab, JobEffect.Note.class);
+      }
+      return note.subject() + " " + note.detail();
+    }
+
+    /** Guards against a run that was done, taken for stopped since the one before it was. */
+    @Test
+    public void countsStopForItsOwnRunOnly() {
+      JobLab lab = fleet(1);
+      reachNextLife(lab, 3_000);
+      lab.delay = effect -> effect instanceof JobEffect.StartRun ? 1_000 : 0;
+      JobEffect.StartRun refused = next(lab, JobEffect.StartRun.class);
+      assertEquals(next(lab, JobEffect.StopRun.class).run(), refused.run());
+      lab.run(10);
+      lab.delay = effect -> effect instanceof JobEffect.StopRun ? 900 : 0;
+      lab.post(
+          new JobEvent.StartEnded(refused.target().life(), refused.run(), StartResult.NO_ROOM));
+      String missing = nextMissing(lab);
+      assertTrue(missing.endsWith("maybeDone"), missing);
+    }
+
+    /** Guards against a run that was done, taken for stopped soon after a copy of its start. */
+    @Test
+    public void countsTimeFromFirstCopyOfStart() {
+      JobLab lab = fleet(1);
+      reachNextLife(lab, 3_000);
+      final int before = seen(lab, JobEffect.StartRun.class).size();
+      lab.lost = effect -> true;
+      lab.delay =
+          effect ->
+              effect instanceof JobEffect.LookAtWorker
+                      && seen(lab, JobEffect.StartRun.class).size() > before
+                  ? UNSEEN_MILLIS
+                  : 0;
+      RunKey run = next(lab, JobEffect.StartRun.class).run();
+      lab.run(lab.workMillis);
+      lab.delay = effect -> 0;
+      assertEquals(next(lab, JobEffect.StartRun.class).run(), run);
+      lab.lost = effect -> false;
+      String missing = nextMissing(lab);
+      assertTrue(missing.startsWith(run + " ") && missing.endsWith("maybeDone"), missing);
+    }
   }
 
   /** What the next leader knows. */
