A red test of a run whose stops are all lost

What callers would see: a task that is done runs again.

On a life that may hide ends a run is stopped until a stop is answered. Where all stops are lost for 500 ms and more, while the run takes 500 ms, it is done, its end is not listed, and its task starts again.

Not tried to be mended. Weighed, besides what names: a start whose lease ends before its run can be done, sent only when all leases of a late look have ended. The wait would be bounded, 22 s after the look was sent, but that is all a lone worker's work kept for as long, against LateAcknowledgementTest.Cost, which asks for it within 4 s. A run that is cheap to repeat may still have effects that its caller wants once.

--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -140,6 +140,65 @@
       assertDoneOnce(JobEffect.StartRun.class::isInstance, delay);
     }
 
+    private static Object[][] outages(long firstMillis, long lastMillis) {
+      return LongStream.iterate(firstMillis, millis -> millis <= lastMillis, millis -> millis + 50)
+          .boxed()
+          .flatMap(
+              millis ->
+                  Stream.of(true, false)
+                      .flatMap(
+                          starts ->
+                              Stream.of(true, false)
+                                  .map(looks -> new Object[] {millis, starts, looks})))
+          .toArray(Object[][]::new);
+    }
+
+    /** Outages that end before the run is done, with and without lost starts and late looks. */
+    @DataProvider
+    public Object[][] briefOutages() {
+      return outages(100, 450);
+    }
+
+    private static void assertDoneOnceInOutage(long millis, boolean starts, boolean looks) {
+      JobLab lab = fleet(1);
+      final List<JobSpec> before = reachNextLife(lab, 3_000);
+      AtomicLong began = new AtomicLong(Long.MAX_VALUE);
+      Predicate<JobEffect> away =
+          effect -> {
+            if (effect instanceof JobEffect.StartRun) {
+              began.compareAndSet(Long.MAX_VALUE, lab.now);
+            }
+            return lab.now >= began.get() && lab.now - began.get() < millis;
+          };
+      lab.lost =
+          effect ->
+              away.test(effect)
+                  && (effect instanceof JobEffect.StopRun
+                      || (starts && effect instanceof JobEffect.StartRun));
+      lab.delay =
+          effect ->
+              looks && effect instanceof JobEffect.LookAtWorker && away.test(effect) ? 2_000 : 0;
+      lab.run(RESTART_MILLIS + 1_500);
+      final List<JobSpec> after = submit(lab, "after", 4);
+      lab.run(40_000);
+      assertComplete(lab, before);
+      assertComplete(lab, after);
+    }
+
+    /** Guards against a run that is done since the first of its stops are lost. */
+    @Test(dataProvider = "briefOutages")
+    public void runsNothingAgainWhoseFirstStopsAreLost(long millis, boolean starts, boolean looks) {
+      assertDoneOnceInOutage(millis, starts, looks);
+    }
+
+    /** Guards against a run that is done since all its stops are lost, and that begins again. */
+    @Test
+    public void runsNothingAgainWhoseStopsAreAllLost() {
+      for (Object[] outage : outages(500, 3_000)) {
+        assertDoneOnceInOutage((long) outage[0], (boolean) outage[1], (boolean) outage[2]);
+      }
+    }
+
     private static <T extends JobEffect> List<T> seen(JobLab lab, Class<T> kind) {
       return lab.seen.stream().filter(kind::isInstance).map(kind::cast).toList();
     }
