Names of acknowledgements and stopped runs say what they do

`told`, `tell`, `inheritTold` and `onTheirWay` had to be looked up, and `stopUnproven`, `PROOF_STOP_MILLIS` and the tests of `Proof` spoke of a proof that is named nowhere. Now `acknowledgedLife`, `acknowledging`, `inheritAcknowledged`, `inFlight`; `stopUntilAnswered`, `STOP_AGAIN_WHILE_HIDING_MILLIS`, `StoppedRuns`.

--- a/core/src/main/java/org/cottontack/core/job/Acknowledgements.java
+++ b/core/src/main/java/org/cottontack/core/job/Acknowledgements.java
@@ -12,8 +12,8 @@
   private long askedMillis;
   private long late;
   private long lateUntilMillis;
-  private Optional<WorkerLife> told = Optional.empty();
-  private long toldUntilMillis;
+  private Optional<WorkerLife> acknowledgedLife = Optional.empty();
+  private long inFlightUntilMillis;
   private long inheritedUntilMillis;
 
   /**
@@ -21,29 +21,29 @@
    *
    * @return whether the next leader has to know of it before
    */
-  boolean tell(WorkerLife life, long nowMillis) {
-    boolean known = told.filter(life::equals).isPresent();
+  boolean acknowledging(WorkerLife life, long nowMillis) {
+    boolean known = acknowledgedLife.filter(life::equals).isPresent();
     if (life.mayReturn()) {
-      told = Optional.of(life);
-      toldUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
+      acknowledgedLife = Optional.of(life);
+      inFlightUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
     }
     return life.mayReturn() && !known;
   }
 
   /** Takes in that an earlier leader may have named ends to a life, and when this one began. */
   void inherit(WorkerLife life, long startMillis) {
-    tell(life, startMillis);
-    inheritedUntilMillis = toldUntilMillis;
+    acknowledging(life, startMillis);
+    inheritedUntilMillis = inFlightUntilMillis;
   }
 
   /** Returns the life that the next leader has to know: others may get what was meant for it. */
-  Optional<WorkerLife> told() {
-    return told;
+  Optional<WorkerLife> acknowledgedLife() {
+    return acknowledgedLife;
   }
 
-  /** Returns whether a look that names ends may still be on its way. */
-  boolean onTheirWay(long nowMillis) {
-    return toldUntilMillis > nowMillis;
+  /** Returns whether a look that names ends may still be in flight. */
+  boolean inFlight(long nowMillis) {
+    return inFlightUntilMillis > nowMillis;
   }
 
   /** Takes in that a look leaves which names ends up to a number; 0 for none. */
@@ -51,7 +51,7 @@
     asked = number;
     askedMillis = nowMillis;
     if (number > 0) {
-      toldUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
+      inFlightUntilMillis = nowMillis + LateStart.LATEST_MILLIS;
     }
   }
 
@@ -76,8 +76,8 @@
    * @return the highest number that a late look may have named to it before
    */
   long mayHaveReached(WorkerLife life, long bornMillis) {
-    boolean inherited = told.filter(other -> !other.equals(life)).isPresent();
-    told = told.map(other -> life);
+    boolean inherited = acknowledgedLife.filter(other -> !other.equals(life)).isPresent();
+    acknowledgedLife = acknowledgedLife.map(other -> life);
     if (inherited && inheritedUntilMillis > bornMillis) {
       return HiddenEnds.ANY;
     }
--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -172,7 +172,7 @@
     if (worker.info.draining() && !outOfTouch) {
       moveLasting(worker);
     }
-    worker.placed.values().forEach(task -> orders.stopUnproven(worker, task));
+    worker.placed.values().forEach(task -> orders.stopUntilAnswered(worker, task));
     worker.placed.values().stream()
         .filter(task -> task.order == Task.Order.RESEND)
         .toList()
--- a/core/src/main/java/org/cottontack/core/job/LearnedText.java
+++ b/core/src/main/java/org/cottontack/core/job/LearnedText.java
@@ -14,9 +14,9 @@
 
 /**
  * The stored form of what a leader has learned: one line for each queue, each pair of images and
- * each life of a worker that may hide ends or was told which are stored. A new leader that starts
- * without it tries harmful pairs all over again. Names are escaped, since callers choose those of
- * images.
+ * each life of a worker that may hide ends or was sent acknowledgements of ends. A new leader that
+ * starts without it tries harmful pairs all over again. Names are escaped, since callers choose
+ * those of images.
  */
 final class LearnedText {
 
@@ -34,7 +34,7 @@
   private static final String HIDES = "hides";
 
   /** A life to which ends were acknowledged. */
-  private static final String TOLD = "told";
+  private static final String ACKNOWLEDGED = "acknowledged";
 
   private static final int LIFE_FIELDS = 3;
 
@@ -61,13 +61,13 @@
    * Returns the text. Where it grows large, the last of the lives that hide ends and the pairs that
    * were not heard of for longest are left out.
    */
-  Written write(Set<WorkerLife> hiding, Set<WorkerLife> told) {
+  Written write(Set<WorkerLife> hiding, Set<WorkerLife> acknowledged) {
     List<String> pairs = interference.pairs().map(LearnedText::line).toList();
     List<String> learned =
         Stream.concat(estimates.queues().map(LearnedText::line), reversed(pairs).stream()).toList();
     List<String> lives =
         Stream.concat(
-                told.stream().map(life -> lifeLine(TOLD, life)),
+                acknowledged.stream().map(life -> lifeLine(ACKNOWLEDGED, life)),
                 hiding.stream().map(life -> lifeLine(HIDES, life)))
             .toList();
     List<String> keptLives = first(lives, MOST_BYTES - Math.min(bytes(learned), LEARNED_BYTES));
@@ -131,22 +131,22 @@
    * let all jobs stand still.
    *
    * @param hiding takes the lives that may never list some ends
-   * @param told takes those to which ends were acknowledged
+   * @param acknowledged takes those to which ends were acknowledged
    * @return how many lines were skipped
    */
-  long restore(String text, Set<WorkerLife> hiding, Set<WorkerLife> told) {
+  long restore(String text, Set<WorkerLife> hiding, Set<WorkerLife> acknowledged) {
     List<String> lines = text.lines().toList();
-    return lines.size() - lines.stream().filter(line -> read(line, hiding, told)).count();
+    return lines.size() - lines.stream().filter(line -> read(line, hiding, acknowledged)).count();
   }
 
-  private boolean read(String line, Set<WorkerLife> hiding, Set<WorkerLife> told) {
+  private boolean read(String line, Set<WorkerLife> hiding, Set<WorkerLife> acknowledged) {
     String[] fields = line.split(" ", -1);
     try {
       if (fields[0].equals(HIDES) && fields.length == LIFE_FIELDS) {
         return hiding.add(life(fields));
       }
-      if (fields[0].equals(TOLD) && fields.length == LIFE_FIELDS) {
-        return told.add(life(fields));
+      if (fields[0].equals(ACKNOWLEDGED) && fields.length == LIFE_FIELDS) {
+        return acknowledged.add(life(fields));
       }
       if (fields[0].equals(PAIR) && fields.length == PAIR_FIELDS) {
         interference.restore(
--- a/core/src/main/java/org/cottontack/core/job/Lives.java
+++ b/core/src/main/java/org/cottontack/core/job/Lives.java
@@ -29,10 +29,10 @@
    *
    * @param known whether a worker is there
    */
-  Set<WorkerLife> told(Predicate<WorkerId> known, long nowMillis) {
+  Set<WorkerLife> acknowledged(Predicate<WorkerId> known, long nowMillis) {
     return acknowledgements.entrySet().stream()
-        .filter(entry -> known.test(entry.getKey()) || entry.getValue().onTheirWay(nowMillis))
-        .flatMap(entry -> entry.getValue().told().stream())
+        .filter(entry -> known.test(entry.getKey()) || entry.getValue().inFlight(nowMillis))
+        .flatMap(entry -> entry.getValue().acknowledgedLife().stream())
         .collect(Collectors.toSet());
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -13,7 +13,7 @@
   private static final long LEAST_START_LEASE_MILLIS = 5_500;
 
   /** Time between stops of a run that is to be ended before it can be done, in milliseconds. */
-  private static final long PROOF_STOP_MILLIS = 50;
+  private static final long STOP_AGAIN_WHILE_HIDING_MILLIS = 50;
 
   private final Term term;
 
@@ -105,10 +105,10 @@
    * Stops a run whose end may not be listed until a stop is answered. Its start may have no answer
    * yet: where the stop comes first, the worker refuses the start.
    */
-  void stopUnproven(Worker worker, Task task) {
-    boolean due = term.now.mono() - task.sentMillis() >= PROOF_STOP_MILLIS;
+  void stopUntilAnswered(Worker worker, Task task) {
+    boolean due = term.now.mono() - task.sentMillis() >= STOP_AGAIN_WHILE_HIDING_MILLIS;
     if (due && task.mayHaveBegun() && !task.stopped && worker.hiddenEnds.stops(task.spec)) {
-      stop(worker, task.key(), PROOF_STOP_MILLIS);
+      stop(worker, task.key(), STOP_AGAIN_WHILE_HIDING_MILLIS);
     }
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Saver.java
+++ b/core/src/main/java/org/cottontack/core/job/Saver.java
@@ -50,7 +50,7 @@
           .filter(worker -> worker.acknowledgeableEnd(now) > worker.acknowledgedEnd)
           .forEach(worker -> savingEnds.put(worker.life(), worker.acknowledgeableEnd(now)));
     }
-    savingEnds.keySet().forEach(term::tell);
+    savingEnds.keySet().forEach(term::acknowledging);
     if (!rows.isEmpty() || term.livesUnsaved) {
       saving = true;
       term.out.add(new JobEffect.SaveProgress(rows, learnedIfDue()));
@@ -61,10 +61,10 @@
 
   void restoreLearned(String text) {
     Set<WorkerLife> hiding = new LinkedHashSet<>();
-    Set<WorkerLife> told = new HashSet<>();
-    long skipped = learned.restore(text, hiding, told);
+    Set<WorkerLife> acknowledged = new HashSet<>();
+    long skipped = learned.restore(text, hiding, acknowledged);
     term.hidingLives.inherit(hiding, term.now.mono());
-    told.forEach(term::inheritTold);
+    acknowledged.forEach(term::inheritAcknowledged);
     if (skipped > 0) {
       term.note("learned.skipped", "lines", Long.toString(skipped));
     }
@@ -79,7 +79,7 @@
     learnedMillis = term.now.mono();
     savedHiding = hiding;
     term.livesUnsaved = false;
-    LearnedText.Written written = learned.write(hiding, term.told());
+    LearnedText.Written written = learned.write(hiding, term.acknowledgedLives());
     noteCut("lives", written.livesCut());
     noteCut("learned", written.learnedCut());
     return written.text();
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -96,18 +96,18 @@
   }
 
   /** Takes in that a life may be named ends as soon as this is stored. */
-  void tell(WorkerLife life) {
-    livesUnsaved |= lives.acknowledgements(life.worker()).tell(life, now.mono());
+  void acknowledging(WorkerLife life) {
+    livesUnsaved |= lives.acknowledgements(life.worker()).acknowledging(life, now.mono());
   }
 
   /** Takes in that an earlier leader may have named ends to a life. */
-  void inheritTold(WorkerLife life) {
+  void inheritAcknowledged(WorkerLife life) {
     lives.acknowledgements(life.worker()).inherit(life, startMillis);
   }
 
   /** Returns the lives whose next ones may get acknowledgements that were meant for them. */
-  Set<WorkerLife> told() {
-    return lives.told(workers::containsKey, now.mono());
+  Set<WorkerLife> acknowledgedLives() {
+    return lives.acknowledged(workers::containsKey, now.mono());
   }
 
   /** Drops a worker that is not listed; one that may hide ends can be listed again. */
--- a/core/src/test/java/org/cottontack/core/job/HidingLivesTest.java
+++ b/core/src/test/java/org/cottontack/core/job/HidingLivesTest.java
@@ -17,7 +17,7 @@
   private static final long START_MILLIS = 10_000;
   private static final long DAY_MILLIS = 24 * 3_600_000;
   private static final String QUEUE_LINE = "queue q 1.000 2.000 3.000 4.000 5.000 6";
-  private static final String TOLD_LINE = "told w0 5";
+  private static final String ACKNOWLEDGED_LINE = "acknowledged w0 5";
 
   /** A leader that restores a text and saves what it knows. */
   private static final class Leader {
@@ -82,9 +82,9 @@
     /** Guards against many such lives that push out the rest of what the next leader needs. */
     @Test
     public void leavesRoomForTheRest() {
-      Leader leader = new Leader(hiding(1_500) + "\n" + TOLD_LINE + "\n" + QUEUE_LINE);
+      Leader leader = new Leader(hiding(1_500) + "\n" + ACKNOWLEDGED_LINE + "\n" + QUEUE_LINE);
       List<String> kept = leader.learned(START_MILLIS + 3_000).lines().toList();
-      assertTrue(kept.contains(TOLD_LINE), "told");
+      assertTrue(kept.contains(ACKNOWLEDGED_LINE), "acknowledged");
       assertTrue(kept.contains(QUEUE_LINE), "queue");
     }
 
--- a/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LateAcknowledgementTest.java
@@ -96,8 +96,8 @@
     }
   }
 
-  /** The run that shows whether ends are listed. */
-  public static class Proof {
+  /** Runs that are stopped while ends may not be listed. */
+  public static class StoppedRuns {
 
     /** For how long no look at the worker is answered, in milliseconds. */
     private static final long UNSEEN_MILLIS = 1_000;
@@ -282,7 +282,7 @@
       assertComplete(lab, after);
     }
 
-    /** Guards against lives that are told late where the leader is lost with one that is idle. */
+    /** Guards against ends that are named late where the leader is lost with an idle worker. */
     @Test(dataProvider = "lateBy", dataProviderClass = NextLife.class)
     public void knowsLifeThatHeldNothing(long delay) {
       JobLab lab = fleet(1);
--- a/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LearnedTextTest.java
@@ -99,17 +99,17 @@
   /** Lives of workers. */
   public static class OfLives {
 
-    /** Guards against a leader that takes lives which were told of ends for ones that hide them. */
+    /** Guards against a leader that takes lives sent acknowledgements for ones that hide ends. */
     @Test
     public void keepsBothKindsApart() {
       Set<WorkerLife> hiding = Set.of(new WorkerLife(new WorkerId("a b"), 5));
-      Set<WorkerLife> told = Set.of(new WorkerLife(new WorkerId("c"), 6));
+      Set<WorkerLife> acknowledged = Set.of(new WorkerLife(new WorkerId("c"), 6));
       LearnedText text = new LearnedText(new LearnedInterference(), new Estimates());
       Set<WorkerLife> nextHiding = new HashSet<>();
-      Set<WorkerLife> nextTold = new HashSet<>();
-      text.restore(text.write(hiding, told).text(), nextHiding, nextTold);
+      Set<WorkerLife> nextAcknowledged = new HashSet<>();
+      text.restore(text.write(hiding, acknowledged).text(), nextHiding, nextAcknowledged);
       assertEquals(nextHiding, hiding);
-      assertEquals(nextTold, told);
+      assertEquals(nextAcknowledged, acknowledged);
     }
   }
 
