--- a/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/HiddenEndsTest.java
@@ -121,8 +121,9 @@
     @Test
     public void keepsNumberOfRunThatNeverBegan() {
       HiddenEnds ends = upTo(1);
-      ends.stopped(20);
-      assertFalse(ends.vanished(TASK, false));
+      Task task = stopped(20);
+      task.began = false;
+      assertFalse(ends.vanished(task));
       assertFalse(ends.none());
     }
 
@@ -130,9 +131,9 @@
     @Test
     public void countsFirstOfSeveralStops() {
       HiddenEnds ends = upTo(1);
-      ends.stopped(20);
-      ends.stopped(900);
-      assertFalse(ends.vanished(TASK, true));
+      Task task = stopped(20);
+      task.stopAnswered(900);
+      assertFalse(ends.vanished(task));
       assertTrue(ends.none());
     }
 
