A job that is stored beside its cancellation ends

What callers saw, by tests: in a rolling replacement a DELETE at a new instance answers 410, a copy of the POST at an instance of the earlier version is stored, and its tasks start and run on, under this leader and the next ones. Cause: the row that a cancellation without a job leaves was kept for its removal only, since no job can be stored beside it; the earlier version's submission expects only the job's row absent.

Change: such a row cancels a job that the leader knows by then, and one that arrives or is read at a takeover while the row is held. It is logged as `job.cancelHeard` like any other. A row that has found its job is no longer removed by its own time, but with the job's rows, so no leader reads the job without it. Those without a job still take none of the scheduler's 10,000 places. Rows whose removal is tried again are held apart: their time is over, and a job that is submitted anew must not be ended by what is gone already, nor by a row that somebody else removed.

Two more pass before and now: 20,000 rows without jobs drive out no early cancellation, and a job submitted after its cancellation's row has gone runs.

Weighed: handing all such rows to the scheduler (DELETEs of arbitrary identifiers would drive out early cancellations); removing such a row only where the job's row is absent (a third entry for each in a transaction that takes 100, for submissions that are 120 s late). Left: a job whose row this version cannot read does not keep its cancellation longer than its time.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -175,30 +175,43 @@
       if (scheduler == null) {
         accepted.put(job.id(), job);
       } else {
-        post(new JobEvent.JobArrived(job));
+        arrived(job);
       }
     } catch (WireException e) {
       LOG.error("skipping a job that cannot be read: {}", row.key(), e);
     }
   }
 
+  /** Another version may store a job beside the row of a cancellation that found none. */
+  private void arrived(JobSpec job) {
+    post(new JobEvent.JobArrived(job));
+    if (retention.claim(job.id())) {
+      cancelled(job.id());
+    }
+  }
+
   private void cancel(Row row) {
+    JobId id = new JobId(row.key());
     if (row.removed()) {
-      return;
-    }
-    if (Cancellation.in(row) == Cancellation.AHEAD_OF_JOB) {
+      retention.gone(row.at());
+    } else if (Cancellation.in(row) == Cancellation.AHEAD_OF_JOB && !known(id)) {
       retention.ahead(row);
-      return;
-    }
-    JobId id = new JobId(row.key());
-    if (scheduler == null) {
+    } else if (scheduler == null) {
       cancelled.add(id);
     } else {
-      logCancelled(id, scheduler.describe(id).orElse("unknown"));
-      post(new JobEvent.JobCancelled(id));
+      cancelled(id);
     }
   }
 
+  private boolean known(JobId id) {
+    return scheduler != null && scheduler.describe(id).isPresent();
+  }
+
+  private void cancelled(JobId id) {
+    logCancelled(id, scheduler.describe(id).orElse("unknown"));
+    post(new JobEvent.JobCancelled(id));
+  }
+
   private void logCancelled(JobId id, String job) {
     LOG.info(
         new StringMapMessage()
@@ -223,6 +236,7 @@
   private void begin(ProgressStore.Found found) {
     leadership.begin();
     final Map<JobId, String> progress = found.jobs();
+    accepted.keySet().stream().filter(retention::claim).forEach(cancelled::add);
     JobScheduler made =
         new JobScheduler(
             JobTiming.STANDARD, table, timers.now(), leadership.inheritedLapseMillis());
--- a/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
@@ -44,6 +44,7 @@
   private final long keepMillis;
   private final Deque<Ended> ended = new ArrayDeque<>();
   private final Map<RowKey, Ahead> ahead = new HashMap<>();
+  private final Map<RowKey, Row> leaving = new HashMap<>();
   private boolean stopped;
 
   /**
@@ -71,6 +72,21 @@
     ahead.put(row.at(), new Ahead(row, timers.now().mono()));
   }
 
+  /** Takes in that the row of a cancellation was removed. */
+  void gone(RowKey at) {
+    ahead.remove(at);
+  }
+
+  /**
+   * Takes in that a job is stored. The row of a cancellation that came before it then stays until
+   * the job goes.
+   *
+   * @return whether there is one
+   */
+  boolean claim(JobId job) {
+    return ahead.remove(JobTables.cancel(job)) != null;
+  }
+
   /** Begins to remove rows. */
   void start() {
     if (!stopped) {
@@ -91,9 +107,12 @@
       jobs.add(ended.poll().id());
     }
     batches(jobs, id -> JobTables.job(id).part()).forEach(this::removeJobs);
-    List<Row> rows =
+    List<Row> over =
         ahead.values().stream().filter(one -> one.sinceMillis() <= before).map(Ahead::row).toList();
-    rows.forEach(row -> ahead.remove(row.at()));
+    over.forEach(row -> ahead.remove(row.at()));
+    over.forEach(row -> leaving.put(row.at(), row));
+    List<Row> rows = List.copyOf(leaving.values());
+    leaving.clear();
     batches(rows, row -> row.at().part()).forEach(this::removeAhead);
   }
 
@@ -124,7 +143,7 @@
             rows.stream()
                 .filter(
                     row -> answer.outcome() != CommitAnswer.Outcome.CONFLICT || same(row, answer))
-                .forEach(row -> ahead.putIfAbsent(row.at(), new Ahead(row, LONG_AGO_MILLIS)));
+                .forEach(row -> leaving.putIfAbsent(row.at(), row));
           }
         });
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -304,6 +304,129 @@
       assertEquals(lab.starts.size(), 0, "of 40 jobs");
     }
 
+    /** Guards against work of a job that an earlier version stores beside its cancellation. */
+    @Test
+    public void endsJobsThatAreStoredBesideTheirCancellation() {
+      List<String> faults =
+          LongStream.iterate(50, late -> late <= 10_000, late -> late + 200)
+              .boxed()
+              .flatMap(late -> Stream.of(Takeover.values()).map(when -> faultBeside(late, when)))
+              .filter(fault -> !fault.isEmpty())
+              .toList();
+      assertEquals(faults, List.of(), faults.size() + " of 200 cases");
+    }
+
+    /** When the leader changes. */
+    private enum Takeover {
+      NEVER,
+      BEFORE_JOB,
+      RIGHT_AFTER_JOB,
+      LATER
+    }
+
+    private static String faultBeside(long lateMillis, Takeover when) {
+      Lab lab = new Lab();
+      List<Long> acknowledged = new ArrayList<>();
+      lab.entry
+          .intake()
+          .cancel(
+              new JobId("a"),
+              OptionalLong.empty(),
+              answer -> acknowledged.add(lab.process.now().mono()));
+      lab.time.run(lateMillis);
+      if (when == Takeover.BEFORE_JOB) {
+        lab.restart();
+      }
+      lab.write(submission("a"));
+      if (when == Takeover.RIGHT_AFTER_JOB) {
+        lab.restart();
+      }
+      lab.time.run(5_000);
+      if (when == Takeover.LATER) {
+        lab.restart();
+      }
+      lab.time.run(10_000);
+      long latest = acknowledged.get(0) + CANCEL_MILLIS;
+      long late = lab.startMillis.stream().filter(at -> at > latest).count();
+      return late == 0 && lab.running.isEmpty()
+          ? ""
+          : "%d ms, %s: %d late starts, running %s"
+              .formatted(lateMillis, when, late, lab.running.keySet());
+    }
+
+    /** Returns what a submission writes; the earlier version ignores rows of cancellations. */
+    private static Map<RowKey, Payload> submission(String id) {
+      return Map.of(
+          JobTables.job(new JobId(id)),
+          Payload.of(JobCodec.write(job(id))),
+          JobTables.waiting(new JobId(id)),
+          Payload.of(TestJobs.QUEUE.name()));
+    }
+
+    /** Guards against work of a job whose cancellation without it is news after the job is. */
+    @Test
+    public void endsJobsThatAreKnownBeforeTheirCancellation() {
+      Lab lab = new Lab();
+      lab.submit("a");
+      lab.time.run(1_000);
+      assertEquals(lab.running.size(), 1);
+      lab.write(JobTables.cancel(new JobId("a")), "0");
+      lab.time.run(3_000);
+      assertTrue(lab.running.isEmpty());
+    }
+
+    /** Guards against cancellations of any identifiers that drive out those that overtook jobs. */
+    @Test
+    public void keepsCancellationsBesideManyOfNoJob() {
+      Lab lab = new Lab();
+      List<String> overtaken = IntStream.range(0, 40).mapToObj(i -> "job" + i).toList();
+      Map<RowKey, Payload> early = new HashMap<>();
+      overtaken.forEach(id -> early.put(JobTables.cancel(new JobId(id)), Payload.of("1")));
+      lab.write(early);
+      Map<RowKey, Payload> others = new HashMap<>();
+      IntStream.range(0, 20_000)
+          .forEach(i -> others.put(JobTables.cancel(new JobId("none" + i)), Payload.of("0")));
+      lab.write(others);
+      overtaken.forEach(id -> lab.write(submission(id)));
+      lab.time.run(5_000);
+      assertEquals(lab.starts.size(), 0, "of 40 jobs");
+    }
+
+    /** Guards against the end of a job that was submitted after its cancellation was removed. */
+    @Test
+    public void runsJobsWhoseCancellationIsGone() {
+      Lab lab = new Lab();
+      lab.entry.intake().cancel(new JobId("a"), OptionalLong.empty(), answer -> {});
+      lab.entry.intake().cancel(new JobId("b"), OptionalLong.empty(), answer -> {});
+      lab.time.run(1_000);
+      Change removal = new Change(Map.of(), Map.of(), List.of(JobTables.cancel(new JobId("a"))));
+      lab.store.seenBy(lab.process, call -> true).commit(removal, 1_000, answer -> {});
+      lab.time.run(500);
+      lab.submit("a");
+      lab.time.run(500);
+      assertEquals(lab.running.size(), 1);
+      lab.time.run(130_000);
+      lab.submit("b");
+      lab.time.run(500);
+      assertEquals(lab.running.size(), 2);
+    }
+
+    /** Guards against a job that starts again since its cancellation was removed before it. */
+    @Test
+    public void keepsCancellationsUntilTheirJobGoes() {
+      Lab lab = new Lab();
+      lab.write(JobTables.cancel(new JobId("a")), "0");
+      lab.time.run(115_000);
+      lab.write(submission("a"));
+      lab.time.run(20_000);
+      assertEquals(lab.store.table(JobTables.CANCELS).keySet(), Set.of("a"));
+      assertEquals(lab.store.table(JobTables.JOBS).keySet(), Set.of("a"));
+      lab.time.run(110_000);
+      assertEquals(lab.store.table(JobTables.CANCELS), Map.of());
+      assertEquals(lab.store.table(JobTables.JOBS), Map.of());
+      assertEquals(lab.starts.size(), 0);
+    }
+
     /** Guards against rows of cancellations without a job that stay since their leader is gone. */
     @Test
     public void removesCancellationsWithoutJobs() {
