News counts from its question once all of it is told

What callers could see: nothing known. `Follower.asked()` says that every change that was in the store by then has been told, but it was set before the rows of that answer were told: a row told first could have a start leave by the date of an answer whose cancellation came further back. It is set after the rows now. The log line of a cancellation tells of the answer that brought it, as before, by a date of its own.

Evidence: FollowerTest's countsAsToldWhatWasTold, a first reading and a change, failed before (the reading's own date while its rows were told) and passes now.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -47,6 +47,7 @@
   private long gapMillis;
   private long position;
   private Moment asked = NEVER;
+  private Moment telling = NEVER;
   private Moment answered = NEVER;
   private boolean failing;
   private boolean current;
@@ -121,6 +122,11 @@
     return asked;
   }
 
+  /** Returns when the question was sent whose answer is being told, or was told last. */
+  public Moment telling() {
+    return telling;
+  }
+
   /** Returns when the store's last answer was taken in. */
   public Moment answered() {
     return answered;
@@ -160,6 +166,7 @@
     vanished.forEach(key -> tell(new Row(key, Payload.EMPTY, version, true)));
     rows.forEach(this::tell);
     position = version;
+    asked = began;
     if (!current) {
       current = true;
       onCurrent.run();
@@ -183,6 +190,7 @@
         heard(sent);
         news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
         position = Math.max(position, news.version());
+        asked = sent;
         if (gapMillis > 0 && !news.rows().isEmpty()) {
           timers.after(gapMillis, () -> follow(waitMillis));
         } else {
@@ -222,7 +230,7 @@
   }
 
   private void heard(Moment sent) {
-    asked = sent;
+    telling = sent;
     answered = timers.now();
     if (failing) {
       failing = false;
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -217,7 +217,7 @@
         new StringMapMessage()
             .with("event", "job.cancelHeard")
             .with("subject", id)
-            .with("askedMillis", sinceMillis(cancels.asked()))
+            .with("askedMillis", sinceMillis(cancels.telling()))
             .with("answeredMillis", sinceMillis(cancels.answered()))
             .with("job", job));
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.cottontack.core.Moment;
 import org.cottontack.core.peer.Payload;
 import org.testng.annotations.Test;
 
@@ -90,6 +91,33 @@
     }
   }
 
+  /** How old what was told is. */
+  public static class Dating {
+
+    /** Guards against changes that count as told before they are. */
+    @Test
+    public void countsAsToldWhatWasTold() {
+      Lab lab = new Lab();
+      List<Moment> asked = new ArrayList<>();
+      Follower[] follower = {null};
+      follower[0] =
+          new Follower(
+              lab.seen,
+              lab.process,
+              TABLE,
+              List.of(""),
+              row -> asked.add(follower[0].asked()),
+              () -> asked.add(follower[0].asked()));
+      lab.write("a", "v");
+      Moment began = lab.process.now();
+      follower[0].start();
+      lab.time.run(200);
+      assertEquals(asked, List.of(Follower.NEVER, began));
+      lab.write("b", "v");
+      assertEquals(asked, List.of(Follower.NEVER, began, began));
+    }
+  }
+
   /** Rows that the listener cannot take. */
   public static class Choking {
 
