A leap of the time of day stops starts no longer than a renewal

What callers saw, by tests: after the time of day was set forward by 1.5 s and more, nothing started for up to 2.0 s, where it had been 0.56 s before news was dated by its question. Cause: the question under way was sent before the leap, so its answer is old by its date as well; the leader waited that answer out and then the whole wait of the next question, for evacuations twice 1 s.

Change: a follower that takes in an answer older than twice its wait asks again without a wait; and where the time of day has gone on by a wait more than the steady clock since a question was sent, it asks at once and passes over the answer to that one, whose changes come again with the next. A suspended process, whose steady clock stood still, does the same when it wakes. A timer each 100 ms looks for it, without a call.

What is left is the leader's own renewal.

Weighed: asking again only when an old answer comes in leaves the rest of its wait, up to 1 s for evacuations; waits of 0.5 s for evacuations cost each instance a call a second; dating news by the steady clock alone starts work late after a suspension.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -31,9 +31,15 @@
   /** Wait where an answer is wanted at once, in milliseconds; the store may not know one of 0. */
   private static final long NO_WAIT_MILLIS = 1;
 
+  /** Time between two looks at whether the time of day has leapt, in milliseconds. */
+  private static final long LEAP_LOOK_MILLIS = 100;
+
   /** Stands for a time long ago, where there was no answer yet. */
   public static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
 
+  /** One call for news, told apart from those given up for it. */
+  private record Question(Moment sent, long number) {}
+
   private final TableStore store;
   private final Timers timers;
   private final String table;
@@ -46,6 +52,8 @@
   private long firstWaitMillis = WAIT_MILLIS;
   private long gapMillis;
   private long position;
+  private Question open;
+  private long questions;
   private Moment asked = NEVER;
   private Moment telling = NEVER;
   private Moment answered = NEVER;
@@ -101,6 +109,11 @@
 
   /** Begins to read. */
   public void start() {
+    lookForLeap();
+    readAll();
+  }
+
+  private void readAll() {
     scan(timers.now(), new ArrayList<>(), Long.MAX_VALUE, 0);
   }
 
@@ -147,7 +160,7 @@
         scan -> {
           if (!scan.answered()) {
             failed("scan");
-            timers.after(PAUSE_MILLIS, this::start);
+            timers.after(PAUSE_MILLIS, this::readAll);
             return;
           }
           rows.addAll(scan.rows());
@@ -171,35 +184,62 @@
       current = true;
       onCurrent.run();
     }
-    follow(firstWaitMillis);
+    follow(old(began) ? NO_WAIT_MILLIS : firstWaitMillis);
   }
 
   private void follow(long wait) {
     if (!stopped) {
-      Moment sent = timers.now();
-      store.follow(table, position, wait, news -> news(sent, news));
+      questions++;
+      Question question = new Question(timers.now(), questions);
+      open = question;
+      store.follow(table, position, wait, news -> news(question, news));
     }
   }
 
-  private void news(Moment sent, TableStore.News news) {
+  /** Returns whether what was asked for then is older than a wait for it explains. */
+  private boolean old(Moment sent) {
+    return timers.now().longestSince(sent) > 2 * waitMillis;
+  }
+
+  /**
+   * Asks again without a wait where the time of day was set forward, or the process was suspended,
+   * since the question under way was sent: its answer will be old by its date.
+   */
+  private void lookForLeap() {
     if (stopped) {
       return;
     }
+    if (open != null && leapt(open.sent())) {
+      follow(NO_WAIT_MILLIS);
+    }
+    timers.after(LEAP_LOOK_MILLIS, this::lookForLeap);
+  }
+
+  private boolean leapt(Moment since) {
+    Moment now = timers.now();
+    return now.wall() - since.wall() > now.mono() - since.mono() + waitMillis;
+  }
+
+  private void news(Question question, TableStore.News news) {
+    if (stopped || !question.equals(open)) {
+      return;
+    }
+    open = null;
     switch (news.outcome()) {
       case CURRENT -> {
-        heard(sent);
+        heard(question.sent());
         news.rows().stream().filter(row -> parts.contains(row.at().part())).forEach(this::tell);
         position = Math.max(position, news.version());
-        asked = sent;
+        asked = question.sent();
         if (gapMillis > 0 && !news.rows().isEmpty()) {
           timers.after(gapMillis, () -> follow(waitMillis));
         } else {
-          follow(waitMillis);
+          follow(old(asked) ? NO_WAIT_MILLIS : waitMillis);
         }
       }
       case FORGOTTEN -> {
         LOG.info("the store forgot changes of {}; reading all of it again", table);
-        start();
+        readAll();
       }
       case FAILED -> {
         failed("follow");
--- a/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
@@ -91,9 +91,56 @@
     }
   }
 
-  /** How old what was told is. */
+  /** How old what was told is, and what it costs to know that. */
   public static class Dating {
 
+    private static final long MILLIS = 60_000;
+
+    /** Returns the questions of a minute. */
+    private static long calls(long readMillis, boolean keptNew, long leapMillis) {
+      Lab lab = new Lab();
+      lab.store.readMillis = readMillis;
+      lab.store.transactionMillis = 2 * readMillis;
+      Follower follower = lab.follower();
+      (keptNew ? follower.keptNew(500) : follower).start();
+      lab.time.run(5_000);
+      long before = lab.calls;
+      lab.process.leapMillis = leapMillis;
+      lab.time.run(MILLIS);
+      return lab.calls - before;
+    }
+
+    /** Guards against questions without a wait where nothing is old. */
+    @Test
+    public void asksNoMoreThanItsWaitSays() {
+      assertEquals(calls(4, false, 0), MILLIS / 1_000);
+      assertEquals(calls(4, true, 0), MILLIS / 500);
+      assertTrue(calls(240, false, 0) <= MILLIS / 1_240 + 1);
+      assertTrue(calls(240, true, 0) <= MILLIS / 740 + 1);
+    }
+
+    /** Guards against questions without a wait for as long as the time of day is off. */
+    @Test
+    public void asksOnceMoreAfterLeaps() {
+      for (long leap : new long[] {-3_000, 1_500, 3_000, 3_600_000}) {
+        assertTrue(calls(4, false, leap) <= MILLIS / 1_000 + 2);
+        assertTrue(calls(4, true, leap) <= MILLIS / 500 + 2);
+        assertTrue(calls(240, true, leap) <= MILLIS / 740 + 2);
+      }
+    }
+
+    /** Guards against answers that are dated by a time of day that has been set since. */
+    @Test
+    public void knowsNewsSoonAfterLeaps() {
+      Lab lab = new Lab();
+      Follower follower = lab.follower();
+      follower.start();
+      lab.time.run(5_300);
+      lab.process.leapMillis = 3_000;
+      lab.time.run(200);
+      assertTrue(lab.process.now().longestSince(follower.asked()) <= 200);
+    }
+
     /** Guards against changes that count as told before they are. */
     @Test
     public void countsAsToldWhatWasTold() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -4,8 +4,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 
 /** Tests of what a leader starts while news of the store reaches it late. */
@@ -97,6 +101,16 @@
     return begins + random.nextInt((int) pause);
   }
 
+  /** The time of day is set forward or back, and answers are late afterwards. */
+  private static long leap(StartsLab lab, String table, Random random) {
+    long begins = random.nextInt(1_000);
+    long leap = random.nextInt(12_000) - 6_000L;
+    lab.writeOthers(20 + random.nextInt(1_500), 3_000);
+    lab.leapAfter(begins, leap);
+    hold(lab, "follow " + table, begins + random.nextInt(1_000), random.nextInt(1_700));
+    return begins;
+  }
+
   /** Jobs that are cancelled while the news of it comes late. */
   public static class Cancelling {
 
@@ -121,6 +135,12 @@
     public void startsNothingLateAfterPauses() {
       check((lab, random) -> pause(lab, JobTables.CANCELS, random));
     }
+
+    /** Guards against starts that rely on news whose date the time of day has left behind. */
+    @Test
+    public void startsNothingLateAfterLeaps() {
+      check((lab, random) -> leap(lab, JobTables.CANCELS, random));
+    }
   }
 
   /** Data centres that are to be emptied while the news of it comes late. */
@@ -151,6 +171,12 @@
       check((lab, random) -> pause(lab, "op", random));
     }
 
+    /** Guards against starts that rely on news whose date the time of day has left behind. */
+    @Test
+    public void startsNothingLateAfterLeaps() {
+      check((lab, random) -> leap(lab, "op", random));
+    }
+
     /** Guards against orders that are carried out long after they left. */
     @Test
     public void nothingBeginsLateByHeldOrders() {
@@ -199,6 +225,13 @@
   /** What is not to be held back by any of this. */
   public static class Calm {
 
+    /** How far the time of day is set, in milliseconds. */
+    private static final List<Long> LEAPS =
+        List.of(-5_000L, -1_500L, 0L, 500L, 1_000L, 1_500L, 2_000L, 3_000L, 5_000L, 3_600_000L);
+
+    /** Longest time without a start, in milliseconds: a renewal, and what a start takes. */
+    private static final long PAUSE_MILLIS = 570;
+
     private static StartsLab runs(long readMillis, long transactionMillis) {
       StartsLab lab = new StartsLab();
       lab.store.readMillis = readMillis;
@@ -238,6 +271,34 @@
       loseOne(JobTables.CANCELS, 1_000);
     }
 
+    /** Guards against starts that stop for long since the time of day was set. */
+    @Test
+    public void pausesBrieflyAfterLeaps() {
+      Map<Long, Long> pauses =
+          LEAPS.stream().collect(Collectors.toMap(leap -> leap, Calm::longestPause));
+      List<Long> tooLong =
+          LEAPS.stream().filter(leap -> pauses.get(leap) > PAUSE_MILLIS).sorted().toList();
+      assertEquals(tooLong, List.of(), "longest pauses by leap: " + new TreeMap<>(pauses));
+    }
+
+    private static long longestPause(long leapMillis) {
+      return IntStream.range(0, 20).mapToLong(i -> pause(leapMillis, 53L * i)).max().orElseThrow();
+    }
+
+    private static long pause(long leapMillis, long offsetMillis) {
+      StartsLab lab = new StartsLab();
+      lab.time.run(5_000 + offsetMillis);
+      long from = lab.time.now();
+      lab.process.leapMillis = leapMillis;
+      lab.time.run(6_000);
+      List<Long> starts =
+          Stream.concat(Stream.of(from), lab.starts.stream().filter(at -> at >= from)).toList();
+      return IntStream.range(1, starts.size())
+          .mapToLong(i -> starts.get(i) - starts.get(i - 1))
+          .max()
+          .orElse(Long.MAX_VALUE);
+    }
+
     /** Guards against starts that wait for news of evacuations after one lost answer. */
     @Test
     public void holdsNothingBackAfterOneLostAnswerOfTheOperator() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -109,6 +109,11 @@
     others.after(millis, () -> process.pause(pauseMillis, clockToo));
   }
 
+  /** Sets the instance's time of day forward after a time, or back. */
+  void leapAfter(long millis, long leapMillis) {
+    others.after(millis, () -> process.leapMillis = leapMillis);
+  }
+
   /** Has orders about runs that leave from a time on stay on their way for so long. */
   void holdOrdersAfter(long millis, long heldMillis) {
     others.after(millis, () -> wayMillis = heldMillis);
--- a/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
@@ -22,6 +22,9 @@
     /** How late timers and answers come since the process is busy, in milliseconds. */
     long lateMillis;
 
+    /** How far the time of day is set forward, in milliseconds; back if negative. */
+    long leapMillis;
+
     private long resumesMillis;
     private long stoodMillis;
 
@@ -33,7 +36,7 @@
 
     @Override
     public Moment now() {
-      return new Moment(now - stoodMillis, now);
+      return new Moment(now - stoodMillis, now + leapMillis);
     }
 
     @Override
