Names that tell a newcomer what they are

`AHEAD_OF_JOB` is `BEFORE_SUBMISSION`, a cancellation is read from its row by `parse` and found for a job's version by `fitting`; cancellations without a job are orphans in `Retention`. A start's `leaseEndMillis` is `deadlineMillis`: it is the end of a lease or an earlier end of the order. A follower has `withMaxWait`, `catchUpWaitMillis` and `SHORTEST_WAIT_MILLIS` (1 ms) for `keptNew`, `firstWaitMillis` and `NO_WAIT_MILLIS`. Behaviour, stored texts and the interface to workers are the same; tests follow the names only.

--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -27,12 +27,12 @@
    * @param target on which worker
    * @param run the run
    * @param payload the job's opaque text
-   * @param leaseEndMillis end of the lease on the worker's clock, which refuses the order
-   *     afterwards
+   * @param deadlineMillis when the order ends, on the worker's clock, which refuses it afterwards;
+   *     what it starts has a lease until then at least
    * @param checkpoint where to resume from, empty to start afresh
    */
   record StartRun(
-      OrderTarget target, RunKey run, String payload, long leaseEndMillis, String checkpoint)
+      OrderTarget target, RunKey run, String payload, long deadlineMillis, String checkpoint)
       implements JobEffect {}
 
   /** Stops a run, and bars it from starting later. */
--- a/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
@@ -96,7 +96,7 @@
       lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
       lab.submit(job(ID.value(), step(1, 2, List.of())));
       lab.run(100);
-      assertTrue(lastStart(lab).leaseEndMillis() > lab.now + LONG_LEASE_MILLIS);
+      assertTrue(lastStart(lab).deadlineMillis() > lab.now + LONG_LEASE_MILLIS);
     }
 
     /** Guards against trust in a lease that a look brings which no answer has confirmed. */
@@ -116,7 +116,7 @@
       lab.post(new JobEvent.StartsBounded(lab.now + BOUND_MILLIS));
       lab.submit(job(ID.value(), step(1, 2, List.of())));
       lab.run(100);
-      assertTrue(lastStart(lab).leaseEndMillis() > lab.now + LONG_LEASE_MILLIS);
+      assertTrue(lastStart(lab).deadlineMillis() > lab.now + LONG_LEASE_MILLIS);
     }
   }
 }
--- a/core/src/test/java/org/cottontack/core/job/LabWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/LabWorker.java
@@ -105,10 +105,10 @@
     if (order.run().run() <= barred.getOrDefault(order.run().task(), 0)) {
       return StartResult.OLD;
     }
-    if (order.leaseEndMillis() <= clock(now)) {
+    if (order.deadlineMillis() <= clock(now)) {
       return StartResult.LATE;
     }
-    hold(order.leaseEndMillis(), now);
+    hold(order.deadlineMillis(), now);
     starts.merge(order.run(), 1, Integer::sum);
     running.put(order.run(), new Held(order.run(), now + work, need));
     return StartResult.STARTED;
--- a/daemon/src/main/java/org/cottontack/daemon/job/Cancellation.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Cancellation.java
@@ -11,10 +11,10 @@
   OF_JOB("1", Intake.Answer.STORED),
 
   /**
-   * There was no job, and none can be stored beside this row: a submission that the store carries
-   * out later is refused.
+   * There was no job. A submission that the store carries out later is refused beside this row, and
+   * the leader ends a job that another version stores there.
    */
-  AHEAD_OF_JOB("0", Intake.Answer.ABSENT);
+  BEFORE_SUBMISSION("0", Intake.Answer.ABSENT);
 
   private final String text;
   private final Intake.Answer answer;
@@ -29,13 +29,13 @@
    *
    * @param jobVersion the version of the job's row, 0 without a row
    */
-  static Cancellation of(long jobVersion) {
-    return jobVersion == 0 ? AHEAD_OF_JOB : OF_JOB;
+  static Cancellation fitting(long jobVersion) {
+    return jobVersion == 0 ? BEFORE_SUBMISSION : OF_JOB;
   }
 
   /** Returns which one a row holds. */
-  static Cancellation in(Row row) {
-    return row.text().equals(AHEAD_OF_JOB.text) ? AHEAD_OF_JOB : OF_JOB;
+  static Cancellation parse(Row row) {
+    return row.text().equals(BEFORE_SUBMISSION.text) ? BEFORE_SUBMISSION : OF_JOB;
   }
 
   /** Returns what a caller is told once it is stored. */
@@ -50,7 +50,7 @@
    * @param jobVersion the version of the job's row, 0 without a row
    */
   static Change change(JobId id, long jobVersion) {
-    Payload content = Payload.of(of(jobVersion).text);
+    Payload content = Payload.of(fitting(jobVersion).text);
     return new Change(
         Map.of(JobTables.job(id), jobVersion), Map.of(JobTables.cancel(id), content), List.of());
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Follower.java
@@ -29,7 +29,7 @@
   private static final long PAUSE_MILLIS = 150;
 
   /** Wait where an answer is wanted at once, in milliseconds; the store may not know one of 0. */
-  private static final long NO_WAIT_MILLIS = 1;
+  private static final long SHORTEST_WAIT_MILLIS = 1;
 
   /** Time between two looks at whether the time of day has leapt, in milliseconds. */
   private static final long LEAP_LOOK_MILLIS = 100;
@@ -49,7 +49,7 @@
   private final Map<RowKey, Long> known = new HashMap<>();
   private boolean stopped;
   private long waitMillis = WAIT_MILLIS;
-  private long firstWaitMillis = WAIT_MILLIS;
+  private long catchUpWaitMillis = WAIT_MILLIS;
   private long gapMillis;
   private long position;
   private Question open;
@@ -101,9 +101,9 @@
    * @param millis longest wait for a change, in milliseconds
    * @return this
    */
-  public Follower keptNew(long millis) {
+  public Follower withMaxWait(long millis) {
     waitMillis = millis;
-    firstWaitMillis = NO_WAIT_MILLIS;
+    catchUpWaitMillis = SHORTEST_WAIT_MILLIS;
     return this;
   }
 
@@ -184,7 +184,7 @@
       current = true;
       onCurrent.run();
     }
-    follow(old(began) ? NO_WAIT_MILLIS : firstWaitMillis);
+    follow(old(began) ? SHORTEST_WAIT_MILLIS : catchUpWaitMillis);
   }
 
   private void follow(long wait) {
@@ -210,7 +210,7 @@
       return;
     }
     if (open != null && leapt(open.sent())) {
-      follow(NO_WAIT_MILLIS);
+      follow(SHORTEST_WAIT_MILLIS);
     }
     timers.after(LEAP_LOOK_MILLIS, this::lookForLeap);
   }
@@ -234,7 +234,7 @@
         if (gapMillis > 0 && !news.rows().isEmpty()) {
           timers.after(gapMillis, () -> follow(waitMillis));
         } else {
-          follow(old(asked) ? NO_WAIT_MILLIS : waitMillis);
+          follow(old(asked) ? SHORTEST_WAIT_MILLIS : waitMillis);
         }
       }
       case FORGOTTEN -> {
@@ -243,7 +243,7 @@
       }
       case FAILED -> {
         failed("follow");
-        timers.after(PAUSE_MILLIS, () -> follow(firstWaitMillis));
+        timers.after(PAUSE_MILLIS, () -> follow(catchUpWaitMillis));
       }
       default -> throw new IllegalStateException("no such outcome: " + news.outcome());
     }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -159,7 +159,7 @@
         answer -> {
           long version = versionOf(answer.current(JobTables.job(id)));
           if (answer.outcome() == CommitAnswer.Outcome.DONE) {
-            done.accept(Cancellation.of(jobVersion).answer());
+            done.accept(Cancellation.fitting(jobVersion).answer());
           } else if (version == jobVersion) {
             done.accept(Answer.UNKNOWN);
           } else {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -159,7 +159,7 @@
     followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, onCurrent));
     cancels =
         new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent)
-            .keptNew(CANCELS_WAIT_MILLIS);
+            .withMaxWait(CANCELS_WAIT_MILLIS);
     followers.add(cancels);
     followers.add(registry.follower(this::post, onCurrent));
     toRead = followers.size();
@@ -194,8 +194,8 @@
     JobId id = new JobId(row.key());
     if (row.removed()) {
       retention.gone(row.at());
-    } else if (Cancellation.in(row) == Cancellation.AHEAD_OF_JOB && !known(id)) {
-      retention.ahead(row);
+    } else if (Cancellation.parse(row) == Cancellation.BEFORE_SUBMISSION && !known(id)) {
+      retention.orphan(row);
     } else if (scheduler == null) {
       cancelled.add(id);
     } else {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Retention.java
@@ -37,13 +37,13 @@
 
   private record Ended(JobId id, long sinceMillis) {}
 
-  private record Ahead(Row row, long sinceMillis) {}
+  private record Orphan(Row row, long sinceMillis) {}
 
   private final TableStore store;
   private final Timers timers;
   private final long keepMillis;
   private final Deque<Ended> ended = new ArrayDeque<>();
-  private final Map<RowKey, Ahead> ahead = new HashMap<>();
+  private final Map<RowKey, Orphan> orphans = new HashMap<>();
   private final Map<RowKey, Row> leaving = new HashMap<>();
   private boolean stopped;
 
@@ -68,13 +68,13 @@
    * Takes in a cancellation that came before its job. It stays as long as the state of a job that
    * ended: by far longer than a submission may be under way.
    */
-  void ahead(Row row) {
-    ahead.put(row.at(), new Ahead(row, timers.now().mono()));
+  void orphan(Row row) {
+    orphans.put(row.at(), new Orphan(row, timers.now().mono()));
   }
 
   /** Takes in that the row of a cancellation was removed. */
   void gone(RowKey at) {
-    ahead.remove(at);
+    orphans.remove(at);
   }
 
   /**
@@ -84,7 +84,7 @@
    * @return whether there is one
    */
   boolean claim(JobId job) {
-    return ahead.remove(JobTables.cancel(job)) != null;
+    return orphans.remove(JobTables.cancel(job)) != null;
   }
 
   /** Begins to remove rows. */
@@ -108,12 +108,15 @@
     }
     batches(jobs, id -> JobTables.job(id).part()).forEach(this::removeJobs);
     List<Row> over =
-        ahead.values().stream().filter(one -> one.sinceMillis() <= before).map(Ahead::row).toList();
-    over.forEach(row -> ahead.remove(row.at()));
+        orphans.values().stream()
+            .filter(one -> one.sinceMillis() <= before)
+            .map(Orphan::row)
+            .toList();
+    over.forEach(row -> orphans.remove(row.at()));
     over.forEach(row -> leaving.put(row.at(), row));
     List<Row> rows = List.copyOf(leaving.values());
     leaving.clear();
-    batches(rows, row -> row.at().part()).forEach(this::removeAhead);
+    batches(rows, row -> row.at().part()).forEach(this::removeOrphans);
   }
 
   private static <T> List<List<T>> batches(List<T> all, Function<T, String> part) {
@@ -131,7 +134,7 @@
    * Removes cancellations that are as they were. A late copy must not remove one of a job that was
    * submitted and cancelled since.
    */
-  private void removeAhead(List<Row> rows) {
+  private void removeOrphans(List<Row> rows) {
     Map<RowKey, Long> versions = rows.stream().collect(Collectors.toMap(Row::at, Row::version));
     store.commit(
         new Change(versions, Map.of(), List.copyOf(versions.keySet())),
--- a/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FollowerTest.java
@@ -97,12 +97,12 @@
     private static final long MILLIS = 60_000;
 
     /** Returns the questions of a minute. */
-    private static long calls(long readMillis, boolean keptNew, long leapMillis) {
+    private static long calls(long readMillis, boolean shorter, long leapMillis) {
       Lab lab = new Lab();
       lab.store.readMillis = readMillis;
       lab.store.transactionMillis = 2 * readMillis;
       Follower follower = lab.follower();
-      (keptNew ? follower.keptNew(500) : follower).start();
+      (shorter ? follower.withMaxWait(500) : follower).start();
       lab.time.run(5_000);
       long before = lab.calls;
       lab.process.leapMillis = leapMillis;
--- a/daemon/src/test/java/org/cottontack/daemon/job/RetentionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/RetentionTest.java
@@ -121,9 +121,9 @@
   }
 
   /** Rows of cancellations that came before their job. */
-  public static class Ahead {
+  public static class Orphans {
 
-    private static final RowKey AT = JobTables.cancel(new JobId("ahead"));
+    private static final RowKey AT = JobTables.cancel(new JobId("orphan"));
 
     /** Writes such a row and tells it as a follower does. */
     private static void write(Lab lab, RowKey at) {
@@ -131,7 +131,7 @@
       lab.seen.commit(
           change,
           1_000,
-          answer -> lab.retention.ahead(new Row(at, Payload.of("0"), answer.version(), false)));
+          answer -> lab.retention.orphan(new Row(at, Payload.of("0"), answer.version(), false)));
       lab.time.run(20);
     }
 
@@ -143,9 +143,9 @@
       Lab lab = new Lab();
       write(lab, AT);
       lab.time.run(KEEP_MILLIS - 1_000);
-      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      assertTrue(lab.has(JobTables.CANCELS, "orphan"));
       lab.time.run(10_000);
-      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+      assertFalse(lab.has(JobTables.CANCELS, "orphan"));
     }
 
     /** Guards against a repeated cancellation whose row goes with the time of the first. */
@@ -156,9 +156,9 @@
       lab.time.run(KEEP_MILLIS - 1_000);
       write(lab, AT);
       lab.time.run(KEEP_MILLIS - 1_000);
-      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      assertTrue(lab.has(JobTables.CANCELS, "orphan"));
       lab.time.run(10_000);
-      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+      assertFalse(lab.has(JobTables.CANCELS, "orphan"));
     }
 
     /** Guards against a late removal that takes the cancellation of a job submitted since. */
@@ -170,7 +170,7 @@
       lab.time.run(KEEP_MILLIS - 1_000);
       lab.write(AT);
       lab.time.run(20_000);
-      assertTrue(lab.has(JobTables.CANCELS, "ahead"));
+      assertTrue(lab.has(JobTables.CANCELS, "orphan"));
       assertFalse(lab.has(JobTables.CANCELS, "other"));
     }
 
@@ -187,7 +187,7 @@
                   FakeTableStore.Fate.ANSWER_LOST));
       lab.store.fate = change -> fates.isEmpty() ? FakeTableStore.Fate.GOOD : fates.remove(0);
       lab.time.run(KEEP_MILLIS + 30_000);
-      assertFalse(lab.has(JobTables.CANCELS, "ahead"));
+      assertFalse(lab.has(JobTables.CANCELS, "orphan"));
       assertTrue(fates.size() <= 1);
     }
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsLab.java
@@ -210,11 +210,11 @@
     if (run.run() <= barred.getOrDefault(run.task(), 0)) {
       return StartResult.OLD;
     }
-    if (start.leaseEndMillis() <= now) {
+    if (start.deadlineMillis() <= now) {
       late++;
       return StartResult.LATE;
     }
-    leaseEndMillis = Math.max(leaseEndMillis, start.leaseEndMillis());
+    leaseEndMillis = Math.max(leaseEndMillis, start.deadlineMillis());
     starts.add(now);
     running.put(run, now);
     others.after(WORK_MILLIS, () -> end(run, WorkerReport.End.DONE));
