Nothing is sent again to a worker that says it leaves

What could be seen: a task starts on a worker seconds after it has said that it leaves, and ends with it.

Cause: an order to start that got no answer, or was kept back since news was old, was sent again each tick whether or not its worker had begun to drain; of first orders only the placement asked. Also an order that waits for its connection was asked about evacuations and not about leaving.

Change: one question, whether a worker is closed (it leaves, or its data centre is emptied), for the placement, for a repeated order and right before an order leaves.

Evidence: sendsNothingAgainToLeavingWorkers failed before and passes now; WorkerTroubleTest and EvacuationTest, 42 tests, pass.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -104,15 +104,15 @@
 
   /**
    * Returns whether an order to start may still leave for a worker. It may have waited for its
-   * connection while its job was cancelled, its task was taken off the worker, or the worker's data
-   * centre began to be emptied.
+   * connection while its job was cancelled, its task was taken off the worker, or the worker said
+   * that it leaves or its data centre began to be emptied.
    */
   public boolean maySend(WorkerLife worker, RunKey run) {
     Task task = term.find(run.task());
     return task != null
         && task.runsAs(worker, run.run())
         && !task.job.phase.terminal()
-        && term.worker(worker).filter(Worker::evacuated).isEmpty();
+        && term.worker(worker).filter(Worker::closed).isEmpty();
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -158,10 +158,10 @@
   /**
    * Sends an unanswered order again: the worker takes an order for the same run as the same. Not
    * where its capacity has shrunk meanwhile, as what starts now would slow all that runs there, and
-   * not in a data centre that is being emptied by now.
+   * not where nothing may begin by now.
    */
   void retry(Worker worker, Task task) {
-    if (task.job.phase.terminal() || worker.shrunk() || worker.evacuated()) {
+    if (task.job.phase.terminal() || worker.shrunk() || worker.closed()) {
       withdraw(task);
     } else if (!worker.silent) {
       order(worker, task);
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -127,12 +127,7 @@
 
   /** Returns whether new work may be placed here. */
   boolean usable(long nowMillis) {
-    return registered
-        && heard
-        && !silent
-        && !info.draining()
-        && !evacuated()
-        && nowMillis >= avoidUntilMillis;
+    return registered && heard && !silent && !closed() && nowMillis >= avoidUntilMillis;
   }
 
   /** Returns the highest end that may be acknowledged once it is stored. */
@@ -147,6 +142,13 @@
             spec, placed.values().stream().anyMatch(task -> HiddenEnds.matters(task.spec)));
   }
 
+  /**
+   * Returns whether nothing may begin here: it is about to leave, or its data centre is emptied.
+   */
+  boolean closed() {
+    return info.draining() || evacuated();
+  }
+
   /** Returns whether the operator empties its data centre. */
   boolean evacuated() {
     return evacuations.cover(info.dataCentre());
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -293,6 +293,22 @@
       assertEquals(other.count(), 1);
     }
 
+    /**
+     * Guards against an unanswered order that is sent again to a worker which says that it leaves.
+     */
+    @Test
+    public void sendsNothingAgainToLeavingWorkers() {
+      LabWorker leaving = new LabWorker("w1", 8);
+      JobLab lab = lab(leaving);
+      lab.delay = effect -> effect instanceof JobEffect.StartRun ? 20_000 : 0;
+      lab.submit(job("a", step(1, 2, List.of())));
+      lab.run(500);
+      lab.post(JobLab.draining(leaving));
+      lab.delay = effect -> 0;
+      lab.run(6_000);
+      assertEquals(lab.starts(), 0);
+    }
+
     /**
      * A worker is about to leave with tasks that last, and the leader changes right after. The new
      * one would have to wait out the leases of a worker that it never reached, and the tasks would
