Starts need a list of workers that is not old

Change: as with cancellations, the list is dated by when it was asked for, asked again after 0.5 s, and a start needs one under 1.7 s old and ends 1.9 s after it was asked for. Budget: 2,000 ms after a worker said that it leaves, the platform's bound.

Weighed: no bound, as before; the bound on cancellations alone, which does not hold where only this table is silent.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -58,6 +59,18 @@
   /** The same as the budget of cancellations for the 5 s of evacuations, in milliseconds. */
   private static final long EVACUATIONS_BUDGET_MILLIS = 4_900;
 
+  /**
+   * Oldest list of workers with which work is started, in milliseconds, counted from when it was
+   * asked for: under the 2 s after which nothing more may begin on a worker that is about to leave.
+   */
+  private static final long WORKERS_AGE_MILLIS = 1_700;
+
+  /** The same as the budget of cancellations for these 2 s, in milliseconds. */
+  private static final long WORKERS_BUDGET_MILLIS = 1_900;
+
+  /** Longest wait for a change of the list of workers, in milliseconds. */
+  private static final long WORKERS_WAIT_MILLIS = 500;
+
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
 
@@ -82,6 +95,7 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final List<Follower> followers = new ArrayList<>();
   private Follower cancels;
+  private Follower listed;
   private JobTable table = JobTable.EMPTY;
   private Set<DataCentreId> evacuated = Set.of();
   private JobScheduler scheduler;
@@ -161,7 +175,8 @@
         new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent)
             .withMaxWait(CANCELS_WAIT_MILLIS);
     followers.add(cancels);
-    followers.add(registry.follower(this::post, onCurrent));
+    listed = registry.follower(this::post, onCurrent).withMaxWait(WORKERS_WAIT_MILLIS);
+    followers.add(listed);
     toRead = followers.size();
     followers.forEach(Follower::start);
   }
@@ -290,6 +305,7 @@
     if (!stopped) {
       timers.after(TICK_MILLIS, this::tick);
       cancels.askIfLeapt();
+      listed.askIfLeapt();
       rules.askIfLeapt();
       post(new JobEvent.Tick(leadership.renewal()));
     }
@@ -314,9 +330,12 @@
   /** Tells until when work may begin by the news that there is. */
   private void boundStarts() {
     long left =
-        Math.min(
-            CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked()),
-            EVACUATIONS_BUDGET_MILLIS - sinceMillis(rules.asked()));
+        LongStream.of(
+                CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked()),
+                EVACUATIONS_BUDGET_MILLIS - sinceMillis(rules.asked()),
+                WORKERS_BUDGET_MILLIS - sinceMillis(listed.asked()))
+            .min()
+            .orElseThrow();
     Moment now = timers.now();
     scheduler.take(now, new JobEvent.StartsBounded(now.mono() + left));
   }
@@ -386,15 +405,17 @@
   }
 
   /**
-   * A start needs the lease, and news of cancellations and of evacuations that are not old. While
-   * these are out of reach, callers may be told elsewhere that a job is cancelled and operators
-   * that a data centre is being emptied, and tasks would go on starting here.
+   * A start needs the lease, and news of cancellations, of evacuations and of workers that are not
+   * old. While these are out of reach, callers may be told elsewhere that a job is cancelled,
+   * operators that a data centre is being emptied, and workers may say that they leave; tasks would
+   * go on starting here.
    */
   private boolean mayStart(JobEffect.StartRun start) {
     return !stopped
         && leadership.mayStart()
         && sinceMillis(cancels.asked()) < CANCELS_AGE_MILLIS
         && sinceMillis(rules.asked()) < EVACUATIONS_AGE_MILLIS
+        && sinceMillis(listed.asked()) < WORKERS_AGE_MILLIS
         && scheduler.maySend(start.target().life(), start.run());
   }
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LateNewsTest.java
@@ -189,6 +189,46 @@
     }
   }
 
+  /** Workers that are about to leave while the news of it comes late. */
+  public static class Draining {
+
+    /** How long after a worker said so something may start there, in milliseconds. */
+    private static final long DRAIN_MILLIS = 2_000;
+
+    private static void check(Trouble trouble) {
+      LateNewsTest.check(StartsLab.DRAIN, DRAIN_MILLIS, trouble);
+    }
+
+    /** Guards against starts that rely on an answer which lay on its way for a second. */
+    @Test
+    public void startsNothingLateAfterHeldAnswers() {
+      check((lab, random) -> held(lab, StartsLab.DRAIN.table(), random));
+    }
+
+    /** Guards against starts that rely on a list that was read long ago. */
+    @Test
+    public void startsNothingLateAfterSlowReadings() {
+      check((lab, random) -> readSlowly(lab, StartsLab.DRAIN.table(), random));
+    }
+
+    /** Guards against starts that rely on what was heard before the process stood still. */
+    @Test
+    public void startsNothingLateAfterPauses() {
+      check((lab, random) -> pause(lab, StartsLab.DRAIN.table(), random));
+    }
+
+    /** Guards against orders that are carried out long after they left. */
+    @Test
+    public void nothingBeginsLateByHeldOrders() {
+      check(
+          (lab, random) -> {
+            long begins = random.nextInt(1_000);
+            lab.holdOrdersAfter(begins, random.nextInt(6_000));
+            return begins;
+          });
+    }
+  }
+
   /** Orders that are late, though the news is not. */
   public static class Orders {
 
