What decides by the age of news gets a class of its own

StartNews names the kinds with their bounds, StartGate decides whether an order to start may leave and until when. Behaviour is the same: limits of 2.0, 4.0 and 1.7 s, bounds less 100 ms.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -32,44 +31,11 @@
   private static final Logger LOG = LogManager.getLogger(Leader.class);
 
   /**
-   * Oldest news of cancellations with which work is started, in milliseconds, counted from when it
-   * was asked for: under the 3 s in which a cancelled job must stop starting.
+   * Longest wait for news that may forbid to start work, in milliseconds. News is as old as one
+   * wait when it comes, and as two when the next comes; at a store that is 60 times slower, by 240
+   * ms each more.
    */
-  private static final long CANCELS_AGE_MILLIS = 2_000;
-
-  /**
-   * How long after news of cancellations was asked for work may begin by it, in milliseconds: the 3
-   * s without what clocks and a worker's answer may differ by.
-   */
-  private static final long CANCELS_BUDGET_MILLIS = 2_900;
-
-  /**
-   * Longest wait for a cancellation, in milliseconds. News is as old as one wait when it comes, and
-   * as two when the next comes; at a store that is 60 times slower, by 240 ms each more.
-   */
-  private static final long CANCELS_WAIT_MILLIS = 500;
-
-  /**
-   * Oldest news of evacuations with which work is started, in milliseconds, counted from when it
-   * was asked for: an order that leaves then arrives within the 5 s after which nothing more may
-   * begin in a data centre.
-   */
-  private static final long EVACUATIONS_AGE_MILLIS = 4_000;
-
-  /** The same as the budget of cancellations for the 5 s of evacuations, in milliseconds. */
-  private static final long EVACUATIONS_BUDGET_MILLIS = 4_900;
-
-  /**
-   * Oldest list of workers with which work is started, in milliseconds, counted from when it was
-   * asked for: under the 2 s after which nothing more may begin on a worker that is about to leave.
-   */
-  private static final long WORKERS_AGE_MILLIS = 1_700;
-
-  /** The same as the budget of cancellations for these 2 s, in milliseconds. */
-  private static final long WORKERS_BUDGET_MILLIS = 1_900;
-
-  /** Longest wait for a change of the list of workers, in milliseconds. */
-  private static final long WORKERS_WAIT_MILLIS = 500;
+  private static final long NEWS_WAIT_MILLIS = 500;
 
   /** Time between two ticks of the scheduler, in milliseconds. */
   private static final long TICK_MILLIS = 100;
@@ -96,6 +62,7 @@
   private final List<Follower> followers = new ArrayList<>();
   private Follower cancels;
   private Follower listed;
+  private StartGate gate;
   private JobTable table = JobTable.EMPTY;
   private Set<DataCentreId> evacuated = Set.of();
   private JobScheduler scheduler;
@@ -173,10 +140,17 @@
     followers.add(new Follower(store, timers, JobTables.JOBS, parts, this::job, onCurrent));
     cancels =
         new Follower(store, timers, JobTables.CANCELS, parts, this::cancel, onCurrent)
-            .withMaxWait(CANCELS_WAIT_MILLIS);
+            .withMaxWait(NEWS_WAIT_MILLIS);
     followers.add(cancels);
-    listed = registry.follower(this::post, onCurrent).withMaxWait(WORKERS_WAIT_MILLIS);
+    listed = registry.follower(this::post, onCurrent).withMaxWait(NEWS_WAIT_MILLIS);
     followers.add(listed);
+    gate =
+        new StartGate(
+            timers,
+            Map.of(
+                StartNews.CANCELLATIONS, cancels::asked,
+                StartNews.EVACUATIONS, rules::asked,
+                StartNews.WORKERS, listed::asked));
     toRead = followers.size();
     followers.forEach(Follower::start);
   }
@@ -329,15 +303,7 @@
 
   /** Tells until when work may begin by the news that there is. */
   private void boundStarts() {
-    long left =
-        LongStream.of(
-                CANCELS_BUDGET_MILLIS - sinceMillis(cancels.asked()),
-                EVACUATIONS_BUDGET_MILLIS - sinceMillis(rules.asked()),
-                WORKERS_BUDGET_MILLIS - sinceMillis(listed.asked()))
-            .min()
-            .orElseThrow();
-    Moment now = timers.now();
-    scheduler.take(now, new JobEvent.StartsBounded(now.mono() + left));
+    scheduler.take(timers.now(), new JobEvent.StartsBounded(gate.closesMillis()));
   }
 
   /** Decides about all events since the last time; the pause bounds its share of the processor. */
@@ -399,7 +365,7 @@
   private boolean leaves(JobEffect.StartRun start) {
     boolean may = mayStart(start);
     if (may) {
-      metrics.started(sinceMillis(cancels.asked()));
+      metrics.started(gate.ageMillis(StartNews.CANCELLATIONS));
     }
     return may;
   }
@@ -413,9 +379,7 @@
   private boolean mayStart(JobEffect.StartRun start) {
     return !stopped
         && leadership.mayStart()
-        && sinceMillis(cancels.asked()) < CANCELS_AGE_MILLIS
-        && sinceMillis(rules.asked()) < EVACUATIONS_AGE_MILLIS
-        && sinceMillis(listed.asked()) < WORKERS_AGE_MILLIS
+        && gate.open()
         && scheduler.maySend(start.target().life(), start.run());
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/cottontack/daemon/job/StartNews.java
@@ -0,0 +1,44 @@
+package org.cottontack.daemon.job;
+
+/**
+ * News that may forbid to start work, and how old it may be, counted from when it was asked for.
+ */
+enum StartNews {
+
+  /** Jobs that callers cancelled: 3 s later nothing of them may begin. */
+  CANCELLATIONS(2_000, 3_000),
+
+  /** Data centres that the operator empties: 5 s later nothing may begin there. */
+  EVACUATIONS(4_000, 5_000),
+
+  /** Workers that are about to leave, or have less room: 2 s later nothing may begin there. */
+  WORKERS(1_700, 2_000);
+
+  /** What clocks and a worker's answer may differ by, in milliseconds. */
+  private static final long CLOCKS_MILLIS = 100;
+
+  private final long oldestMillis;
+  private final long boundMillis;
+
+  /**
+   * Creates a kind of news.
+   *
+   * @param oldestMillis age up to which an order to start may leave, in milliseconds; what is left
+   *     to the bound is for its way
+   * @param boundMillis time after which nothing may begin against this news, in milliseconds
+   */
+  StartNews(long oldestMillis, long boundMillis) {
+    this.oldestMillis = oldestMillis;
+    this.boundMillis = boundMillis;
+  }
+
+  /** Returns whether an order to start may leave while the last news is of this age. */
+  boolean lets(long ageMillis) {
+    return ageMillis < oldestMillis;
+  }
+
+  /** Returns for how long work may begin by news of this age, in milliseconds; may be negative. */
+  long leftMillis(long ageMillis) {
+    return boundMillis - CLOCKS_MILLIS - ageMillis;
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderLab.java
@@ -0,0 +1,173 @@
+package org.cottontack.daemon.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.JobEvent;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.JobTable;
+import org.cottontack.core.job.Resources;
+import org.cottontack.core.job.RunKey;
+import org.cottontack.core.job.StartResult;
+import org.cottontack.core.job.WorkerInfo;
+import org.cottontack.core.job.WorkerLife;
+import org.cottontack.core.job.WorkerReport;
+import org.cottontack.core.peer.Payload;
+
+/** One instance over a fake store, with one worker that runs everything for ever. */
+final class LeaderLab implements WorkerRegistry, WorkerCalls {
+  /** Returns a job of one task. */
+  static JobSpec job(String id) {
+    return TestJobs.job(new JobId(id), 1);
+  }
+
+  final VirtualTimers time = new VirtualTimers();
+  final FakeTableStore store = new FakeTableStore(time);
+  VirtualTimers.View process = time.process();
+  final List<RunKey> starts = new ArrayList<>();
+  final List<Long> startMillis = new ArrayList<>();
+  final Map<RunKey, Boolean> running = new HashMap<>();
+  String hidden = "nothing";
+
+  /** Tells the instance which data centres are evacuated. */
+  Consumer<Set<DataCentreId>> operator;
+
+  Set<DataCentreId> evacuated = Set.of();
+
+  /** When the rules were last told, or 0 for just now. */
+  long rulesMillis;
+
+  /** How long an order to start waits for its connection, in milliseconds. */
+  long connectMillis;
+
+  JobEntry entry;
+
+  LeaderLab() {
+    restart();
+  }
+
+  /** Ends the instance's process and starts another. */
+  void restart() {
+    process.killed = true;
+    process = time.process();
+    TableStore seen = store.seenBy(process, call -> !call.equals(hidden));
+    WatchedStore watched = new WatchedStore(seen, process);
+    entry = new JobEntry(TestJobs.INSTANCE, 120_000, watched, process, rules(), this, this);
+    entry.start();
+    time.run(500);
+  }
+
+  void write(RowKey row, String text) {
+    write(Map.of(row, Payload.of(text)));
+  }
+
+  void write(Map<RowKey, Payload> rows) {
+    Change change = new Change(Map.of(), rows, List.of());
+    store.seenBy(process, call -> true).commit(change, 1_000, answer -> {});
+    time.run(100);
+  }
+
+  void submit(String id) {
+    entry.intake().submit(job(id), OptionalLong.empty(), answer -> {});
+  }
+
+  private RuleSource rules() {
+    return new RuleSource() {
+      @Override
+      public void start(Consumer<JobTable> tables, Consumer<Set<DataCentreId>> evacuations) {
+        operator = evacuations;
+        operator.accept(evacuated);
+        tables.accept(new JobTable(1, List.of(TestJobs.QUEUE), List.of()));
+      }
+
+      @Override
+      public long contactMillis() {
+        return asked().mono();
+      }
+
+      @Override
+      public Moment asked() {
+        return rulesMillis > 0 ? new Moment(rulesMillis, rulesMillis) : process.now();
+      }
+
+      @Override
+      public void askIfLeapt() {}
+    };
+  }
+
+  @Override
+  public Follower follower(Consumer<JobEvent> listener, Runnable onCurrent) {
+    TableStore seen = store.seenBy(process, call -> true);
+    return new Follower(seen, process, "workers", List.of("all"), row -> {}, onCurrent);
+  }
+
+  @Override
+  public void replay(Consumer<JobEvent> listener) {
+    listener.accept(
+        new JobEvent.WorkerSeen(
+            new WorkerInfo(
+                WorkerLife.only(new WorkerId("w")),
+                "pool",
+                "w:1",
+                new DataCentreId("dc"),
+                new Resources(32_000, 10_000, 0),
+                List.of(),
+                false)));
+  }
+
+  @Override
+  public void start(
+      JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done) {
+    process.after(connectMillis, () -> connected(start, allowed, done));
+  }
+
+  private void connected(
+      JobEffect.StartRun start, BooleanSupplier allowed, Consumer<StartResult> done) {
+    boolean sent = allowed.getAsBoolean();
+    if (sent) {
+      starts.add(start.run());
+      startMillis.add(process.now().mono());
+      running.put(start.run(), true);
+    }
+    process.after(2, () -> done.accept(sent ? StartResult.STARTED : StartResult.NOT_SENT));
+  }
+
+  @Override
+  public void stop(JobEffect.StopRun stop, long epoch, Consumer<Boolean> done) {
+    running.remove(stop.run());
+    process.after(2, () -> done.accept(true));
+  }
+
+  @Override
+  public void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done) {
+    process.after(2, () -> done.accept(true));
+  }
+
+  @Override
+  public void look(
+      JobEffect.LookAtWorker look, long epoch, BooleanSupplier allowed, Consumer<Look> done) {
+    process.after(
+        Math.max(2, look.waitMillis()),
+        () -> {
+          long clock = process.now().mono();
+          List<WorkerReport.Running> list =
+              running.keySet().stream()
+                  .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, 0))
+                  .toList();
+          done.accept(
+              new Look(
+                  Look.Outcome.ANSWERED,
+                  new WorkerReport(WorkerLife.UNSTATED, clock, list, List.of())));
+        });
+  }
+}
