A lasting task waits for its start where orders are late, not for leases only

What callers would have seen: a task of a lasting job on two workers at a time.

Cause: one bound for two kinds of loss. A lasting task went elsewhere when its worker's leases had ended, 8.5 s after a start that may arrive for 3.5 s more, since callers bear it away no longer than some 9 s. That holds after a crash in an otherwise calm time. A start that a living worker leaves unanswered shows that orders are late, and nobody made anything of it.

Change: IgnoredStarts, the starts that got no answer though their worker answered something sent later. A lasting task with a start on its way is kept from other workers until it can no longer come, and 1.5 s more for a life just back to be asked, where the latest ignored start makes that bearable; until the leases have ended otherwise.

Why it works: no other worker gets the task while the start may come; on the same worker a life that has answered refuses it.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -39,13 +39,23 @@
 
   final JobSpec spec;
   final long arrivedMillis;
+
+  /** Starts of any job that its leader knows to be ignored. */
+  final IgnoredStarts ignoredStarts;
+
   final List<Occurrence> occurrences = new ArrayList<>();
   JobPhase phase = JobPhase.QUEUED;
   boolean begun;
 
   Job(JobSpec spec, long arrivedMillis) {
+    this(spec, arrivedMillis, new IgnoredStarts());
+  }
+
+  /** Creates a job that shares with others what is known of starts. */
+  Job(JobSpec spec, long arrivedMillis, IgnoredStarts ignoredStarts) {
     this.spec = spec;
     this.arrivedMillis = arrivedMillis;
+    this.ignoredStarts = ignoredStarts;
   }
 
   /** Creates the occurrences whose time has come. */
--- a/core/src/main/java/org/cottontack/core/job/LateStart.java
+++ b/core/src/main/java/org/cottontack/core/job/LateStart.java
@@ -8,9 +8,11 @@
  *
  * @param refusing the first life of its worker that refuses it, once it has answered this leader;
  *     later ones do so as well
+ * @param bindsMillis until when its task is kept from other workers whatever is known, on our
+ *     steady clock
  * @param expiresMillis when it can no longer be carried out, on our steady clock
  */
-record LateStart(WorkerLife refusing, long expiresMillis) {
+record LateStart(WorkerLife refusing, long bindsMillis, long expiresMillis) {
 
   /**
    * Longest time until a worker carries out an order that it left unanswered, in milliseconds; the
@@ -18,11 +20,18 @@
    */
   static final long LATEST_MILLIS = 12_000;
 
+  /**
+   * Longest time until a life that can be reached has answered a question and lists what a start
+   * began, in milliseconds: one question without an answer, and the pause before the next.
+   */
+  private static final long HEARD_MILLIS = 1_500;
+
   /** Returns a start that this leader has sent; the life that it was for may still take it. */
   static LateStart sent(WorkerLife to, StepSpec spec, long sentMillis) {
     // A lasting task is back when leases of that time have ended, as after any loss of its worker.
-    long kept = spec.is(StepSpec.Trait.LASTS) ? LeaderLease.GRANT_MILLIS : LATEST_MILLIS;
-    return new LateStart(new WorkerLife(to.worker(), to.bornMillis() + 1), sentMillis + kept);
+    long binds = spec.is(StepSpec.Trait.LASTS) ? LeaderLease.GRANT_MILLIS : LATEST_MILLIS;
+    WorkerLife next = new WorkerLife(to.worker(), to.bornMillis() + 1);
+    return new LateStart(next, sentMillis + binds, sentMillis + LATEST_MILLIS);
   }
 
   /**
@@ -32,15 +41,29 @@
    * @param lapseMillis when the leases that earlier leaders gave have ended
    */
   static LateStart inherited(WorkerLife to, StepSpec spec, long startMillis, long lapseMillis) {
-    boolean lasts = spec.is(StepSpec.Trait.LASTS);
-    return new LateStart(to, lasts ? lapseMillis : startMillis + LATEST_MILLIS);
+    long expires = startMillis + LATEST_MILLIS;
+    return new LateStart(to, spec.is(StepSpec.Trait.LASTS) ? lapseMillis : expires, expires);
   }
 
   /** Returns what bars as much as both; a task is bound to one worker, so both name the same. */
   LateStart and(LateStart other) {
     boolean later = refusing.bornMillis() >= other.refusing.bornMillis();
     return new LateStart(
-        later ? refusing : other.refusing, Math.max(expiresMillis, other.expiresMillis));
+        later ? refusing : other.refusing,
+        Math.max(bindsMillis, other.bindsMillis),
+        Math.max(expiresMillis, other.expiresMillis));
+  }
+
+  /**
+   * Returns until when its task is kept from other workers. A lasting task is only kept for as long
+   * as it may arrive where orders are known to be late; its absence counts sooner otherwise.
+   *
+   * @param ignored the starts that are known to be ignored
+   */
+  long boundUntilMillis(IgnoredStarts ignored) {
+    boolean lasts = bindsMillis < expiresMillis;
+    long heardMillis = expiresMillis + HEARD_MILLIS;
+    return lasts && ignored.excuse(heardMillis) ? heardMillis : bindsMillis;
   }
 
   boolean expired(long nowMillis) {
@@ -54,6 +77,6 @@
 
   /** Returns the same start where a life refuses it already. */
   LateStart refusedFrom(WorkerLife life) {
-    return new LateStart(life, expiresMillis);
+    return new LateStart(life, bindsMillis, expiresMillis);
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -24,7 +24,7 @@
     if (term.jobs.containsKey(spec.id())) {
       return;
     }
-    Job job = new Job(spec, term.now.mono());
+    Job job = new Job(spec, term.now.mono(), term.ignoredStarts);
     estimates.arrived(spec.queue(), urgency.work(spec));
     open(job);
     term.note("job.taken", spec.id(), describe(spec));
@@ -52,7 +52,7 @@
   }
 
   void recovered(JobEvent.JobRecovered event) {
-    Job job = new Job(event.job(), term.now.mono());
+    Job job = new Job(event.job(), term.now.mono(), term.ignoredStarts);
     ProgressText.restore(job, event.progress());
     job.begun = job.phase != JobPhase.QUEUED;
     open(job);
--- a/core/src/main/java/org/cottontack/core/job/Losses.java
+++ b/core/src/main/java/org/cottontack/core/job/Losses.java
@@ -79,7 +79,13 @@
   private List<Task> judge(Worker worker, List<Task> lost, boolean crashed) {
     List<Task> hopeless = crashed ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
     lost.forEach(task -> noteLost(worker, task));
-    lost.stream().filter(task -> task.order == Task.Order.SENT).forEach(Task::unanswered);
+    lost.stream()
+        .filter(task -> task.order == Task.Order.SENT)
+        .forEach(
+            task -> {
+              task.unanswered();
+              term.noteIgnored(task);
+            });
     return hopeless;
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -135,7 +135,9 @@
     }
     if (event.result() == StartResult.STARTED) {
       noteCancelled(worker, task, "started");
+      task.startAnswered();
     }
+    term.noteIgnored(task);
     task.began |= event.result() == StartResult.STARTED;
     if (task.began && worker.hiddenEnds.stops(task.spec)) {
       stop(worker, task.key());
@@ -169,7 +171,7 @@
   void retry(Worker worker, Task task) {
     if (task.unwanted() || worker.shrunk() || worker.closed()) {
       withdraw(task);
-    } else if (!worker.silent && !task.copied && task.bound(term.now.mono())) {
+    } else if (!worker.silent && !task.copied && task.startMayCome(term.now.mono())) {
       task.copy();
       term.dirty.add(task.job);
     } else if (!worker.silent) {
--- a/core/src/main/java/org/cottontack/core/job/Reports.java
+++ b/core/src/main/java/org/cottontack/core/job/Reports.java
@@ -295,6 +295,13 @@
 
   /** Releases tasks whose runs the worker, asked after it had confirmed them, does not have. */
   private void missing(Worker worker, Set<RunKey> listed, long sentMillis) {
+    worker.placed.values().stream()
+        .filter(task -> !listed.contains(task.key()))
+        .forEach(
+            task -> {
+              task.notListed(sentMillis);
+              term.noteIgnored(task);
+            });
     worker.placed.values().stream()
         .filter(task -> task.order == Task.Order.CONFIRMED)
         .filter(task -> sentMillis > task.confirmedMillis && !listed.contains(task.key()))
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -117,6 +117,12 @@
   private boolean sentByUs;
   private long sentMillis;
 
+  /** When the last start of the present run was sent that got no answer. */
+  private long unansweredMillis;
+
+  /** When the last question or start was sent that its worker answered without having the run. */
+  private long absentMillis;
+
   /** Whether its worker has said that the present run began. */
   boolean began;
 
@@ -194,10 +200,33 @@
   /** Takes in that its start got no answer, or that its worker ended before one came. */
   void unanswered() {
     uncertain = true;
+    unansweredMillis = sentMillis;
     awaited.ifPresent(sent -> expectLate(sent.start(), sentMillis));
     awaited = Optional.empty();
   }
 
+  /** Takes in that its worker, asked at a time, does not list the present run. */
+  void notListed(long askedMillis) {
+    if (order != Order.CONFIRMED) {
+      absentMillis = Math.max(absentMillis, askedMillis);
+    }
+  }
+
+  /** Takes in that its worker has answered its last start, and may have begun the run only then. */
+  void startAnswered() {
+    absentMillis = Math.max(absentMillis, sentMillis);
+  }
+
+  /** Returns whether its worker left a start unanswered, and answered something sent later. */
+  boolean startIgnored() {
+    return uncertain && absentMillis > unansweredMillis;
+  }
+
+  /** Returns when the last start of the present run was sent that got no answer. */
+  long unansweredMillis() {
+    return unansweredMillis;
+  }
+
   /** Takes in what became of a start, whether its run is still in force or not. */
   void startEnded(WorkerLife on, int number, boolean certain) {
     Optional<Awaited> sent =
@@ -246,6 +275,11 @@
     return onItsWay().map(LateStart::refusing);
   }
 
+  /** Returns whether a start of it may still be carried out, by whatever life of its worker. */
+  boolean startMayCome(long nowMillis) {
+    return onItsWay().filter(start -> !start.expired(nowMillis)).isPresent();
+  }
+
   /** Returns whether a start on its way keeps it from all workers but one. */
   boolean bound(long nowMillis) {
     return boundMillis(nowMillis).isPresent();
@@ -254,8 +288,8 @@
   /** Returns for how long a start on its way keeps it from all workers but one, if it does. */
   OptionalLong boundMillis(long nowMillis) {
     return onItsWay().stream()
-        .filter(start -> !start.expired(nowMillis))
-        .mapToLong(start -> start.expiresMillis() - nowMillis)
+        .mapToLong(start -> start.boundUntilMillis(job.ignoredStarts) - nowMillis)
+        .filter(millis -> millis > 0)
         .findFirst();
   }
 
@@ -294,7 +328,7 @@
   }
 
   void place(WorkerLife on, long nowMillis) {
-    copied = bound(nowMillis);
+    copied = startMayCome(nowMillis);
     phase = Phase.PLACED;
     run++;
     worker = on;
@@ -302,6 +336,7 @@
     uncertain = false;
     cancelNoted = false;
     sentByUs = false;
+    absentMillis = nowMillis;
     began = false;
     brief = false;
     placedMillis = nowMillis;
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -48,6 +48,7 @@
   /** When nothing may begin any more by what is known, on our steady clock. */
   long startsUntilMillis = Long.MAX_VALUE;
 
+  final IgnoredStarts ignoredStarts = new IgnoredStarts();
   final HidingLives hidingLives = new HidingLives();
   final HeldLives heldLives = new HeldLives();
 
@@ -159,6 +160,13 @@
     return job == null || !job.has(name) ? null : job.task(name);
   }
 
+  /** Has tasks of all jobs know of a start that turned out to be ignored. */
+  void noteIgnored(Task task) {
+    if (task.startIgnored() && ignoredStarts.add(task.unansweredMillis())) {
+      note("start.ignored", task.key(), task.worker.toString());
+    }
+  }
+
   /** Says for how long at most a task that waits again is kept from other workers. */
   void noteBound(Task task) {
     task.boundMillis(now.mono())
