A start is ignored also where its worker's next life is never heard

The safeguard that counts a start as ignored when its worker is lost (Losses.judge) was noticed by no test: where the next life answers, its first report counts the start too. Where that life is lost unheard, only the judgement does.

--- a/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
@@ -142,6 +142,27 @@
       assertEquals(running(lab), 3);
     }
 
+    /** Guards against a start that is forgotten as its worker's next life is never heard. */
+    @Test
+    public void runsNoLastingTaskTwiceWhereNextLifeIsNotHeard() {
+      JobLab lab = lastingFleet();
+      lab.listsTheDead = false;
+      final long arrives = lab.now + 11_800;
+      delay(lab, arrives, LastingLateStartTest::lateOnFirst);
+      submitLost(lab);
+      lab.run(300);
+      lab.restartMillis = 200;
+      lab.delay = effect -> effect instanceof JobEffect.LookAtWorker ? 60_000 : 0;
+      crash(lab);
+      lab.run(lab.restartMillis + 50);
+      lab.listsTheDead = true;
+      lostUntil(lab, arrives);
+      lab.run(50);
+      lab.delay = effect -> 0;
+      lab.run(30_000);
+      assertEquals(running(lab), 3);
+    }
+
     /** Guards against a lasting task that is away for longer than its start may take. */
     @Test
     public void keepsLastingTaskAwayNoLongerThanItsStartMayCome() {
