Plain words for starts that are ignored

Names and comments only: what the class answers is whether an absence is excused (excuses), in the terms that the rest of the package uses (disturbed, delayed, expired).

--- a/core/src/main/java/org/cottontack/core/job/IgnoredStarts.java
+++ b/core/src/main/java/org/cottontack/core/job/IgnoredStarts.java
@@ -1,16 +1,17 @@
 package org.cottontack.core.job;
 
 /**
- * Starts that a worker left unanswered though it answered a later question: orders are late, not
- * cut short by a crash. The load: orders are carried out up to {@link LateStart#LATEST_MILLIS}
- * late, and a worker that left the start of a lasting task unanswered is lost. Callers bear the
- * task away until orders are no longer late; after a mere crash, only until its leases have ended.
+ * Starts that a worker left unanswered although it answered a later request: orders are delayed,
+ * rather than cut off by a crash. The load: orders are carried out up to {@link
+ * LateStart#LATEST_MILLIS} late, and a worker is lost before it has answered the start of a lasting
+ * task. After a crash alone that task has to be back when its leases have ended; while orders are
+ * delayed, users tolerate its absence until the start has expired.
  */
 final class IgnoredStarts {
 
   /**
-   * How long nothing must have been in disorder until an absent lasting task counts as missed, in
-   * milliseconds; the platform's rules state it.
+   * Undisturbed time after which an absent lasting task counts as missed, in milliseconds; the
+   * platform's rules state it.
    */
   private static final long CALM_MILLIS = 7_000;
 
@@ -30,10 +31,10 @@
   }
 
   /**
-   * Returns whether callers bear a lasting task away until a time: it is not after a calm span,
-   * which begins at the earliest when no ignored start can be carried out any more.
+   * Returns whether a lasting task may be absent until a time. Its absence counts only after an
+   * undisturbed span, which begins when the latest ignored start has expired.
    */
-  boolean excuse(long untilMillis) {
+  boolean excuses(long untilMillis) {
     return untilMillis <= latestMillis + LateStart.LATEST_MILLIS + CALM_MILLIS;
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/LateStart.java
+++ b/core/src/main/java/org/cottontack/core/job/LateStart.java
@@ -55,15 +55,15 @@
   }
 
   /**
-   * Returns until when its task is kept from other workers. A lasting task is only kept for as long
-   * as it may arrive where orders are known to be late; its absence counts sooner otherwise.
+   * Returns until when its task is kept from other workers. A lasting task waits until the start
+   * has expired only where orders are known to be late; otherwise its absence would count before.
    *
    * @param ignored the starts that are known to be ignored
    */
   long boundUntilMillis(IgnoredStarts ignored) {
     boolean lasts = bindsMillis < expiresMillis;
     long heardMillis = expiresMillis + HEARD_MILLIS;
-    return lasts && ignored.excuse(heardMillis) ? heardMillis : bindsMillis;
+    return lasts && ignored.excuses(heardMillis) ? heardMillis : bindsMillis;
   }
 
   boolean expired(long nowMillis) {
--- a/core/src/test/java/org/cottontack/core/job/IgnoredStartsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/IgnoredStartsTest.java
@@ -18,17 +18,17 @@
   /** For how long ignored starts excuse an absence. */
   public static class Excused {
 
-    /** When no start can be carried out any more, and 7 s without any disorder have passed. */
+    /** When no start can be carried out any more, and 7 s without a disturbance have passed. */
     private static final long CALM_SINCE_MILLIS = SENT_MILLIS + LateStart.LATEST_MILLIS + 7_000;
 
-    /** Guards against a task that is kept away although nothing is in disorder. */
+    /** Guards against a task that is kept away although nothing is disturbed. */
     @Test
     public void endsWithCalmSpan() {
       IgnoredStarts ignored = new IgnoredStarts();
-      assertFalse(ignored.excuse(SENT_MILLIS));
+      assertFalse(ignored.excuses(SENT_MILLIS));
       ignored.add(SENT_MILLIS);
-      assertTrue(ignored.excuse(CALM_SINCE_MILLIS));
-      assertFalse(ignored.excuse(CALM_SINCE_MILLIS + 1));
+      assertTrue(ignored.excuses(CALM_SINCE_MILLIS));
+      assertFalse(ignored.excuses(CALM_SINCE_MILLIS + 1));
     }
 
     /** Guards against news of an early start that hides a later one. */
@@ -37,7 +37,7 @@
       IgnoredStarts ignored = new IgnoredStarts();
       assertTrue(ignored.add(SENT_MILLIS));
       assertFalse(ignored.add(SENT_MILLIS - 1_000));
-      assertTrue(ignored.excuse(CALM_SINCE_MILLIS));
+      assertTrue(ignored.excuses(CALM_SINCE_MILLIS));
     }
   }
 
--- a/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
@@ -32,7 +32,7 @@
   /** Longest absence of a lasting task after a crash that nothing else goes with. */
   private static final long CRASH_BEARABLE_MILLIS = 9_000;
 
-  /** Longest absence of a lasting task once nothing is in disorder any more, in milliseconds. */
+  /** Longest absence of a lasting task once nothing is disturbed any more, in milliseconds. */
   private static final long CALM_BEARABLE_MILLIS = 3_000;
 
   private static StepSpec lasting(int count) {
