A start that a task waited for no longer is dropped with the next placement

What callers would have seen: a lasting task on two workers, where it had been given up waiting for a start on one worker, was started on a second, and that one was lost too.

Cause: two starts of a task are merged on the understanding that both name one worker, since a task is bound to one. A start that no longer bound its task was kept until it expired, and the younger birth of the two decided which worker the task might run on.

Evidence: tellsStartFromOneThatItWaitedForNoLonger, "runs 2 times at 25700" without the change.

Change: placing a task that is bound to no worker drops what it was bound by. A task has one worker again whenever starts are merged.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -171,7 +171,7 @@
   void retry(Worker worker, Task task) {
     if (task.unwanted() || worker.shrunk() || worker.closed()) {
       withdraw(task);
-    } else if (!worker.silent && !task.copied && task.startMayCome(term.now.mono())) {
+    } else if (!worker.silent && !task.copied && task.bound(term.now.mono())) {
       task.copy();
       term.dirty.add(task.job);
     } else if (!worker.silent) {
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -275,11 +275,6 @@
     return onItsWay().map(LateStart::refusing);
   }
 
-  /** Returns whether a start of it may still be carried out, by whatever life of its worker. */
-  boolean startMayCome(long nowMillis) {
-    return onItsWay().filter(start -> !start.expired(nowMillis)).isPresent();
-  }
-
   /** Returns whether a start on its way keeps it from all workers but one. */
   boolean bound(long nowMillis) {
     return boundMillis(nowMillis).isPresent();
@@ -328,7 +323,11 @@
   }
 
   void place(WorkerLife on, long nowMillis) {
-    copied = startMayCome(nowMillis);
+    copied = bound(nowMillis);
+    if (!copied) {
+      // A start that was waited for no longer would be merged with the next, for another worker.
+      expectNoneLate();
+    }
     phase = Phase.PLACED;
     run++;
     worker = on;
--- a/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LastingLateStartTest.java
@@ -232,6 +232,32 @@
       assertEquals(running(lab), 4);
     }
 
+    /** Guards against a start on one worker that is mistaken for an earlier one on another. */
+    @Test
+    public void tellsStartFromOneThatItWaitedForNoLonger() {
+      JobLab lab = lastingFleet();
+      crash(lab);
+      lab.run(3_000);
+      final long arrives = lab.now + 20_500;
+      lab.restartMillis = 9_300;
+      delay(lab, arrives, start -> lateOnFirst(start) || start.run().run() > 1);
+      submitLost(lab);
+      crash(lab);
+      while (lab.seen.stream().noneMatch(CutShort::startsAgain)) {
+        lab.run(10);
+      }
+      lab.run(300);
+      lab.delay = effect -> 0;
+      lab.restartMillis = arrives - BACK_BEFORE_MILLIS - lab.now;
+      lab.crash(lab.workers.get(SECOND));
+      lab.run(30_000);
+      assertEquals(running(lab), 3);
+    }
+
+    private static boolean startsAgain(JobEffect effect) {
+      return effect instanceof JobEffect.StartRun start && start.run().run() > 1;
+    }
+
     /** Guards against a lasting task beside its start where nothing else shows late orders. */
     @Test
     public void runsNoLastingTaskTwiceWhereNothingElseIsLate() {
@@ -244,4 +270,24 @@
       assertEquals(running(lab), 3);
     }
   }
+
+  /** Leaders that do not know what the one before sent. */
+  public static class Takeover {
+
+    /** Guards against a next leader that starts a lasting task beside its start. */
+    @Test
+    public void startsNoLastingTaskElsewhereWhereOrdersAreLate() {
+      JobLab lab = lastingFleet();
+      final long arrives = lab.now + 11_000;
+      delay(lab, arrives, start -> lateOnFirst(start) || ofOther(start));
+      submitLost(lab);
+      lostUntil(lab, arrives);
+      lab.leaderDies();
+      lab.run(1_000);
+      lab.takeOver();
+      lab.submit(job(OTHER, step(1, 2, List.of())));
+      lab.run(30_000);
+      assertEquals(running(lab), 4);
+    }
+  }
 }
