The longest wait for leases of unreachable workers is a metric

`leader_leaseWait_millis` says it at each scrape: after a change of leaders it must not grow, which tells a wait that begins anew from a leader that is not ready or has no room.

Test: `reportsLongestLeaseWait`, with the other tests of its class.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -130,6 +130,19 @@
     return Optional.ofNullable(term.jobs.get(id)).map(Job::describe);
   }
 
+  /**
+   * Returns the longest time until the tasks of an unreachable worker may start elsewhere because
+   * its leases have ended, in milliseconds; 0 when no task waits for that.
+   *
+   * @param now the present time
+   */
+  public long longestLeaseWaitMillis(Moment now) {
+    return term.workers.values().stream()
+        .filter(Worker::awaitsLeaseEnd)
+        .mapToLong(worker -> worker.leasesEndedMillis() - now.mono())
+        .reduce(0, Math::max);
+  }
+
   private void apply(JobEvent event) {
     if (event instanceof JobEvent.WorkerReported e) {
       workerReports.reported(e);
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -408,6 +408,10 @@
     return leader.mayYieldLeadershipTo(new DataCentreId(dataCentre));
   }
 
+  long longestLeaseWaitMillis() {
+    return leader.longestLeaseWaitMillis(moment());
+  }
+
   JobPhase phase(JobId job) {
     String progress = stored.get(job);
     return progress == null ? JobPhase.QUEUED : ProgressText.phase(progress);
--- a/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerTroubleTest.java
@@ -226,6 +226,21 @@
               .count(),
           1);
     }
+
+    /** Guards against a metric that does not show how long tasks of lost workers have to wait. */
+    @Test
+    public void reportsLongestLeaseWait() {
+      SimulatedWorker first = new SimulatedWorker("w1", 8);
+      SimulatedWorker second = new SimulatedWorker("w2", 8);
+      JobSimulation simulation = withLongRunningTask(first, second);
+      assertEquals(simulation.longestLeaseWaitMillis(), 0);
+      workerOfTask(first, second).dead = true;
+      simulation.run(2_000);
+      final long wait = simulation.longestLeaseWaitMillis();
+      assertTrue(wait > 0 && wait <= LeaderLease.GRANT_MILLIS, "wait " + wait);
+      simulation.run(wait + 200);
+      assertEquals(simulation.longestLeaseWaitMillis(), 0);
+    }
   }
 
   /** Workers that must get no new work. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -145,6 +145,11 @@
     return leader == null ? 0 : leader.epoch();
   }
 
+  /** Returns how long tasks of unreachable workers have to wait at most, in milliseconds. */
+  long longestLeaseWaitMillis() {
+    return leader == null ? 0 : leader.longestLeaseWaitMillis();
+  }
+
   /** Returns the metrics of this instance. */
   public JobMetrics metrics() {
     return metrics;
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -19,6 +19,7 @@
     registry.gauge("table.version", () -> () -> entry.table().version());
     registry.gauge("instance.ready", () -> () -> entry.ready() ? 1 : 0);
     registry.gauge("leader.epoch", () -> entry::leadingEpoch);
+    registry.gauge("leader.leaseWait.millis", () -> entry::longestLeaseWaitMillis);
   }
 
   /** Counts an answer to a caller and records its latency. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -110,6 +110,11 @@
     return scheduler == null || scheduler.mayYieldLeadershipTo(new DataCentreId(dataCentre));
   }
 
+  /** Returns how long tasks of unreachable workers have to wait at most, in milliseconds. */
+  long longestLeaseWaitMillis() {
+    return scheduler == null ? 0 : scheduler.longestLeaseWaitMillis(timers.now());
+  }
+
   void start() {
     progressStore.takeOver(this::readTables);
   }
