Failing test: a lost worker's task waits anew with each change of leaders

What callers saw: two long-running tasks were away for 15.06 s, from 9.240 to 24.303 s, with room for them; a roll of SIGTERMs 1.8 s apart fell into that time.

--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -139,6 +139,11 @@
     waitingSaves.clear();
   }
 
+  /** Stops the leader gracefully. */
+  void endLeader() {
+    killLeader();
+  }
+
   /**
    * Lets another instance take over with the stored state. The old leader receives no further
    * events.
