The lease ends of unreachable workers are stored

What callers saw: two long-running tasks of a lost worker were away for 15.06 s, from 9.240 to 24.303 s, with room for them, because a roll of SIGTERMs 1.8 s apart fell into that time.

Cause: when the leases of a worker end is a fact of that worker, but the next leader inherited one time for all workers, counted from the last renewal of the leader before it. Each change of leaders thus began the wait for a lost worker anew, however long ago that worker had last been given a lease. The record: the leader of the two runs was stopped at 15.5 s, and 8.5 s later, with what a handover takes, the tasks ran again.

Change: the leader stores when the leases of workers that it does not reach end, in a row that is written under the fence of progress, in the store's time. A stored end is true whoever leads: no order extends the leases of a worker past it, and once the worker answers it is withdrawn, which is stored before leases are extended again. A new leader takes the ends over with its claim on the progress; it adds those of workers that have not answered it within 0.5 s, which it has given nothing, and one that is stopped adds them before it leaves, for 0.4 s at most. Where a time is not known, or a leader of an older version led in between, the full wait holds.

Why it holds: an end is written only once no order can put it off, and it stays until an answer of the worker shows that it is not lost; both are transactions of the leader in office, as the fence is claimed before ends are read.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -106,7 +106,7 @@
   private Worker workerFor(WorkerInfo info) {
     Worker known = term.workers.get(info.id());
     if (known == null) {
-      return term.add(info, term.inheritedLeaseEndMillis);
+      return term.add(info, term.inheritedLeaseEndMillis(info.incarnation()));
     }
     // Of an unlisted worker, only the identifier and the runs placed on it are known.
     boolean same = !known.info.reachable() || known.incarnation().equals(info.incarnation());
--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import java.util.Map;
+import java.util.Optional;
 
 /** Something to be carried out by the process around {@link JobScheduler}: an output, as data. */
 public sealed interface JobEffect {
@@ -12,12 +13,17 @@
    * @param progress the stored form of each job's progress
    * @param learned estimates for images and queues, stored for the next leader; empty when they
    *     were written a short while ago
+   * @param leaseEnds when the leases of unreachable workers end, on this leader's steady clock;
+   *     they replace the stored ones. Empty to leave those unchanged.
    */
-  record SaveProgress(Map<JobId, String> progress, String learned) implements JobEffect {
+  record SaveProgress(
+      Map<JobId, String> progress, String learned, Optional<Map<WorkerIncarnation, Long>> leaseEnds)
+      implements JobEffect {
 
-    /** Keeps the map immutable. */
+    /** Keeps the maps immutable. */
     public SaveProgress {
       progress = Map.copyOf(progress);
+      leaseEnds = leaseEnds.map(Map::copyOf);
     }
   }
 
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -1,5 +1,6 @@
 package org.cottontack.core.job;
 
+import java.util.Map;
 import java.util.Set;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
@@ -33,6 +34,20 @@
   /** The stored estimates of an earlier leader were read. */
   record LearnedRecovered(String learned) implements JobEvent {}
 
+  /**
+   * The ends of leases of unreachable workers that earlier leaders stored were read. Comes before
+   * any worker or job.
+   *
+   * @param ends when all leases of a worker have ended, on this leader's steady clock
+   */
+  record LeaseEndsRecovered(Map<WorkerIncarnation, Long> ends) implements JobEvent {
+
+    /** Keeps the map immutable. */
+    public LeaseEndsRecovered {
+      ends = Map.copyOf(ends);
+    }
+  }
+
   /** A caller cancelled a job. */
   record JobCancelled(JobId job) implements JobEvent {}
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -100,13 +100,34 @@
 
   /**
    * Returns whether this leader may yield leadership to an instance of a data centre. That instance
-   * must be on this leader's side of any partition, and no task may be waiting for the leases of an
-   * unreachable worker to end: the next leader would restart that wait from this leader's last
+   * must be on this leader's side of any partition, and the ends of the leases of unreachable
+   * workers must be stored: the next leader would otherwise count them from this leader's last
    * renewal.
    */
   public boolean mayYieldLeadershipTo(DataCentreId dataCentre) {
     return PartitionDetector.reaches(term.workers.values(), dataCentre)
-        && term.workers.values().stream().noneMatch(Worker::awaitsLeaseEnd);
+        && term.leaseEnds.complete(term);
+  }
+
+  /**
+   * Prepares the end of this term: the next leader is to know when the leases of unreachable
+   * workers end, and so those of workers that have not answered this leader.
+   *
+   * @param moment the present time
+   * @return the effects to carry out; a save among them is answered as usual, and this is called
+   *     again then
+   */
+  public List<JobEffect> prepareEnd(Moment moment) {
+    term.now = moment;
+    term.effects = new ArrayList<>();
+    term.ending = true;
+    progressSaver.saveLeaseEnds();
+    return term.effects;
+  }
+
+  /** Returns whether the term may end: nothing of {@link #prepareEnd} remains to be saved. */
+  public boolean readyToEnd() {
+    return term.leaseEnds.complete(term);
   }
 
   /**
@@ -165,6 +186,8 @@
       lifecycle.recovered(e);
     } else if (event instanceof JobEvent.LearnedRecovered e) {
       progressSaver.restoreLearned(e.learned());
+    } else if (event instanceof JobEvent.LeaseEndsRecovered e) {
+      term.leaseEnds.recover(e.ends());
     } else if (event instanceof JobEvent.JobCancelled e) {
       lifecycle.cancelled(e.job());
     } else if (event instanceof JobEvent.WorkerSeen e) {
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -67,7 +67,7 @@
    */
   private void inherit(Task task) {
     if (task.worker.identifierReusable()) {
-      long leaseEndMillis = term.inheritedLeaseEndMillis;
+      long leaseEndMillis = term.inheritedLeaseEndMillis(task.worker);
       task.addLateStart(
           LateStart.inherited(task.worker, task.spec, term.startMillis, leaseEndMillis),
           term.now.mono());
@@ -86,7 +86,7 @@
   private Worker workerOrUnlisted(WorkerIncarnation incarnation) {
     Worker known = term.workers.get(incarnation.worker());
     return known == null
-        ? term.add(WorkerInfo.unlisted(incarnation), term.inheritedLeaseEndMillis)
+        ? term.add(WorkerInfo.unlisted(incarnation), term.inheritedLeaseEndMillis(incarnation))
         : known;
   }
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -16,6 +16,12 @@
   /** Minimum remaining lease at which a poll may grant no lease, in milliseconds. */
   private static final long MIN_REMAINING_LEASE_MILLIS = 7_000;
 
+  /**
+   * Longest wait of a poll of a worker whose leases may not be extended yet, in milliseconds. The
+   * next poll may extend them.
+   */
+  private static final long LIMITED_POLL_WAIT_MILLIS = 100;
+
   private final Term term;
 
   Orders(Term term) {
@@ -95,7 +101,7 @@
    */
   private long startLeaseEnd(Worker worker) {
     long given = worker.clock.lastLeaseEndMillis();
-    return given - term.now.mono() > MIN_START_LEASE_MILLIS ? given : term.grantEndMillis();
+    return given - term.now.mono() > MIN_START_LEASE_MILLIS ? given : term.grantEndMillis(worker);
   }
 
   /**
@@ -182,6 +188,9 @@
   void retry(Worker worker, Task task) {
     if (task.obsolete() || worker.shrunk() || worker.closed()) {
       withdraw(task);
+    } else if (!worker.silent && worker.leaseLimited()) {
+      // A start now would begin a run with little time left.
+      return;
     } else if (!worker.silent && !task.duplicateStartPossible && task.pinned(term.now.mono())) {
       task.prepareResend();
       term.dirty.add(task.job);
@@ -274,10 +283,12 @@
     // If the next incarnation may receive the acknowledgement, the poll grants no lease along with
     // it. Runs of that incarnation can then be ended by the leases that their starts grant.
     // Where runs here soon need a longer lease, this poll grants it and the next one acknowledges.
+    long maxWaitMillis =
+        worker.leaseLimited() ? Math.min(waitMillis, LIMITED_POLL_WAIT_MILLIS) : waitMillis;
     boolean ackOnly = acknowledges && worker.incarnation().identifierReusable();
     long leftMillis = worker.clock.lastLeaseEndMillis() - term.now.mono();
     boolean needed = !worker.placed.isEmpty() && worker.renewsLeases();
-    boolean longer = term.grantEndMillis() > worker.clock.lastLeaseEndMillis();
+    boolean longer = term.grantEndMillis(worker) > worker.clock.lastLeaseEndMillis();
     boolean leaseFirst = ackOnly && needed && longer && leftMillis < MIN_REMAINING_LEASE_MILLIS;
     long leaseEnd = ackOnly && !leaseFirst ? noLease(worker) : leaseEnd(worker);
     long acknowledged = acknowledges && !leaseFirst ? worker.lastAcknowledgedCompletion : 0;
@@ -285,7 +296,7 @@
     worker.lateLeases.pollSent(leaseEnd > 0, term.now.mono());
     term.effects.add(
         new JobEffect.LookAtWorker(
-            worker.target(), leaseEnd, acknowledged, ackOnly ? 0 : waitMillis));
+            worker.target(), leaseEnd, acknowledged, ackOnly ? 0 : maxWaitMillis));
   }
 
   /** Returns the end of the lease that a poll grants, on the worker's clock; 0 for none. */
@@ -293,7 +304,7 @@
     // A worker that does not answer may still receive this poll. If polls kept renewing its leases,
     // they would never be certain to have ended, and its tasks would wait for it indefinitely.
     boolean renew = worker.clock.known() && !worker.silent && worker.renewsLeases();
-    long until = term.grantEndMillis();
+    long until = term.grantEndMillis(worker);
     if (!renew || until <= term.now.mono()) {
       return noLease(worker);
     }
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -74,14 +75,28 @@
         savingCompletions.keySet().stream()
             .anyMatch(
                 incarnation -> incarnation.identifierReusable() && !written.contains(incarnation));
-    if (!rows.isEmpty() || term.incarnationsUnsaved) {
+    Optional<Map<WorkerIncarnation, Long>> leaseEnds = term.leaseEnds.beginSave(term);
+    if (!rows.isEmpty() || term.incarnationsUnsaved || leaseEnds.isPresent()) {
       saving = true;
-      term.effects.add(new JobEffect.SaveProgress(rows, learnedIfDue()));
+      term.effects.add(new JobEffect.SaveProgress(rows, learnedIfDue(), leaseEnds));
     } else if (!savingCompletions.isEmpty()) {
       saved();
     }
   }
 
+  /** Saves only the ends of leases of unreachable workers, because the term is about to end. */
+  void saveLeaseEnds() {
+    if (!saving) {
+      term.leaseEnds
+          .beginSave(term)
+          .ifPresent(
+              ends -> {
+                saving = true;
+                term.effects.add(new JobEffect.SaveProgress(Map.of(), "", Optional.of(ends)));
+              });
+    }
+  }
+
   void restoreLearned(String text) {
     Set<WorkerIncarnation> suppressing = new LinkedHashSet<>();
     Set<WorkerIncarnation> acknowledged = new HashSet<>();
@@ -142,6 +157,10 @@
 
   void saved() {
     saving = false;
+    term.leaseEnds.saved().stream()
+        .flatMap(incarnation -> term.worker(incarnation).stream())
+        .filter(worker -> !worker.placed.isEmpty() || !worker.orphans.isEmpty())
+        .forEach(worker -> orders.poll(worker, 0));
     List<RunKey> starts = List.copyOf(savingStarts);
     final Map<WorkerIncarnation, Long> completions = new LinkedHashMap<>(savingCompletions);
     savingStarts.clear();
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -48,6 +48,10 @@
   /** When runs may no longer begin without fresher information, on this leader's steady clock. */
   long startDeadlineMillis = Long.MAX_VALUE;
 
+  /** Whether this term is about to end. */
+  boolean ending;
+
+  final StoredLeaseEnds leaseEnds = new StoredLeaseEnds();
   final IgnoredStarts ignoredStarts = new IgnoredStarts();
   final UnlistedSuppressions unlistedSuppressions = new UnlistedSuppressions();
   final UnlistedDeferrals unlistedDeferrals = new UnlistedDeferrals();
@@ -84,6 +88,16 @@
     return renewal == null ? startMillis : LeaderLease.grantEnd(renewal, now);
   }
 
+  /** Returns the same for leases of one worker. */
+  long grantEndMillis(Worker worker) {
+    return Math.min(grantEndMillis(), leaseEnds.limitMillis(worker.incarnation()));
+  }
+
+  /** Returns when all leases that earlier leaders granted to a worker have ended. */
+  long inheritedLeaseEndMillis(WorkerIncarnation incarnation) {
+    return Math.min(inheritedLeaseEndMillis, leaseEnds.limitMillis(incarnation));
+  }
+
   /** Returns the worker of an incarnation, if that is its present incarnation. */
   Optional<Worker> worker(WorkerIncarnation incarnation) {
     return Optional.ofNullable(workers.get(incarnation.worker()))
@@ -118,7 +132,8 @@
     // The former incarnation may be the one that really runs, and may answer again.
     Optional.ofNullable(workers.get(info.id())).ifPresent(this::forget);
     Worker worker =
-        new Worker(info, evacuations, restarts, leaseEndMillis, acknowledgements, lateLeases);
+        new Worker(
+            info, evacuations, leaseEnds, restarts, leaseEndMillis, acknowledgements, lateLeases);
     workers.put(info.id(), worker);
     return worker;
   }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -80,6 +80,7 @@
 
   long avoidUntilMillis;
   private final Evacuations evacuations;
+  private final StoredLeaseEnds leaseEnds;
   private final int restarts;
   private final long inheritedLeaseEndMillis;
   private final Set<JobId> failedJobs = new HashSet<>();
@@ -114,6 +115,7 @@
    *
    * @param info the worker's registry entry
    * @param evacuations the data centres that get no new work
+   * @param leaseEnds the stored ends of leases of unreachable workers
    * @param restarts how often the worker has restarted under its identifier in this term
    * @param inheritedLeaseEndMillis when leases that others granted have ended, on our steady clock
    * @param acknowledgements what was acknowledged to earlier incarnations
@@ -122,12 +124,14 @@
   Worker(
       WorkerInfo info,
       Evacuations evacuations,
+      StoredLeaseEnds leaseEnds,
       int restarts,
       long inheritedLeaseEndMillis,
       Acknowledgements acknowledgements,
       LateLeases lateLeases) {
     this.info = info;
     this.evacuations = evacuations;
+    this.leaseEnds = leaseEnds;
     this.restarts = restarts;
     this.inheritedLeaseEndMillis = inheritedLeaseEndMillis;
     this.acknowledgements = acknowledgements;
@@ -164,6 +168,14 @@
     return registered && everAnswered && !silent && !closed() && nowMillis >= avoidUntilMillis;
   }
 
+  /**
+   * Returns whether its leases may not be extended, because their end may be stored from when it
+   * was unreachable.
+   */
+  boolean leaseLimited() {
+    return leaseEnds.contains(incarnation());
+  }
+
   /** Returns the highest completion number that may be acknowledged once it is stored. */
   long lastAcknowledgeableCompletion(long nowMillis) {
     return deferredAcknowledgements.acknowledgeable(lastSeenCompletion, nowMillis);
@@ -283,7 +295,12 @@
    * Returns when all leases, granted by this leader or by earlier ones, are certain to have ended.
    */
   long leasesEndedMillis() {
-    return Math.max(clock.lastLeaseEndMillis(), inheritedLeaseEndMillis) + EXPIRY_MARGIN_MILLIS;
+    return lastLeaseEndMillis() + EXPIRY_MARGIN_MILLIS;
+  }
+
+  /** Returns when the last lease granted by this leader or by earlier ones ends. */
+  long lastLeaseEndMillis() {
+    return Math.max(clock.lastLeaseEndMillis(), inheritedLeaseEndMillis);
   }
 
   /**
--- a/core/src/test/java/org/cottontack/core/job/PartitionDetectorTest.java
+++ b/core/src/test/java/org/cottontack/core/job/PartitionDetectorTest.java
@@ -37,6 +37,7 @@
         new Worker(
             new WorkerInfo(incarnation, "pool", "w:1", dataCentreId, capacity, List.of(), false),
             new Evacuations(),
+            new StoredLeaseEnds(),
             0,
             0,
             new Acknowledgements(),
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -1,5 +1,6 @@
 package org.cottontack.daemon.job;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import org.apache.logging.log4j.LogManager;
@@ -170,7 +171,11 @@
   public void stop(Runnable done) {
     stopping = true;
     LOG.info(new StringMapMessage().with("event", "instance.stopping"));
-    endTerm();
-    leadership.leave(done);
+    Runnable leave =
+        () -> {
+          endTerm();
+          leadership.leave(done);
+        };
+    Optional.ofNullable(leader).ifPresentOrElse(leading -> leading.end(leave), leave);
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
@@ -37,6 +37,9 @@
   /** Data learned by leaders about images and queues, written together with progress. */
   static final RowKey LEARNED = new RowKey(PROGRESS, PROGRESS_PART, "!learned");
 
+  /** The ends of leases of unreachable workers, written by the leader. */
+  static final RowKey LEASE_ENDS = new RowKey(PROGRESS, PROGRESS_PART, "!leaseEnds");
+
   /**
    * Number of partitions of accepted jobs: enough for a burst of submissions while the store is
    * slow.
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -46,6 +47,12 @@
    */
   private static final long PAUSE_FACTOR = 1;
 
+  /**
+   * Longest time that the end of a term waits for the store, in milliseconds. Nothing starts in
+   * that time.
+   */
+  private static final long MAX_END_MILLIS = 400;
+
   /** Longest pause between decisions, in milliseconds: a fifth of the tightest objective. */
   private static final long MAX_PAUSE_MILLIS = 50;
 
@@ -58,6 +65,7 @@
   private final JobMetrics metrics;
   private final long epoch;
   private final ProgressStore progressStore;
+  private final LeaseEnds leaseEnds;
   private final WaitingRows waitingRows;
   private final Retention retention;
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
@@ -73,6 +81,8 @@
   private int unreadTables;
   private boolean decisionScheduled;
   private long pauseMillis;
+  private Optional<Runnable> onEnd = Optional.empty();
+  private boolean ended;
 
   Leader(
       WatchedStore store,
@@ -94,6 +104,7 @@
     this.retention = retention;
     this.epoch = epoch;
     this.progressStore = new ProgressStore(store, timers, epoch, leadership::stepDown);
+    this.leaseEnds = new LeaseEnds(leadership.storeClock());
     this.waitingRows = new WaitingRows(store, timers);
   }
 
@@ -119,6 +130,31 @@
     progressStore.takeOver(this::readTables);
   }
 
+  /**
+   * Lets the next leader know when the leases of unreachable workers end, and then ends the term.
+   *
+   * @param done called once that is stored, or after {@link #MAX_END_MILLIS}
+   */
+  void end(Runnable done) {
+    onEnd = Optional.of(done);
+    timers.after(MAX_END_MILLIS, this::ended);
+    prepareEnd();
+  }
+
+  private void prepareEnd() {
+    if (stopped || scheduler == null || scheduler.readyToEnd()) {
+      ended();
+    } else {
+      scheduler.prepareEnd(timers.now()).forEach(this::run);
+    }
+  }
+
+  private void ended() {
+    Optional<Runnable> done = onEnd.filter(ending -> !ended);
+    ended = true;
+    done.ifPresent(Runnable::run);
+  }
+
   void stop() {
     stopped = true;
     watchers.forEach(TableWatcher::stop);
@@ -242,6 +278,9 @@
         new JobScheduler(
             JobTiming.STANDARD, table, timers.now(), leadership.inheritedLeaseEndMillis());
     scheduler = created;
+    post(
+        new JobEvent.LeaseEndsRecovered(
+            leaseEnds.fromStore(found.leaseEnds(), leadership.inheritedLeaseEndMillis())));
     post(new JobEvent.LearnedRecovered(found.learned()));
     post(new JobEvent.DataCentresEvacuated(evacuated));
     registry.replay(this::post);
@@ -303,6 +342,10 @@
     if (stopped || scheduler == null) {
       return;
     }
+    if (onEnd.isPresent()) {
+      handleWhileEnding(event);
+      return;
+    }
     leadership.renewIfDue();
     updateStartDeadline();
     metrics.event(event);
@@ -313,6 +356,14 @@
     }
   }
 
+  /** Handles the answer to a save; nothing else is decided any more. */
+  private void handleWhileEnding(JobEvent event) {
+    if (event instanceof JobEvent.ProgressSaved) {
+      scheduler.handle(timers.now(), event);
+      prepareEnd();
+    }
+  }
+
   /** Updates the time until which work may begin according to the last known updates. */
   private void updateStartDeadline() {
     scheduler.handle(timers.now(), new JobEvent.StartsBounded(gate.startDeadlineMillis()));
@@ -324,7 +375,7 @@
    */
   private void decide() {
     decisionScheduled = false;
-    if (stopped) {
+    if (stopped || onEnd.isPresent()) {
       return;
     }
     leadership.renewIfDue();
@@ -399,6 +450,7 @@
    */
   private boolean mayStart(JobEffect.StartRun start) {
     return !stopped
+        && onEnd.isEmpty()
         && leadership.mayStart()
         && gate.open()
         && scheduler.maySend(start.target().incarnation(), start.run());
@@ -426,6 +478,7 @@
     long began = timers.now().mono();
     progressStore.save(
         save,
+        save.leaseEnds().map(ends -> leaseEnds.toStore(ends, timers.now())),
         () -> {
           metrics.saved(timers.now().mono() - began);
           save.progress().entrySet().stream()
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -168,6 +168,11 @@
     return leaseRow.inheritedLeaseEndMillis();
   }
 
+  /** Returns the store's clock, which is updated with each renewal. */
+  StoreClock storeClock() {
+    return leaseRow.storeClock();
+  }
+
   private void updateRows(List<Row> changes) {
     changes.forEach(row -> rows.put(row.at(), row));
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
@@ -26,6 +26,11 @@
     this.self = self;
   }
 
+  /** Returns the store's clock. */
+  StoreClock storeClock() {
+    return clock;
+  }
+
   /**
    * Updates the store's clock from a response.
    *
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
 
 /**
@@ -27,8 +28,9 @@
    *
    * @param jobs stored progress of each job that has any
    * @param learned content of the {@link JobTables#LEARNED} row; empty when there is none
+   * @param leaseEnds stored ends of leases of unreachable workers, on the store's clock
    */
-  record Found(Map<JobId, String> jobs, String learned) {}
+  record Found(Map<JobId, String> jobs, String learned, Map<WorkerIncarnation, Long> leaseEnds) {}
 
   private final WatchedStore store;
   private final Timers timers;
@@ -86,30 +88,49 @@
       onDeposed.accept("a newer leader has taken over");
       return;
     }
+    Found found = found(rows, fenceRow.map(ProgressStore::epochOf).orElse(0L));
+    Map<RowKey, Payload> writes = new HashMap<>();
+    writes.put(JobTables.FENCE, Payload.of(fence()));
+    if (!found.leaseEnds().isEmpty()) {
+      writes.put(JobTables.LEASE_ENDS, leaseEnds(found.leaseEnds()));
+    }
+    Map<RowKey, Long> expected = Map.of(JobTables.FENCE, fenceRow.map(Row::version).orElse(0L));
     store.commit(
-        Transaction.write(JobTables.FENCE, fenceRow.map(Row::version).orElse(0L), fence()),
+        new Transaction(expected, writes, List.of()),
         MAX_TIMEOUT_MILLIS,
         result -> {
           if (result.outcome() == CommitResult.Outcome.DONE) {
             fenceVersion = result.version();
-            done.accept(found(rows));
+            done.accept(found);
           } else {
             timers.after(PAUSE_MILLIS, () -> takeOver(done));
           }
         });
   }
 
-  private static Found found(List<Row> rows) {
+  private static Found found(List<Row> rows, long lastEpoch) {
     Map<JobId, String> jobs = new HashMap<>();
     String learned = "";
+    Map<WorkerIncarnation, Long> leaseEnds = Map.of();
     for (Row row : rows) {
       if (row.at().equals(JobTables.LEARNED)) {
         learned = row.text();
+      } else if (row.at().equals(JobTables.LEASE_ENDS)) {
+        // A later leader of an older version neither reads nor withdraws these ends.
+        leaseEnds =
+            Optional.of(LeaseEndsText.parse(row.text()))
+                .filter(text -> text.epoch() == lastEpoch)
+                .map(LeaseEndsText::ends)
+                .orElse(Map.of());
       } else if (!row.at().equals(JobTables.FENCE)) {
         jobs.put(new JobId(row.key()), row.text());
       }
     }
-    return new Found(jobs, learned);
+    return new Found(jobs, learned, leaseEnds);
+  }
+
+  private Payload leaseEnds(Map<WorkerIncarnation, Long> ends) {
+    return Payload.of(new LeaseEndsText(epoch, ends).text());
   }
 
   private static long epochOf(Row fence) {
@@ -120,8 +141,15 @@
     return epoch + " " + saves;
   }
 
-  /** Writes progress; the caller has at most one save in flight. */
-  void save(JobEffect.SaveProgress save, Runnable onSaved) {
+  /**
+   * Writes progress; the caller has at most one save in flight.
+   *
+   * @param leaseEnds the ends of leases to write, on the store's clock; empty to write none
+   */
+  void save(
+      JobEffect.SaveProgress save,
+      Optional<Map<WorkerIncarnation, Long>> leaseEnds,
+      Runnable onSaved) {
     saves++;
     Map<RowKey, Payload> writes = new HashMap<>();
     save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
@@ -129,6 +157,7 @@
     if (!save.learned().isEmpty()) {
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
+    leaseEnds.ifPresent(ends -> writes.put(JobTables.LEASE_ENDS, leaseEnds(ends)));
     Transaction transaction =
         new Transaction(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
     commit(transaction, store.retryTimeoutMillis(), onSaved);
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -26,6 +26,8 @@
 
 /** One instance over a fake store, with one worker whose runs never end. */
 final class LeaderSimulation implements WorkerRegistry, WorkerClient {
+  private static final long POLL_TIMEOUT_MILLIS = 800;
+
   /** Returns a job of one task. */
   static JobSpec job(String id) {
     return TestJobs.job(new JobId(id), 1);
@@ -50,6 +52,9 @@
   /** How long a start order waits for its connection, in milliseconds. */
   long connectMillis;
 
+  /** Whether the worker answers no more polls. */
+  boolean workerLost;
+
   JobEntry entry;
 
   LeaderSimulation() {
@@ -156,6 +161,11 @@
   @Override
   public void poll(
       JobEffect.LookAtWorker poll, long epoch, BooleanSupplier allowed, Consumer<PollResult> done) {
+    if (workerLost) {
+      process.after(
+          POLL_TIMEOUT_MILLIS, () -> done.accept(PollResult.of(PollResult.Outcome.SILENT)));
+      return;
+    }
     process.after(
         Math.max(2, poll.waitMillis()),
         () -> {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -227,4 +227,64 @@
       assertEquals(large.won, List.of(3L));
     }
   }
+
+  /** Leaders that end while a worker is lost. */
+  public static class Ending {
+
+    private static String leaseEnds(LeaderSimulation simulation) {
+      return simulation.store.table(JobTables.PROGRESS).getOrDefault("!leaseEnds", "");
+    }
+
+    private static LeaderSimulation withRun() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.submit("a");
+      simulation.time.run(3_000);
+      assertEquals(simulation.starts.size(), 1);
+      return simulation;
+    }
+
+    /** Guards against a next leader that cannot know when the leases of a lost worker end. */
+    @Test
+    public void storesEndsOfLeasesOfLostWorkers() {
+      LeaderSimulation simulation = withRun();
+      assertEquals(leaseEnds(simulation), "");
+      simulation.workerLost = true;
+      simulation.time.run(2_000);
+      assertTrue(leaseEnds(simulation).matches("1\nw 0 \\d+"), leaseEnds(simulation));
+      simulation.workerLost = false;
+      simulation.time.run(1_000);
+      assertEquals(leaseEnds(simulation), "1");
+    }
+
+    /**
+     * Guards against a wait that begins anew where a leader is stopped before it has noticed that a
+     * worker does not answer.
+     */
+    @Test
+    public void storesEndsBeforeAStop() {
+      LeaderSimulation simulation = withRun();
+      simulation.workerLost = true;
+      simulation.restart();
+      assertEquals(simulation.entry.leadingEpoch(), 2);
+      assertEquals(leaseEnds(simulation), "");
+      boolean[] left = {false};
+      simulation.entry.stop(() -> left[0] = true);
+      simulation.time.run(100);
+      assertTrue(left[0]);
+      assertTrue(leaseEnds(simulation).matches("2\nw 0 \\d+"), leaseEnds(simulation));
+    }
+
+    /** Guards against a stop that waits for a store that does not answer. */
+    @Test
+    public void stopsWithoutTheStore() {
+      LeaderSimulation simulation = withRun();
+      simulation.workerLost = true;
+      simulation.time.run(700);
+      simulation.unansweredCall = "commit";
+      simulation.time.run(500);
+      simulation.entry.stop(() -> {});
+      simulation.time.run(600);
+      assertEquals(simulation.entry.leadingEpoch(), 0);
+    }
+  }
 }
