Polls of workers whose leases may not be extended yet wait for a part of what is left

A leader that reads hundreds of answers for a second polled each worker with a stored end ten times a second until the end was withdrawn.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -17,10 +17,13 @@
   private static final long MIN_REMAINING_LEASE_MILLIS = 7_000;
 
   /**
-   * Longest wait of a poll of a worker whose leases may not be extended yet, in milliseconds. The
-   * next poll may extend them.
+   * Ratio of the time until the leases of a worker end to the longest wait of a poll that may not
+   * extend them.
    */
-  private static final long LIMITED_POLL_WAIT_MILLIS = 100;
+  private static final long LIMITED_WAIT_DIVISOR = 4;
+
+  /** Minimum of that wait, in milliseconds. */
+  private static final long MIN_LIMITED_WAIT_MILLIS = 100;
 
   private final Term term;
 
@@ -283,8 +286,6 @@
     // If the next incarnation may receive the acknowledgement, the poll grants no lease along with
     // it. Runs of that incarnation can then be ended by the leases that their starts grant.
     // Where runs here soon need a longer lease, this poll grants it and the next one acknowledges.
-    long maxWaitMillis =
-        worker.leaseLimited() ? Math.min(waitMillis, LIMITED_POLL_WAIT_MILLIS) : waitMillis;
     boolean ackOnly = acknowledges && worker.incarnation().identifierReusable();
     long leftMillis = worker.clock.lastLeaseEndMillis() - term.now.mono();
     boolean needed = !worker.placed.isEmpty() && worker.renewsLeases();
@@ -296,7 +297,23 @@
     worker.lateLeases.pollSent(leaseEnd > 0, term.now.mono());
     term.effects.add(
         new JobEffect.LookAtWorker(
-            worker.target(), leaseEnd, acknowledged, ackOnly ? 0 : maxWaitMillis));
+            worker.target(),
+            leaseEnd,
+            acknowledged,
+            ackOnly ? 0 : boundedWaitMillis(worker, waitMillis)));
+  }
+
+  /**
+   * Returns how long a worker may wait before it answers a poll: for a part of the time until its
+   * leases end, if this poll may not extend them but the next one perhaps may.
+   */
+  private long boundedWaitMillis(Worker worker, long waitMillis) {
+    if (!worker.leaseLimited()) {
+      return waitMillis;
+    }
+    long leftMillis = worker.lastLeaseEndMillis() - term.now.mono();
+    long longest = Math.max(MIN_LIMITED_WAIT_MILLIS, leftMillis / LIMITED_WAIT_DIVISOR);
+    return Math.min(waitMillis, longest);
   }
 
   /** Returns the end of the lease that a poll grants, on the worker's clock; 0 for none. */
--- a/core/src/test/java/org/cottontack/core/job/LostWorkerAcrossLeadersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LostWorkerAcrossLeadersTest.java
@@ -281,7 +281,7 @@
 
     /** Guards against a row that is written so often that it exceeds what a node may pay. */
     @Test
-    public void staysWithinTheNetworkBudgetOfANode() {
+    public void staysWithinTheNetworkBudgetOfNodes() {
       SimulatedWorker[] workers =
           IntStream.range(0, WORKERS)
               .mapToObj(number -> new SimulatedWorker("w" + number, 8))
