--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -137,22 +137,23 @@
    */
   void end(Runnable done) {
     onEnd = Optional.of(done);
-    timers.after(MAX_END_MILLIS, this::ended);
+    timers.after(MAX_END_MILLIS, this::endTerm);
     prepareEnd();
   }
 
   private void prepareEnd() {
     if (stopped || scheduler == null || scheduler.readyToEnd()) {
-      ended();
+      endTerm();
     } else {
       scheduler.prepareEnd(timers.now()).forEach(this::run);
     }
   }
 
-  private void ended() {
-    Optional<Runnable> done = onEnd.filter(ending -> !ended);
-    ended = true;
-    done.ifPresent(Runnable::run);
+  private void endTerm() {
+    if (!ended) {
+      ended = true;
+      onEnd.ifPresent(Runnable::run);
+    }
   }
 
   void stop() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -261,7 +261,7 @@
      * worker does not answer.
      */
     @Test
-    public void storesEndsBeforeAStop() {
+    public void storesEndsBeforeStopping() {
       LeaderSimulation simulation = withRun();
       simulation.workerLost = true;
       simulation.restart();
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaseEndsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaseEndsTest.java
@@ -83,7 +83,7 @@
      * clock stood still.
      */
     @Test
-    public void countsTheTimeOfASuspension() {
+    public void countsTimeOfSuspension() {
       LeaseEnds writer = new LeaseEnds(clock(50_000));
       Moment resumed = new Moment(2_000, 90_000 + 8_000);
       long end = writer.toStore(Map.of(WORKER, 9_000L), resumed).get(WORKER);
