Failing tests: stored lease ends that leases outlast, and runs that lapse by them

suspendedLeaderNeverExtendsLeasesPastStoredEnd: an end is stored in the store's time, but the limit on renewals is kept on the leader's steady clock, which stands still while the leader is suspended.

endOfCrashedWorkerDoesNotSpeakForNextIncarnation: ends are kept by incarnation, but a worker that restarted under its identifier may have the run by a late start, and is given leases before the new place is stored.

--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -109,6 +109,12 @@
 
   private boolean ending;
 
+  /** Whether workers that restarted under their identifier are missing from the worker list. */
+  boolean restartedUnlisted;
+
+  /** How long the leader's steady clock stood still because the leader was suspended. */
+  private long suspendedMillis;
+
   JobSimulation(SimulatedWorker... all) {
     for (SimulatedWorker worker : all) {
       workers.put(worker.info.id(), worker);
@@ -119,16 +125,23 @@
   }
 
   private Moment moment() {
-    return new Moment(now, now);
+    return new Moment(now - suspendedMillis, now);
   }
 
   private void registerWorkers() {
     post(new JobEvent.DataCentresEvacuated(evacuated));
     workers.values().stream()
-        .filter(worker -> !worker.dead)
+        .filter(worker -> !worker.dead && !(restartedUnlisted && worker.ageMillis(0) < 0))
         .forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
   }
 
+  /** Suspends the leader. Its steady clock stands still; everything else goes on. */
+  void suspendLeader(long millis) {
+    suspendedMillis += millis;
+    now += millis;
+    workers.values().forEach(worker -> worker.advance(now, fails));
+  }
+
   void table(JobTable next) {
     table = next;
     post(new JobEvent.TableChanged(next));
@@ -169,6 +182,7 @@
   void takeOver() {
     epoch++;
     waitingSaves.clear();
+    suspendedMillis = 0;
     long inherited = renewal.mono() + LeaderLease.GRANT_MILLIS;
     leader = new JobScheduler(JobTiming.STANDARD, table, moment(), inherited);
     post(new JobEvent.LeaseEndsRecovered(leaseEnds));
@@ -340,7 +354,7 @@
     after(
         listsCrashedWorkers ? LISTING_DELAY_MILLIS : 0,
         () -> {
-          if (!next.dead) {
+          if (!next.dead && !restartedUnlisted) {
             post(new JobEvent.WorkerSeen(next.info));
           }
         });
