Stored lease ends hold for suspended leaders and for next incarnations

The limit now counts from the longer of the steady clock and the time of day since the end was computed or read, as renewals do.

The limit now holds for all incarnations of a worker until its end is withdrawn, and no end is stored while a start of this leader is in flight to the worker: then the wait after a change of leaders is the full one, as before. This concerns only installations where workers state when they started.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -127,7 +127,7 @@
 
   /** Returns whether the term may end: nothing of {@link #prepareEnd} remains to be saved. */
   public boolean readyToEnd() {
-    return term.leaseEnds.complete(term);
+    return term.leaseEnds.saved(term);
   }
 
   /**
@@ -187,7 +187,7 @@
     } else if (event instanceof JobEvent.LearnedRecovered e) {
       progressSaver.restoreLearned(e.learned());
     } else if (event instanceof JobEvent.LeaseEndsRecovered e) {
-      term.leaseEnds.recover(e.ends());
+      term.leaseEnds.recover(e.ends(), term.now);
     } else if (event instanceof JobEvent.JobCancelled e) {
       lifecycle.cancelled(e.job());
     } else if (event instanceof JobEvent.WorkerSeen e) {
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Saves progress, one transaction at a time. A start order is sent after its placement is saved, a
@@ -158,7 +159,7 @@
   void saved() {
     saving = false;
     term.leaseEnds.saved().stream()
-        .flatMap(incarnation -> term.worker(incarnation).stream())
+        .flatMap(id -> Stream.ofNullable(term.workers.get(id)))
         .filter(worker -> !worker.placed.isEmpty() || !worker.orphans.isEmpty())
         .forEach(worker -> orders.poll(worker, 0));
     List<RunKey> starts = List.copyOf(savingStarts);
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -1,10 +1,16 @@
 package org.cottontack.core.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.WorkerId;
 
 /**
  * The ends of the leases of unreachable workers, which are kept in the store. The next leader
@@ -30,27 +36,59 @@
    */
   private static final long KEPT_MILLIS = LateStart.LATEST_MILLIS;
 
-  private Map<WorkerIncarnation, Long> stored = Map.of();
+  /**
+   * An end of leases.
+   *
+   * @param millis the end on this leader's steady clock
+   * @param known when it was computed or read
+   */
+  private record End(long millis, Moment known) {
+
+    /**
+     * Returns the end on the steady clock as it shows now. Time for which this instance was
+     * suspended is missing on that clock, but has passed for the worker and in the store.
+     */
+    long millis(Moment now) {
+      return now.mono() + millis - known.mono() - now.longestSince(known);
+    }
+  }
+
+  private Map<WorkerIncarnation, End> stored = Map.of();
 
   /** The ends that the save in flight writes. */
-  private Optional<Map<WorkerIncarnation, Long>> saving = Optional.empty();
+  private Optional<Map<WorkerIncarnation, End>> saving = Optional.empty();
 
   /** Takes over the ends that earlier leaders stored, on this leader's steady clock. */
-  void recover(Map<WorkerIncarnation, Long> ends) {
-    stored = Map.copyOf(ends);
+  void recover(Map<WorkerIncarnation, Long> ends, Moment now) {
+    stored =
+        ends.entrySet().stream()
+            .collect(Collectors.toMap(Map.Entry::getKey, entry -> new End(entry.getValue(), now)));
   }
 
-  /** Returns the latest time until which an order may extend the leases of a worker. */
-  long limitMillis(WorkerIncarnation worker) {
-    long savedLimit = stored.getOrDefault(worker, Long.MAX_VALUE);
-    long savingLimit = saving.map(ends -> ends.get(worker)).orElse(Long.MAX_VALUE);
-    return Math.min(savedLimit, savingLimit);
+  /** Returns the stored end of an incarnation's leases; empty if there is none. */
+  OptionalLong endMillis(WorkerIncarnation incarnation) {
+    return Stream.ofNullable(stored.get(incarnation)).mapToLong(End::millis).findFirst();
+  }
+
+  /**
+   * Returns the latest time until which an order may extend leases of any incarnation of a worker.
+   * Until the end is withdrawn, the next leader takes it for that of runs which have since been
+   * found on a later incarnation.
+   */
+  long limitMillis(WorkerId worker, Moment now) {
+    return ends(worker).mapToLong(end -> end.millis(now)).reduce(Long.MAX_VALUE, Math::min);
   }
 
   /** Returns whether an end of a worker's leases may be in the store. */
-  boolean contains(WorkerIncarnation worker) {
-    return stored.containsKey(worker)
-        || saving.filter(ends -> ends.containsKey(worker)).isPresent();
+  boolean contains(WorkerId worker) {
+    return ends(worker).findAny().isPresent();
+  }
+
+  private Stream<End> ends(WorkerId worker) {
+    return Stream.concat(Stream.of(stored), saving.stream())
+        .flatMap(ends -> ends.entrySet().stream())
+        .filter(entry -> entry.getKey().worker().equals(worker))
+        .map(Map.Entry::getValue);
   }
 
   /**
@@ -58,11 +96,19 @@
    * this leader does not reach.
    */
   boolean complete(Term term) {
-    return containsAll(unreached(term, 0));
+    return unreached(term, 0).allMatch(worker -> isStored(term, worker));
+  }
+
+  /** Returns whether all ends that may be stored when the term ends are stored. */
+  boolean saved(Term term) {
+    return unreached(term, 0)
+        .filter(worker -> storable(term, worker))
+        .allMatch(worker -> isStored(term, worker));
   }
 
-  private boolean containsAll(Map<WorkerIncarnation, Long> ends) {
-    return stored.entrySet().containsAll(ends.entrySet());
+  private boolean isStored(Term term, Worker worker) {
+    End end = stored.get(worker.incarnation());
+    return end != null && end.millis() == endMillis(term, worker);
   }
 
   /**
@@ -70,55 +116,76 @@
    * become later, or a worker answers again. Ends that have passed are no reason to write.
    */
   Optional<Map<WorkerIncarnation, Long>> beginSave(Term term) {
-    Map<WorkerIncarnation, Long> kept = kept(term);
+    Map<WorkerIncarnation, End> next = kept(term);
     boolean withdrawn =
         stored.keySet().stream()
-            .anyMatch(incarnation -> !kept.containsKey(incarnation) && reached(term, incarnation));
-    Map<WorkerIncarnation, Long> unreached = unreached(term, term.ending ? 0 : FIRST_ANSWER_MILLIS);
-    if (containsAll(unreached) && !withdrawn) {
+            .anyMatch(incarnation -> !next.containsKey(incarnation) && reached(term, incarnation));
+    List<Worker> missing =
+        unreached(term, term.ending ? 0 : FIRST_ANSWER_MILLIS)
+            .filter(worker -> storable(term, worker) && !isStored(term, worker))
+            .toList();
+    if (missing.isEmpty() && !withdrawn) {
       return Optional.empty();
     }
-    kept.putAll(unreached);
-    saving = Optional.of(Map.copyOf(kept));
-    return saving;
+    missing.forEach(
+        worker -> next.put(worker.incarnation(), new End(endMillis(term, worker), term.now)));
+    saving = Optional.of(Map.copyOf(next));
+    return Optional.of(
+        next.entrySet().stream()
+            .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().millis())));
   }
 
   /**
    * Records that the save is in the store.
    *
-   * @return the incarnations whose leases may be extended again
+   * @return the workers whose leases may be extended again
    */
-  Set<WorkerIncarnation> saved() {
-    Map<WorkerIncarnation, Long> before = stored;
+  Set<WorkerId> saved() {
+    Set<WorkerId> before = workers(stored);
     stored = saving.orElse(stored);
     saving = Optional.empty();
-    return before.keySet().stream()
-        .filter(incarnation -> !stored.containsKey(incarnation))
-        .collect(Collectors.toSet());
+    before.removeAll(workers(stored));
+    return before;
+  }
+
+  private static Set<WorkerId> workers(Map<WorkerIncarnation, End> ends) {
+    return ends.keySet().stream()
+        .map(WorkerIncarnation::worker)
+        .collect(Collectors.toCollection(HashSet::new));
   }
 
   /** Returns the stored ends that are still of use: their workers have not answered since. */
-  private Map<WorkerIncarnation, Long> kept(Term term) {
-    Map<WorkerIncarnation, Long> kept = new HashMap<>(stored);
+  private Map<WorkerIncarnation, End> kept(Term term) {
+    Map<WorkerIncarnation, End> kept = new HashMap<>(stored);
     kept.entrySet()
         .removeIf(
             entry ->
-                reached(term, entry.getKey()) || term.now.mono() > entry.getValue() + KEPT_MILLIS);
+                reached(term, entry.getKey())
+                    || term.now.mono() > entry.getValue().millis() + KEPT_MILLIS);
     return kept;
   }
 
   /**
-   * Returns the ends of the leases of workers with runs that this leader does not reach.
+   * Returns the workers with runs that this leader does not reach.
    *
    * @param firstAnswerMillis age of the term until which a worker without an answer may be
    *     reachable
    */
-  private static Map<WorkerIncarnation, Long> unreached(Term term, long firstAnswerMillis) {
+  private static Stream<Worker> unreached(Term term, long firstAnswerMillis) {
     boolean firstAnswersDue = term.now.mono() - term.startMillis >= firstAnswerMillis;
     return term.workers.values().stream()
         .filter(worker -> !worker.placed.isEmpty())
-        .filter(worker -> worker.silent || (!worker.everAnswered && firstAnswersDue))
-        .collect(Collectors.toMap(Worker::incarnation, worker -> endMillis(term, worker)));
+        .filter(worker -> worker.silent || (!worker.everAnswered && firstAnswersDue));
+  }
+
+  /**
+   * Returns whether the end of a worker's leases may be stored. A start of this leader that is
+   * still in flight may begin its run on the next incarnation of the worker, whose clock lets the
+   * lease that it brings last for longer.
+   */
+  private static boolean storable(Term term, Worker worker) {
+    return worker.placed.values().stream()
+        .noneMatch(task -> task.sentByUs() && task.pinned(term.now.mono()));
   }
 
   /**
@@ -133,8 +200,9 @@
         .reduce(worker.lastLeaseEndMillis(), Math::max);
   }
 
+  /** Returns whether the present incarnation of a worker answers this leader. */
   private static boolean reached(Term term, WorkerIncarnation incarnation) {
-    return term.worker(incarnation)
+    return Optional.ofNullable(term.workers.get(incarnation.worker()))
         .filter(worker -> worker.everAnswered && !worker.silent)
         .isPresent();
   }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -215,6 +215,11 @@
             .map(to -> new PendingStart(to, run, LateStart.sent(to, spec, nowMillis)));
   }
 
+  /** Returns whether this leader has sent the start of the present run. */
+  boolean sentByUs() {
+    return sentByUs;
+  }
+
   /** Returns when its start was last sent, on our steady clock. */
   long sentMillis() {
     return sentMillis;
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -90,12 +90,13 @@
 
   /** Returns the same for leases of one worker. */
   long grantEndMillis(Worker worker) {
-    return Math.min(grantEndMillis(), leaseEnds.limitMillis(worker.incarnation()));
+    return Math.min(grantEndMillis(), leaseEnds.limitMillis(worker.info.id(), now));
   }
 
   /** Returns when all leases that earlier leaders granted to a worker have ended. */
   long inheritedLeaseEndMillis(WorkerIncarnation incarnation) {
-    return Math.min(inheritedLeaseEndMillis, leaseEnds.limitMillis(incarnation));
+    long storedEnd = leaseEnds.endMillis(incarnation).orElse(inheritedLeaseEndMillis);
+    return Math.min(inheritedLeaseEndMillis, storedEnd);
   }
 
   /** Returns the worker of an incarnation, if that is its present incarnation. */
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -173,7 +173,7 @@
    * was unreachable.
    */
   boolean leaseLimited() {
-    return leaseEnds.contains(incarnation());
+    return leaseEnds.contains(info.id());
   }
 
   /** Returns the highest completion number that may be acknowledged once it is stored. */
--- a/core/src/test/java/org/cottontack/core/job/StoredLeaseEndsSafetyTest.java
+++ b/core/src/test/java/org/cottontack/core/job/StoredLeaseEndsSafetyTest.java
@@ -10,7 +10,6 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
-import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
