Failing test: a new leader does not know that starts were ignored

What callers saw: nothing yet; a long-running task runs on two workers at a time. A leader knows from one job that starts are ignored; the start of a long-running task is in flight to a worker that crashes, and the leader changes within 2 s. The next leader sees no ignored start itself, waits for the leases only (8.5 s) and places the task elsewhere. The start arrives 10.5 s after it was sent, on the worker's next life.

--- a/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
@@ -322,4 +322,65 @@
       assertEquals(simulation.starts(), 6);
     }
   }
+
+  /** Starts of long-running tasks that an earlier leader sent while orders were late. */
+  public static class LateStarts {
+
+    private static final String LOST = "lost";
+    private static final String OTHER = "other";
+    private static final StepSpec LONG_RUNNING = step(3, 2, List.of(), StepSpec.Trait.LASTS);
+
+    /** Delay of starts, with time to find the runs that they begin before they expire. */
+    private static final long DELAY_MILLIS = LateStart.LATEST_MILLIS - ANSWER_MILLIS;
+
+    /**
+     * Time from a crash to the first change of leaders, their number, and whether they are killed.
+     */
+    @DataProvider
+    public Object[][] changes() {
+      return cross(List.of(20L, 1_000L, 2_000L));
+    }
+
+    private static boolean startsOn(JobEffect effect, String name, WorkerId worker) {
+      return effect instanceof JobEffect.StartRun start
+          && start.run().task().job().value().equals(name)
+          && start.target().incarnation().worker().equals(worker);
+    }
+
+    private static boolean startsOther(JobEffect effect) {
+      return startsOn(effect, OTHER, FIRST) || startsOn(effect, OTHER, SECOND);
+    }
+
+    /**
+     * Guards against a second run of a long-running task by a leader that does not know of the
+     * start which an earlier one saw ignored.
+     */
+    @Test(dataProvider = "changes")
+    public void runNoTaskTwice(long first, int count, boolean killed) {
+      JobSimulation simulation = LateStartTest.fleet();
+      simulation.workMillis = 600_000;
+      simulation.delay = effect -> startsOther(effect) ? 600_000 : 0;
+      simulation.submit(job(OTHER, step(1, 2, List.of())));
+      final BooleanSupplier ignored = () -> logged(simulation, "start.ignored");
+      runUntil(simulation, simulation.now + 2_000, ignored);
+      assertTrue(ignored.getAsBoolean());
+      final long arrives = simulation.now + DELAY_MILLIS;
+      simulation.delay =
+          effect ->
+              startsOther(effect)
+                  ? 600_000
+                  : startsOn(effect, LOST, FIRST) ? arrives - simulation.now : 0;
+      simulation.submit(job(LOST, LONG_RUNNING));
+      final BooleanSupplier sent =
+          () -> simulation.effects.stream().anyMatch(effect -> startsOn(effect, LOST, FIRST));
+      runUntil(simulation, simulation.now + 1_000, sent);
+      simulation.delay = effect -> 0;
+      simulation.restartMillis = arrives - BACK_BEFORE_MILLIS - simulation.now;
+      LateStartTest.crash(simulation);
+      simulation.run(first);
+      changeLeaders(simulation, 1_000, count, killed, () -> false);
+      simulation.run(30_000);
+      assertEquals(simulation.workers.values().stream().mapToInt(SimulatedWorker::count).sum(), 4);
+    }
+  }
 }
