Failing test: each leader pins a long-running task anew

The start of a long-running task was ignored, its worker is lost and its leases have ended: the task waits for the start to expire, 13.5 s after it was sent. The bound is the rule's: 12 s after the latest ignored start and 7 s undisturbed, and 2.5 s where the leader is killed.

Cause by reading: a waiting task is stored with the incarnation that refuses its start, not with when the start expires. The stored lease ends hold workers with placed runs only, and that task is placed nowhere; its pin is LateStart.inherited, from term.inheritedLeaseEndMillis.

--- a/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
@@ -328,6 +328,13 @@
 
     private static final String LOST = "lost";
     private static final String OTHER = "other";
+
+    /** Time after which the sender of an order without an answer stops waiting. */
+    private static final long UNANSWERED_MILLIS = 900;
+
+    /** Undisturbed time after which the absence of a long-running task counts. */
+    private static final long UNDISTURBED_MILLIS = 7_000;
+
     private static final StepSpec LONG_RUNNING = step(3, 2, List.of(), StepSpec.Trait.LASTS);
 
     /** Delay of starts, with time to find the runs that they begin before they expire. */
@@ -382,5 +389,37 @@
       simulation.run(30_000);
       assertEquals(simulation.workers.values().stream().mapToInt(SimulatedWorker::count).sum(), 4);
     }
+
+    /** Time to the loss of a worker and on to the first change, number of changes, if killed. */
+    @DataProvider
+    public Object[][] lateChanges() {
+      return cross(List.of(2_000L, 5_000L, 9_000L));
+    }
+
+    /**
+     * Guards against a long-running task that is pinned anew by each leader, for longer than its
+     * users bear while orders are late.
+     */
+    @Test(dataProvider = "lateChanges")
+    public void delayTasksNoLongerThanUsersBear(long first, int count, boolean killed) {
+      JobSimulation simulation = LateStartTest.fleet();
+      simulation.workMillis = 600_000;
+      simulation.restartMillis = 600_000;
+      simulation.delay = effect -> startsOn(effect, LOST, FIRST) ? 600_000 : 0;
+      simulation.submit(job(LOST, LONG_RUNNING));
+      final BooleanSupplier ignored = () -> logged(simulation, "start.ignored");
+      runUntil(simulation, simulation.now + 2_000, ignored);
+      assertTrue(ignored.getAsBoolean());
+      final long sent = simulation.now - UNANSWERED_MILLIS;
+      LateStartTest.crash(simulation);
+      simulation.run(first);
+      final SimulatedWorker other = simulation.workers.get(SECOND);
+      final BooleanSupplier back = () -> other.count() == 3;
+      changeLeaders(simulation, 1_000, count, killed, back);
+      long bound = sent + LateStart.LATEST_MILLIS + UNDISTURBED_MILLIS;
+      runUntil(simulation, bound + 60_000, back);
+      long late = simulation.now - bound - (killed ? TAKEOVER_MILLIS : 0);
+      assertTrue(late <= 0, "late by " + late + " ms");
+    }
   }
 }
