--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -21,11 +21,13 @@
 
   private static final class ActiveRun {
     final RunKey run;
+    final long begunMillis;
     final long doneMillis;
     final Resources need;
 
-    ActiveRun(RunKey run, long doneMillis, Resources need) {
+    ActiveRun(RunKey run, long begunMillis, long doneMillis, Resources need) {
       this.run = run;
+      this.begunMillis = begunMillis;
       this.doneMillis = doneMillis;
       this.need = need;
     }
@@ -39,6 +41,9 @@
   boolean failsAll;
   boolean stalls;
 
+  /** Time in which a run progresses by one percent, in milliseconds; 0 to ignore its age. */
+  long percentMillis;
+
   /** Whether completions are dropped before they are listed. */
   boolean dropsCompletions;
 
@@ -121,7 +126,7 @@
     }
     extendLease(order.deadlineMillis(), now);
     starts.merge(order.run(), 1, Integer::sum);
-    running.put(order.run(), new ActiveRun(order.run(), now + work, need));
+    running.put(order.run(), new ActiveRun(order.run(), now, now + work, need));
     return StartResult.STARTED;
   }
 
@@ -149,10 +154,15 @@
         .forEach(completion -> acknowledgedDone.add(completion.task()));
     completions.removeIf(completion -> completion.number() <= acknowledged);
     List<WorkerReport.Running> list =
-        running.keySet().stream()
+        running.values().stream()
             .map(
-                run ->
-                    new WorkerReport.Running(run.task(), run.run(), "", progress(now), load(run)))
+                active ->
+                    new WorkerReport.Running(
+                        active.run.task(),
+                        active.run.run(),
+                        "",
+                        progress(active, now),
+                        load(active.run)))
             .toList();
     return new WorkerReport(info.incarnation().startTimeMillis(), clock(now), list, completions);
   }
@@ -171,7 +181,10 @@
   }
 
   /** Returns the progress of runs, which rises all the time unless they stall. */
-  private int progress(long now) {
+  private int progress(ActiveRun run, long now) {
+    if (percentMillis > 0 && !stalls) {
+      return (int) Math.min(99, (now - run.begunMillis) / percentMillis);
+    }
     return stalls ? 3 : loads.isEmpty() ? (int) (now / 10 % 100) : Task.FULL_PROGRESS;
   }
 
