A leader knows since when it observes a run that it inherited

Cause: placedMillis and progressMillis of a restored task are 0, and comparisons take that for a time on the steady clock. An inherited run now counts from the beginning of the term: no duration is learned from it, it stalls after 2.5 s of this leader's watching, it is cleared of crashes after one second of it, and is not taken for one that began just before a crash because this leader has not seen it listed.

--- a/core/src/main/java/org/cottontack/core/job/CrashBlame.java
+++ b/core/src/main/java/org/cottontack/core/job/CrashBlame.java
@@ -72,7 +72,7 @@
   /** Returns whether a run of a long-running task has shown that it does not crash its worker. */
   static boolean cleared(Task task) {
     return task.spec.is(StepSpec.Trait.LASTS)
-        && task.listedMillis - task.placedMillis >= CLEARED_MILLIS;
+        && task.listedMillis - task.observedMillis >= CLEARED_MILLIS;
   }
 
   /** Returns whether a task may run only where there is no other suspect. */
@@ -85,7 +85,8 @@
   }
 
   private static boolean likeliest(Task task, List<Task> suspects) {
-    boolean begunJustBefore = task.order == Task.Order.CONFIRMED && !listed(task);
+    boolean begunJustBefore =
+        task.order == Task.Order.CONFIRMED && !listed(task) && !task.inherited();
     int minCrashes = begunJustBefore ? 1 : SUSPECT_CRASHES;
     return task.crashes >= minCrashes
         && suspects.stream()
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -73,6 +73,7 @@
           term.now.mono());
     }
     if (task.phase == Task.Phase.PLACED) {
+      task.inherit(term.now.mono());
       workerOrUnlisted(task.worker).add(task);
     } else {
       task.worker = null;
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -108,6 +108,9 @@
   long confirmedMillis;
   long placedMillis;
 
+  /** Since when this leader observes the present run, which an earlier one may have placed. */
+  long observedMillis;
+
   /** When the worker last listed the present run; 0 if it never did. */
   long listedMillis;
 
@@ -189,7 +192,11 @@
 
   /** Returns whether the present run is the first one and always had full pace. */
   boolean firstRunAtFullPace() {
-    return phase == Phase.PLACED && run == 1 && pacedMillis == placedMillis && pace == FULL_PACE;
+    return phase == Phase.PLACED
+        && run == 1
+        && !inherited()
+        && pacedMillis == placedMillis
+        && pace == FULL_PACE;
   }
 
   /** Returns whether the task is placed as this run on this worker. */
@@ -380,6 +387,7 @@
     began = false;
     shortLease = false;
     placedMillis = nowMillis;
+    observedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
     progressMillis = nowMillis;
@@ -392,6 +400,17 @@
     load = 0;
   }
 
+  /** Returns whether an earlier leader placed the present run. */
+  boolean inherited() {
+    return placedMillis != observedMillis;
+  }
+
+  /** Records that this leader takes over the present run, of whose past it knows nothing. */
+  void inherit(long nowMillis) {
+    observedMillis = nowMillis;
+    progressMillis = nowMillis;
+  }
+
   /**
    * Records that its worker has started again and that a start may have reached the next
    * incarnation. Only answers to polls of that incarnation, which are sent from the given time on,
