--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -127,7 +127,7 @@
 
   /** Returns whether the term may end: nothing of {@link #prepareEnd} remains to be saved. */
   public boolean readyToEnd() {
-    return term.leaseEnds.saved(term);
+    return term.leaseEnds.allStored(term);
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -100,7 +100,7 @@
   }
 
   /** Returns whether all ends that may be stored when the term ends are stored. */
-  boolean saved(Term term) {
+  boolean allStored(Term term) {
     return unreached(term, 0)
         .filter(worker -> storable(term, worker))
         .allMatch(worker -> isStored(term, worker));
@@ -108,7 +108,7 @@
 
   private boolean isStored(Term term, Worker worker) {
     End end = stored.get(worker.incarnation());
-    return end != null && end.millis() == endMillis(term, worker);
+    return end != null && end.millis() == computedEndMillis(term, worker);
   }
 
   /**
@@ -128,7 +128,8 @@
       return Optional.empty();
     }
     missing.forEach(
-        worker -> next.put(worker.incarnation(), new End(endMillis(term, worker), term.now)));
+        worker ->
+            next.put(worker.incarnation(), new End(computedEndMillis(term, worker), term.now)));
     saving = Optional.of(Map.copyOf(next));
     return Optional.of(
         next.entrySet().stream()
@@ -192,7 +193,7 @@
    * Returns when the leases of a worker have ended and its long-running tasks are no longer pinned
    * to it.
    */
-  private static long endMillis(Term term, Worker worker) {
+  private static long computedEndMillis(Term term, Worker worker) {
     return worker.placed.values().stream()
         .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
         .flatMapToLong(task -> task.pinnedForMillis(term.now.mono()).stream())
