A worker counts as unreached by a new leader once its first poll is unanswered

Now the end of the first poll decides, and a leader that is stopped stores what has not answered.

A start that was being saved while its worker fell silent and answered again left with a lease past the stored end's pin; it waits until that is withdrawn.

--- a/core/src/main/java/org/cottontack/core/job/LeaderLease.java
+++ b/core/src/main/java/org/cottontack/core/job/LeaderLease.java
@@ -15,10 +15,11 @@
   /**
    * How long after a renewal was sent the leases that the leader gives to workers may last, in
    * milliseconds. The next leader waits that long after the last renewal before it restarts the
-   * runs of a worker that it cannot reach. With 8.5 s, a long-running task is back 9 s after its
-   * worker and its leader were lost together. It would be 17 s if a leader without access to the
-   * store went on giving leases of 8.5 s for 5.5 s. Renewals are sent twice a second and workers
-   * polled once a second, so that a worker which is cut off for 6.5 s still keeps its runs.
+   * runs of a worker that it cannot reach, unless an earlier end of its leases is stored. With 8.5
+   * s, a long-running task is back 9 s after its worker and its leader were lost together. It would
+   * be 17 s if a leader without access to the store went on giving leases of 8.5 s for 5.5 s.
+   * Renewals are sent twice a second and workers polled once a second, so that a worker which is
+   * cut off for 6.5 s still keeps its runs.
    */
   public static final long GRANT_MILLIS = 8_500;
 
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -45,7 +45,7 @@
    */
   void start(Task task) {
     Worker worker = term.workerOf(task);
-    if (task.startInDoubt) {
+    if (task.startInDoubt || worker.leaseLimited()) {
       task.order = Task.Order.RESEND;
       retry(worker, task);
       return;
@@ -104,7 +104,8 @@
    */
   private long startLeaseEnd(Worker worker) {
     long given = worker.clock.lastLeaseEndMillis();
-    return given - term.now.mono() > MIN_START_LEASE_MILLIS ? given : term.grantEndMillis(worker);
+    boolean longEnough = given - term.now.mono() > MIN_START_LEASE_MILLIS;
+    return longEnough && !worker.leaseLimited() ? given : term.grantEndMillis(worker);
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -24,12 +24,6 @@
  */
 final class StoredLeaseEnds {
 
-  /**
-   * Time for the first answers to a new leader, in milliseconds. If ends were stored before that,
-   * those of all workers would have to be withdrawn before their leases can be renewed.
-   */
-  private static final long FIRST_ANSWER_MILLIS = 500;
-
   /**
    * How long an end is kept after it has passed, in milliseconds. Until the new places of the tasks
    * are stored, the next leader finds them on the lost worker.
@@ -96,12 +90,12 @@
    * this leader does not reach.
    */
   boolean complete(Term term) {
-    return unreached(term, 0).allMatch(worker -> isStored(term, worker));
+    return unreached(term, false).allMatch(worker -> isStored(term, worker));
   }
 
   /** Returns whether all ends that may be stored when the term ends are stored. */
   boolean allStored(Term term) {
-    return unreached(term, 0)
+    return unreached(term, false)
         .filter(worker -> storable(term, worker))
         .allMatch(worker -> isStored(term, worker));
   }
@@ -121,7 +115,7 @@
         stored.keySet().stream()
             .anyMatch(incarnation -> !next.containsKey(incarnation) && reached(term, incarnation));
     List<Worker> missing =
-        unreached(term, term.ending ? 0 : FIRST_ANSWER_MILLIS)
+        unreached(term, !term.ending)
             .filter(worker -> storable(term, worker) && !isStored(term, worker))
             .toList();
     if (missing.isEmpty() && !withdrawn) {
@@ -169,14 +163,16 @@
   /**
    * Returns the workers with runs that this leader does not reach.
    *
-   * @param firstAnswerMillis age of the term until which a worker without an answer may be
-   *     reachable
+   * @param awaitsAnswers whether a worker whose first poll is in flight may be reachable. Otherwise
+   *     it counts as unreachable: this leader has given it no lease.
    */
-  private static Stream<Worker> unreached(Term term, long firstAnswerMillis) {
-    boolean firstAnswersDue = term.now.mono() - term.startMillis >= firstAnswerMillis;
+  private static Stream<Worker> unreached(Term term, boolean awaitsAnswers) {
     return term.workers.values().stream()
         .filter(worker -> !worker.placed.isEmpty())
-        .filter(worker -> worker.silent || (!worker.everAnswered && firstAnswersDue));
+        .filter(
+            worker ->
+                worker.silent
+                    || (!worker.everAnswered && !(awaitsAnswers && worker.info.reachable())));
   }
 
   /**
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaseEndsTextTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaseEndsTextTest.java
@@ -1,8 +1,11 @@
 package org.cottontack.daemon.job;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.ProgressText;
 import org.cottontack.core.job.WorkerIncarnation;
@@ -26,6 +29,22 @@
       assertEquals(LeaseEndsText.parse(empty.text()), empty);
     }
 
+    /** Guards against a row that the store refuses, so that no progress is stored any more. */
+    @Test
+    public void leavesOutEndsThatDoNotFit() {
+      Map<WorkerIncarnation, Long> ends =
+          IntStream.range(0, 5_000)
+              .boxed()
+              .collect(
+                  Collectors.toMap(
+                      number -> WorkerIncarnation.withUniqueIdentifier(new WorkerId("i-" + number)),
+                      number -> 9_000L));
+      String text = new LeaseEndsText(7, ends).text();
+      assertTrue(text.length() <= LeaseEndsText.MAX_BYTES);
+      Map<WorkerIncarnation, Long> read = LeaseEndsText.parse(text).ends();
+      assertTrue(read.size() > 1_000 && ends.entrySet().containsAll(read.entrySet()));
+    }
+
     /** Guards against an older version that takes the row for the progress of a job. */
     @Test
     public void isNoProgressOfAnyJob() {
