--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -110,12 +110,12 @@
   }
 
   /**
-   * Prepares the end of this term: the next leader is to know when the leases of unreachable
-   * workers end, and so those of workers that have not answered this leader.
+   * Prepares the end of this term by saving when the leases of unreachable workers end, including
+   * those of workers that have not answered this leader yet.
    *
    * @param moment the present time
-   * @return the effects to carry out; a save among them is answered as usual, and this is called
-   *     again then
+   * @return the effects to carry out. Once a save among them is answered, this is to be called
+   *     again, until {@link #readyToEnd}.
    */
   public List<JobEffect> prepareEnd(Moment moment) {
     term.now = moment;
@@ -125,7 +125,7 @@
     return term.effects;
   }
 
-  /** Returns whether the term may end: nothing of {@link #prepareEnd} remains to be saved. */
+  /** Returns whether nothing that {@link #prepareEnd} saves remains to be saved. */
   public boolean readyToEnd() {
     return term.leaseEnds.allStored(term);
   }
