Simulated workers check the rule on ends that are acknowledged later

Cause: the simulation noticed a run only if it ran after the acknowledgement of an end as done. The rule is wider: a run that began after that end breaks it as well if the end is acknowledged later, unless the worker's lease lapsed in between. Change: workers keep the runs that were done since their lease last lapsed; an acknowledgement makes them final, and no run of the task may have begun since. Long-running tasks and copies are left out, as in the rule.

--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
 
@@ -33,8 +34,20 @@
     }
   }
 
+  /**
+   * A run that was done.
+   *
+   * @param run the run
+   * @param doneMillis when it was done
+   */
+  record DoneRun(RunKey run, long doneMillis) {}
+
   final WorkerInfo info;
   final Map<RunKey, Integer> starts = new HashMap<>();
+
+  /** When each run first started here. */
+  final Map<RunKey, Long> startedMillis = new HashMap<>();
+
   final Map<String, Double> loads = new HashMap<>();
   boolean reachable = true;
   boolean dead;
@@ -66,6 +79,12 @@
   /** Runs that were done here, whether or not their completion was listed. */
   final Set<RunKey> done = new HashSet<>();
 
+  /** Runs that were done since the lease last lapsed and are not acknowledged yet, by number. */
+  private final TreeMap<Long, DoneRun> doneSinceLapse = new TreeMap<>();
+
+  /** Runs whose acknowledgement is final, because the lease did not lapse before it. */
+  final List<DoneRun> finallyDone = new ArrayList<>();
+
   /** Tasks with an acknowledged completion as done. */
   final Set<TaskName> acknowledgedDone = new HashSet<>();
 
@@ -126,6 +145,7 @@
     }
     extendLease(order.deadlineMillis(), now);
     starts.merge(order.run(), 1, Integer::sum);
+    startedMillis.putIfAbsent(order.run(), now);
     running.put(order.run(), new ActiveRun(order.run(), now, now + work, need));
     return StartResult.STARTED;
   }
@@ -153,6 +173,9 @@
                     && completion.status() == WorkerReport.CompletionStatus.DONE)
         .forEach(completion -> acknowledgedDone.add(completion.task()));
     completions.removeIf(completion -> completion.number() <= acknowledged);
+    Map<Long, DoneRun> newlyAcknowledged = doneSinceLapse.headMap(acknowledged, true);
+    finallyDone.addAll(newlyAcknowledged.values());
+    newlyAcknowledged.clear();
     List<WorkerReport.Running> list =
         running.values().stream()
             .map(
@@ -207,10 +230,14 @@
                 expired ? WorkerReport.CompletionStatus.LAPSED : outcome(fails || failsAll);
             if (status == WorkerReport.CompletionStatus.DONE) {
               done.add(run.run);
+              doneSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
             }
             end(run.run, status);
           }
         });
+    if (expired) {
+      doneSinceLapse.clear();
+    }
   }
 
   private static WorkerReport.CompletionStatus outcome(boolean fails) {
--- a/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
@@ -36,6 +36,7 @@
             throw violation(task + " runs after its acknowledged completion");
           }
         });
+    checkFinalCompletions();
     for (SimulatedWorker worker : simulation.workers.values()) {
       if (!worker.info.capacity().holds(worker.used())) {
         throw violation(worker.info.id() + " exceeds its capacity");
@@ -43,6 +44,34 @@
     }
   }
 
+  /**
+   * Checks that no run began after a done run of its task whose completion was acknowledged later,
+   * unless the worker's lease lapsed in between.
+   */
+  private void checkFinalCompletions() {
+    simulation
+        .incarnations()
+        .forEach(
+            worker -> {
+              worker.finallyDone.forEach(this::checkNotStartedSince);
+              worker.finallyDone.clear();
+            });
+  }
+
+  private void checkNotStartedSince(SimulatedWorker.DoneRun done) {
+    simulation
+        .incarnations()
+        .flatMap(worker -> worker.startedMillis.entrySet().stream())
+        .filter(start -> start.getKey().task().equals(done.run().task()))
+        .filter(start -> start.getValue() > done.doneMillis())
+        .filter(start -> !mayRepeat(start.getKey().task()))
+        .findAny()
+        .ifPresent(
+            start -> {
+              throw violation(start.getKey() + " began after the final end of " + done.run());
+            });
+  }
+
   /**
    * Checks that a start is sent only after its placement is stored, and never to an evacuated data
    * centre.
@@ -79,9 +108,17 @@
             });
   }
 
+  private boolean mayRepeat(TaskName task) {
+    return isLongRunning(task) || is(task, StepSpec.Trait.SPECULATIVE);
+  }
+
   private boolean isLongRunning(TaskName task) {
+    return is(task, StepSpec.Trait.LASTS);
+  }
+
+  private boolean is(TaskName task, StepSpec.Trait trait) {
     StepId step = task.step();
-    return simulation.specs.get(step.job()).steps().get(step.step()).is(StepSpec.Trait.LASTS);
+    return simulation.specs.get(step.job()).steps().get(step.step()).is(trait);
   }
 
   private AssertionError violation(String what) {
