Log what tells the ways to a second run apart

Change: worker.answers says for how long a worker was silent and when its leases end; worker.lapsed for how long they had ended and when it last answered; run.redundant that a run is placed although an earlier one is done; end.ignored that a completion as done changes nothing although it is acknowledged; run.ended the completion's number. Result: formatter, linter and the tests of these classes pass; no decision changes.

--- a/core/src/main/java/org/cottontack/core/job/LostWorkers.java
+++ b/core/src/main/java/org/cottontack/core/job/LostWorkers.java
@@ -35,7 +35,14 @@
     if (worker.placed.isEmpty()) {
       return;
     }
-    term.logEvent("worker.lapsed", worker.info.id(), "runs=" + worker.placed.size());
+    String detail =
+        "runs=%d sinceLeasesMillis=%d sinceAnswerMillis=%d %s"
+            .formatted(
+                worker.placed.size(),
+                term.now.mono() - worker.lastLeaseEndMillis(),
+                worker.everAnswered ? term.now.mono() - worker.lastAnswerMillis : 0,
+                worker.answerDetails());
+    term.logEvent("worker.lapsed", worker.info.id(), detail);
     // A worker that is still listed may be alive and unreachable only for this leader.
     releaseLost(worker, !worker.registered && !left(worker));
   }
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -51,6 +51,7 @@
       restoreDeferredAcknowledgements(worker, event.report());
       recordEarlierIncarnations(worker, event.sentMillis());
     }
+    logAnswersAgain(worker, event.report());
     // From this answer on, the worker refuses orders of earlier leaders.
     worker.everAnswered = true;
     worker.silent = false;
@@ -82,6 +83,22 @@
     }
   }
 
+  /** Logs what a worker that did not answer lists when it answers again. */
+  private void logAnswersAgain(Worker worker, WorkerReport report) {
+    if (worker.silent) {
+      String detail =
+          "silentMillis=%d leasesEndInMillis=%d runs=%d running=%d ended=%d %s"
+              .formatted(
+                  term.now.mono() - worker.lastAnswerMillis,
+                  worker.leasesEndedMillis() - term.now.mono(),
+                  worker.placed.size(),
+                  report.running().size(),
+                  report.completions().size(),
+                  worker.answerDetails());
+      term.logEvent("worker.answers", worker.info.id(), detail);
+    }
+  }
+
   /**
    * Records which completions may never be listed by an incarnation that answers for the first
    * time.
@@ -225,6 +242,7 @@
     worker.stopsSent.remove(key);
     Task task = term.find(completion.task());
     if (task == null) {
+      logIgnored(worker, completion, "job unknown");
       return;
     }
     boolean inForce = task.runsAs(worker.incarnation(), completion.run());
@@ -290,8 +308,15 @@
         completion.status() == WorkerReport.CompletionStatus.DONE
             && !task.spec.is(StepSpec.Trait.LASTS);
     if (!counts || task.phase != Task.Phase.PLACED) {
+      logIgnored(worker, completion, task.phase + " run=" + task.run);
       return;
     }
+    term.logEvent(
+        "run.redundant",
+        task.key(),
+        "%s order=%s began=%s, run %d is done on %s"
+            .formatted(
+                task.worker.worker(), task.order, task.began, completion.run(), worker.info.id()));
     logCompletion(worker, task, completion);
     task.forgetCrashes();
     task.addEarlierCompletion(
@@ -301,6 +326,14 @@
     orders.withdraw(task);
   }
 
+  /** Logs a completion that changes nothing although it is acknowledged. */
+  private void logIgnored(Worker worker, WorkerReport.Completion completion, String reason) {
+    if (completion.status() == WorkerReport.CompletionStatus.DONE) {
+      String detail = "%s number=%d %s".formatted(worker.info.id(), completion.number(), reason);
+      term.logEvent("end.ignored", new RunKey(completion.task(), completion.run()), detail);
+    }
+  }
+
   private void deferAcknowledgement(Worker worker, Task task, WorkerReport.Completion completion) {
     long now = term.now.mono();
     task.pinnedForMillis(now)
@@ -319,10 +352,11 @@
   private void logCompletion(Worker worker, Task task, WorkerReport.Completion completion) {
     long ran = term.now.mono() - task.placedMillis;
     String detail =
-        "%s %s ran=%d slowed=%d expected=%d"
+        "%s %s number=%d ran=%d slowed=%d expected=%d"
             .formatted(
                 worker.info.id(),
                 completion.status(),
+                completion.number(),
                 task.run == completion.run() && task.placedMillis > 0 ? ran : 0,
                 Math.round(task.slowedMillis(term.now.mono())),
                 estimates.millis(task.job.spec.queue(), task.spec));
