--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -23,7 +23,7 @@
  * ms, unless a test delays them. {@link SimulationInvariants} are checked at every step and every
  * start.
  */
-final class JobSimulation {
+final class JobSimulation implements SimulationView {
 
   private static final long SAVE_MILLIS = 12;
   private static final long TICK_MILLIS = 100;
@@ -240,8 +240,33 @@
     }
   }
 
-  /** Returns all incarnations of all workers. */
-  Stream<SimulatedWorker> incarnations() {
+  @Override
+  public Map<WorkerId, SimulatedWorker> workers() {
+    return workers;
+  }
+
+  @Override
+  public Map<JobId, JobSpec> specs() {
+    return specs;
+  }
+
+  @Override
+  public Map<JobId, String> stored() {
+    return stored;
+  }
+
+  @Override
+  public Set<DataCentreId> evacuated() {
+    return evacuated;
+  }
+
+  @Override
+  public long now() {
+    return now;
+  }
+
+  @Override
+  public Stream<SimulatedWorker> incarnations() {
     return Stream.concat(workers.values().stream(), replaced.stream());
   }
 
--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -17,9 +17,12 @@
  */
 final class SimulatedWorker {
 
-  /** Longest lease, in milliseconds; a longer one is shortened to this. */
+  /** Usual longest lease, in milliseconds. */
   private static final long MAX_LEASE_MILLIS = 10_000;
 
+  /** Usual largest number of completions in one answer. */
+  private static final int MAX_LISTED = 500;
+
   private static final class ActiveRun {
     final RunKey run;
     final long begunMillis;
@@ -57,6 +60,12 @@
   /** Time in which a run progresses by one percent, in milliseconds; 0 to ignore its age. */
   long percentMillis;
 
+  /** Longest lease, in milliseconds; a longer one is shortened to this. */
+  long maxLeaseMillis = MAX_LEASE_MILLIS;
+
+  /** Largest number of completions in one answer. */
+  int maxListed = MAX_LISTED;
+
   /** Whether completions are dropped before they are listed. */
   boolean dropsCompletions;
 
@@ -101,15 +110,20 @@
   }
 
   SimulatedWorker(String id, long cores, String address, String dataCentre, String pool) {
-    this(id, cores, address, dataCentre, pool, 0);
+    this(new WorkerIncarnation(new WorkerId(id), 1), cores, address, dataCentre, pool, 0);
   }
 
   private SimulatedWorker(
-      String id, long cores, String address, String dataCentre, String pool, long startTimeMillis) {
+      WorkerIncarnation incarnation,
+      long cores,
+      String address,
+      String dataCentre,
+      String pool,
+      long startTimeMillis) {
     this.startTimeMillis = startTimeMillis;
     this.info =
         new WorkerInfo(
-            new WorkerIncarnation(new WorkerId(id), startTimeMillis + 1),
+            incarnation,
             pool,
             address,
             new DataCentreId(dataCentre),
@@ -118,11 +132,21 @@
             false);
   }
 
+  /**
+   * Returns a worker that takes a new identifier after a crash and does not state when it started.
+   */
+  static SimulatedWorker withUniqueIdentifier(
+      String id, long cores, String address, String dataCentre, long now) {
+    WorkerIncarnation incarnation = WorkerIncarnation.withUniqueIdentifier(new WorkerId(id));
+    return new SimulatedWorker(incarnation, cores, address, dataCentre, "pool", now);
+  }
+
   /** Returns the worker that takes this one's address after a crash. */
   SimulatedWorker nextIncarnation(String id, long now) {
     long cores = info.capacity().cpuMillis() / 1_000;
+    WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId(id), now + 1);
     return new SimulatedWorker(
-        id, cores, info.address(), info.dataCentre().value(), info.pool(), now);
+        incarnation, cores, info.address(), info.dataCentre().value(), info.pool(), now);
   }
 
   /**
@@ -138,6 +162,7 @@
       return StartResult.STARTED;
     }
     if (order.run().run() <= refusedUpTo.getOrDefault(order.run().task(), 0)) {
+      extendLease(order.deadlineMillis(), now);
       return StartResult.OLD;
     }
     if (order.deadlineMillis() <= clock(now)) {
@@ -176,6 +201,11 @@
     Map<Long, DoneRun> newlyAcknowledged = doneSinceLapse.headMap(acknowledged, true);
     finallyDone.addAll(newlyAcknowledged.values());
     newlyAcknowledged.clear();
+    return report(now);
+  }
+
+  /** Returns what runs and what has ended, as in the answer to a poll. */
+  WorkerReport report(long now) {
     List<WorkerReport.Running> list =
         running.values().stream()
             .map(
@@ -187,7 +217,9 @@
                         progress(active, now),
                         load(active.run)))
             .toList();
-    return new WorkerReport(info.incarnation().startTimeMillis(), clock(now), list, completions);
+    List<WorkerReport.Completion> listed =
+        completions.subList(0, Math.min(maxListed, completions.size()));
+    return new WorkerReport(info.incarnation().startTimeMillis(), clock(now), list, listed);
   }
 
   long ageMillis(long now) {
@@ -195,7 +227,7 @@
   }
 
   private void extendLease(long untilMillis, long now) {
-    leaseEndMillis = Math.max(leaseEndMillis, Math.min(untilMillis, clock(now) + MAX_LEASE_MILLIS));
+    leaseEndMillis = Math.max(leaseEndMillis, Math.min(untilMillis, clock(now) + maxLeaseMillis));
   }
 
   /** Returns its clock, which starts with the incarnation. */
@@ -261,6 +293,11 @@
     return dead ? Set.of() : Set.copyOf(running.keySet());
   }
 
+  /** Returns whether an answer to a poll would list completions. */
+  boolean listsCompletions() {
+    return !completions.isEmpty();
+  }
+
   int count() {
     return running.size();
   }
--- a/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
@@ -7,9 +7,9 @@
 /** Invariants of a simulation, which hold at every moment whatever faults are injected. */
 final class SimulationInvariants {
 
-  private final JobSimulation simulation;
+  private final SimulationView simulation;
 
-  SimulationInvariants(JobSimulation simulation) {
+  SimulationInvariants(SimulationView simulation) {
     this.simulation = simulation;
   }
 
@@ -24,7 +24,7 @@
             .flatMap(worker -> worker.acknowledgedDone.stream())
             .collect(Collectors.toSet());
     Map<TaskName, Long> running =
-        simulation.workers.values().stream()
+        simulation.workers().values().stream()
             .flatMap(worker -> worker.runs().stream())
             .collect(Collectors.groupingBy(RunKey::task, Collectors.counting()));
     running.forEach(
@@ -37,7 +37,7 @@
           }
         });
     checkFinalCompletions();
-    for (SimulatedWorker worker : simulation.workers.values()) {
+    for (SimulatedWorker worker : simulation.workers().values()) {
       if (!worker.info.capacity().holds(worker.used())) {
         throw violation(worker.info.id() + " exceeds its capacity");
       }
@@ -82,12 +82,12 @@
         "%d %d %d p %d "
             .formatted(
                 step.occurrence(), step.step(), start.run().task().index(), start.run().run());
-    String progress = simulation.stored.getOrDefault(step.job(), "");
+    String progress = simulation.stored().getOrDefault(step.job(), "");
     if (progress.lines().noneMatch(stored -> stored.startsWith(line))) {
       throw violation(start.run() + " starts before its placement is stored");
     }
-    SimulatedWorker worker = simulation.workers.get(start.target().incarnation().worker());
-    if (simulation.evacuated.contains(worker.info.dataCentre())) {
+    SimulatedWorker worker = simulation.workers().get(start.target().incarnation().worker());
+    if (simulation.evacuated().contains(worker.info.dataCentre())) {
       throw violation(start.run() + " goes to an evacuated data centre");
     }
   }
@@ -97,7 +97,7 @@
    */
   void checkMissing(JobEffect.Note note) {
     boolean undone = note.name().equals("run.missing") && !note.detail().endsWith("maybeDone");
-    simulation.workers.values().stream()
+    simulation.workers().values().stream()
         .filter(there -> undone && note.detail().startsWith(there.info.id() + " "))
         .flatMap(there -> there.done.stream())
         .filter(run -> run.toString().equals(note.subject()) && !isLongRunning(run.task()))
@@ -118,10 +118,10 @@
 
   private boolean is(TaskName task, StepSpec.Trait trait) {
     StepId step = task.step();
-    return simulation.specs.get(step.job()).steps().get(step.step()).is(trait);
+    return simulation.specs().get(step.job()).steps().get(step.step()).is(trait);
   }
 
   private AssertionError violation(String what) {
-    return new AssertionError(what + " at " + simulation.now);
+    return new AssertionError(what + " at " + simulation.now());
   }
 }
