Leases are not extended past a stored end that the next leader knows better

Callers saw a task that was done run again (TWICE); with a longer task two runs go on side by side. Whether the incident had this cause is not shown. Cause: a leader that reads the stored end of a worker's leases knows the store's clock only to within the round trip of a response, as it was handled. It took the latest time at which the end may pass, which is right for waiting, also for the time up to which it may extend the worker's leases before the end is withdrawn. A next leader with a prompt response waits for less. Change: LeaseEndBounds has both bounds. A leader waits until the later one and extends leases up to the earlier one; while it does not know the store's clock it extends none. The stored value stays as it is.

--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -38,9 +38,9 @@
    * The ends of leases of unreachable workers that earlier leaders stored were read. Comes before
    * any worker or job.
    *
-   * @param ends when all leases of a worker have ended, on this leader's steady clock
+   * @param ends when all leases of a worker have ended
    */
-  record LeaseEndsRecovered(Map<WorkerIncarnation, Long> ends) implements JobEvent {
+  record LeaseEndsRecovered(Map<WorkerIncarnation, LeaseEndBounds> ends) implements JobEvent {
 
     /** Keeps the map immutable. */
     public LeaseEndsRecovered {
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -33,17 +33,23 @@
   /**
    * An end of leases.
    *
-   * @param millis the end on this leader's steady clock
+   * @param bounds the end on this leader's steady clock
    * @param known when it was computed or read
    */
-  private record End(long millis, Moment known) {
+  private record End(LeaseEndBounds bounds, Moment known) {
+
+    /** Returns until when this leader waits for it. */
+    long millis() {
+      return bounds.latestMillis();
+    }
 
     /**
-     * Returns the end on the steady clock as it shows now. Time for which this instance was
-     * suspended is missing on that clock, but has passed for the worker and in the store.
+     * Returns the latest time until which an order may extend leases, on the steady clock as it
+     * shows now. Time for which this instance was suspended is missing on that clock, but has
+     * passed for the worker and in the store.
      */
-    long millis(Moment now) {
-      return now.mono() + millis - known.mono() - now.longestSince(known);
+    long limitMillis(Moment now) {
+      return now.mono() + bounds.earliestMillis() - known.mono() - now.longestSince(known);
     }
   }
 
@@ -52,8 +58,8 @@
   /** The ends that the save in flight writes. */
   private Optional<Map<WorkerIncarnation, End>> saving = Optional.empty();
 
-  /** Takes over the ends that earlier leaders stored, on this leader's steady clock. */
-  void recover(Map<WorkerIncarnation, Long> ends, Moment now) {
+  /** Takes over the ends that earlier leaders stored. */
+  void recover(Map<WorkerIncarnation, LeaseEndBounds> ends, Moment now) {
     stored =
         ends.entrySet().stream()
             .collect(Collectors.toMap(Map.Entry::getKey, entry -> new End(entry.getValue(), now)));
@@ -70,7 +76,7 @@
    * found on a later incarnation.
    */
   long limitMillis(WorkerId worker, Moment now) {
-    return ends(worker).mapToLong(end -> end.millis(now)).reduce(Long.MAX_VALUE, Math::min);
+    return ends(worker).mapToLong(end -> end.limitMillis(now)).reduce(Long.MAX_VALUE, Math::min);
   }
 
   /** Returns whether an end of a worker's leases may be in the store. */
@@ -123,7 +129,9 @@
     }
     missing.forEach(
         worker ->
-            next.put(worker.incarnation(), new End(computedEndMillis(term, worker), term.now)));
+            next.put(
+                worker.incarnation(),
+                new End(LeaseEndBounds.exactly(computedEndMillis(term, worker)), term.now)));
     saving = Optional.of(Map.copyOf(next));
     return Optional.of(
         next.entrySet().stream()
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -185,7 +185,12 @@
     suspendedMillis = 0;
     long inherited = renewal.mono() + LeaderLease.GRANT_MILLIS;
     leader = new JobScheduler(JobTiming.STANDARD, table, moment(), inherited);
-    post(new JobEvent.LeaseEndsRecovered(leaseEnds));
+    post(
+        new JobEvent.LeaseEndsRecovered(
+            leaseEnds.entrySet().stream()
+                .collect(
+                    Collectors.toMap(
+                        Map.Entry::getKey, end -> LeaseEndBounds.exactly(end.getValue())))));
     post(new JobEvent.LearnedRecovered(learned));
     registerWorkers();
     specs.values().forEach(this::recover);
--- a/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
@@ -98,7 +98,7 @@
     }
 
     /** Returns the stored ends of leases on this leader's clock. */
-    Map<WorkerIncarnation, Long> fromStore(Map<WorkerIncarnation, Long> ends) {
+    Map<WorkerIncarnation, LeaseEndBounds> fromStore(Map<WorkerIncarnation, Long> ends) {
       ends.forEach(
           (worker, storeMillis) ->
               translatedEnds.put(
@@ -106,8 +106,12 @@
                   new TranslatedEnd(
                       Math.min(inheritedLeaseEndMillis, storeMillis + clockErrorMillis),
                       storeMillis)));
-      Map<WorkerIncarnation, Long> found = new HashMap<>();
-      translatedEnds.forEach((worker, end) -> found.put(worker, end.millis()));
+      Map<WorkerIncarnation, LeaseEndBounds> found = new HashMap<>();
+      translatedEnds.forEach(
+          (worker, end) ->
+              found.put(
+                  worker,
+                  new LeaseEndBounds(Math.min(end.storeMillis(), end.millis()), end.millis())));
       return found;
     }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -281,7 +281,8 @@
     scheduler = created;
     post(
         new JobEvent.LeaseEndsRecovered(
-            leaseEnds.fromStore(found.leaseEnds(), leadership.inheritedLeaseEndMillis())));
+            leaseEnds.fromStore(
+                found.leaseEnds(), leadership.inheritedLeaseEndMillis(), timers.now())));
     post(new JobEvent.LearnedRecovered(found.learned()));
     post(new JobEvent.DataCentresEvacuated(evacuated));
     registry.replay(this::post);
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseEnds.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseEnds.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import org.cottontack.core.Moment;
+import org.cottontack.core.job.LeaseEndBounds;
 import org.cottontack.core.job.WorkerIncarnation;
 
 /**
@@ -22,18 +23,21 @@
   }
 
   /**
-   * Returns stored ends on the monotonic clock.
+   * Returns stored ends on the monotonic clock. While the store's clock is unknown, an end may have
+   * passed already.
    *
    * @param stored ends on the store's clock
    * @param latestMillis when all leases of any worker have ended, on the monotonic clock
    */
-  Map<WorkerIncarnation, Long> fromStore(Map<WorkerIncarnation, Long> stored, long latestMillis) {
-    Map<WorkerIncarnation, Long> ends = new HashMap<>();
+  Map<WorkerIncarnation, LeaseEndBounds> fromStore(
+      Map<WorkerIncarnation, Long> stored, long latestMillis, Moment now) {
+    Map<WorkerIncarnation, LeaseEndBounds> ends = new HashMap<>();
     stored.forEach(
         (worker, storeMillis) -> {
-          long end = Math.min(latestMillis, clock.reached(storeMillis).orElse(latestMillis));
-          known.put(worker, new End(end, storeMillis));
-          ends.put(worker, end);
+          long latest = Math.min(latestMillis, clock.reached(storeMillis).orElse(latestMillis));
+          long earliest = clock.earliest(storeMillis, now).orElse(now.mono());
+          known.put(worker, new End(latest, storeMillis));
+          ends.put(worker, new LeaseEndBounds(Math.min(earliest, latest), latest));
         });
     return ends;
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/StoreClock.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/StoreClock.java
@@ -38,6 +38,17 @@
         : OptionalLong.of(lastStoreMillis + now.longestSince(lastRequestSent));
   }
 
+  /**
+   * Returns the time on our monotonic clock before which the store's clock cannot show the given
+   * time; empty before the first response.
+   */
+  OptionalLong earliest(long storeMillis, Moment now) {
+    OptionalLong latest = latest(now);
+    return latest.isEmpty()
+        ? latest
+        : OptionalLong.of(now.mono() + storeMillis - latest.getAsLong());
+  }
+
   /**
    * Returns the time on our monotonic clock by which the store's clock has certainly reached the
    * given time; empty before the first response. While an instance is suspended its own clock does
--- a/daemon/src/test/java/org/cottontack/daemon/job/StoreClockTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StoreClockTest.java
@@ -26,6 +26,7 @@
       clock.update(at(1_000), at(1_040), 5_000);
       assertEquals(clock.latest(at(1_040)), OptionalLong.of(5_040));
       assertEquals(clock.reached(5_000), OptionalLong.of(1_040));
+      assertEquals(clock.earliest(5_000, at(1_040)), OptionalLong.of(1_000));
     }
 
     @Test
@@ -34,6 +35,7 @@
       clock.update(at(1_000), at(1_040), 0);
       assertEquals(clock.latest(at(1_040)), OptionalLong.empty());
       assertEquals(clock.reached(5_000), OptionalLong.empty());
+      assertEquals(clock.earliest(5_000, at(1_040)), OptionalLong.empty());
     }
 
     /**
