A simulation checks what is final where workers have unique identifiers

Cause: all workers of the simulation state when they started, so leaders there never took the paths of an installation whose workers do not: no task is pinned, and a poll acknowledges and extends leases at once. Nor was it checked that a stored completion stays, that what is acknowledged is stored, and that acknowledged failures count as attempts. Change: workers with unique identifiers, with a limit on their leases and on the length of their lists; workers that are unlisted while they run, answers that are held up, refused starts, jobs that a leader cannot read. A late poll no longer reaches a worker that has crashed.

--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,10 @@
 
   final Map<JobId, String> stored = new HashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
+
+  /** Jobs that the next leader leaves alone, because it cannot read their rows. */
+  final Set<JobId> unreadable = new HashSet<>();
+
   final List<JobEffect> effects = new ArrayList<>();
 
   /** Starts whose answer is lost, and stops that are lost. */
@@ -60,6 +65,12 @@
    */
   ToLongFunction<JobEffect> delay = effect -> 0;
 
+  /** Additional delay of the answer to an order that is carried out at once, in milliseconds. */
+  ToLongFunction<JobEffect> answerDelay = effect -> 0;
+
+  /** Starts that an unhealthy worker refuses without doing anything. */
+  Predicate<JobEffect> refused = effect -> false;
+
   /** How long a worker survives a task, in milliseconds; tasks without an entry do no harm. */
   final Map<TaskName, Long> fatal = new HashMap<>();
 
@@ -109,6 +120,9 @@
 
   private boolean ending;
 
+  /** Workers that are missing from the worker list although they run. */
+  private final Set<WorkerId> unlisted = new HashSet<>();
+
   /** Whether workers that restarted under their identifier are missing from the worker list. */
   boolean restartedUnlisted;
 
@@ -131,10 +145,23 @@
   private void registerWorkers() {
     post(new JobEvent.DataCentresEvacuated(evacuated));
     workers.values().stream()
-        .filter(worker -> !worker.dead && !(restartedUnlisted && worker.ageMillis(0) < 0))
+        .filter(worker -> !worker.dead && !unlisted.contains(worker.info.id()))
+        .filter(worker -> !(restartedUnlisted && worker.ageMillis(0) < 0))
         .forEach(worker -> post(new JobEvent.WorkerSeen(worker.info)));
   }
 
+  /** Removes a worker that goes on running from the worker list. */
+  void unlist(SimulatedWorker worker) {
+    unlisted.add(worker.info.id());
+    post(new JobEvent.WorkerUnlisted(worker.info.incarnation()));
+  }
+
+  /** Adds a worker to the worker list again. */
+  void list(SimulatedWorker worker) {
+    unlisted.remove(worker.info.id());
+    post(new JobEvent.WorkerSeen(worker.info));
+  }
+
   /** Suspends the leader. Its steady clock stands still; everything else goes on. */
   void suspendLeader(long millis) {
     suspendedMillis += millis;
@@ -188,7 +215,7 @@
     post(new JobEvent.LeaseEndsRecovered(leaseEnds));
     post(new JobEvent.LearnedRecovered(learned));
     registerWorkers();
-    specs.values().forEach(this::recover);
+    specs.values().stream().filter(job -> !unreadable.contains(job.id())).forEach(this::recover);
     tick(leader);
   }
 
@@ -302,13 +329,19 @@
           () -> {
             SimulatedWorker there = workers.get(worker.info.id());
             StartResult result =
-                there.dead ? StartResult.UNKNOWN : there.start(order, token, now, workMillis, need);
+                there.dead
+                    ? StartResult.UNKNOWN
+                    : refused.test(order)
+                        ? StartResult.UNHEALTHY
+                        : there.start(order, token, now, workMillis, need);
             Long survives = fatal.get(order.run().task());
             if (survives != null && result == StartResult.STARTED) {
               after(survives, () -> crashIfRunning(there, order.run()));
             }
             if (!unanswered && !delayed) {
-              after(oneWayDelayMillis, () -> started(from, order, result));
+              after(
+                  oneWayDelayMillis + answerDelay.applyAsLong(order),
+                  () -> started(from, order, result));
             }
           });
     }
@@ -422,7 +455,14 @@
     long sent = now;
     long delayMillis = delay.applyAsLong(order);
     if (delayMillis > 0) {
-      after(delayMillis, () -> workers.get(id).poll(order, token, now));
+      after(
+          delayMillis,
+          () -> {
+            SimulatedWorker there = workers.get(id);
+            if (!there.dead) {
+              there.poll(order, token, now);
+            }
+          });
       after(800, () -> post(from, new JobEvent.WorkerSilent(polled)));
       return;
     }
@@ -435,11 +475,16 @@
           } else {
             boolean fenced = token < worker.token;
             WorkerReport report = worker.poll(order, token, now);
-            post(
-                from,
+            JobEvent answer =
                 fenced
                     ? new JobEvent.WorkerFenced(polled)
-                    : new JobEvent.WorkerReported(polled, sent, report));
+                    : new JobEvent.WorkerReported(polled, sent, report);
+            long heldUpMillis = answerDelay.applyAsLong(order);
+            if (heldUpMillis == 0) {
+              post(from, answer);
+            } else {
+              after(heldUpMillis, () -> post(from, answer));
+            }
           }
         });
   }
--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -35,10 +35,10 @@
   }
 
   /**
-   * A run that was done.
+   * A run that was done or failed.
    *
    * @param run the run
-   * @param doneMillis when it was done
+   * @param doneMillis when it ended
    */
   record DoneRun(RunKey run, long doneMillis) {}
 
@@ -65,6 +65,12 @@
   /** Rate of its steady clock relative to ours. */
   double speed = 1;
 
+  /** Longest lease that it accepts, in milliseconds; a longer one is shortened to this. */
+  long maxLeaseMillis = MAX_LEASE_MILLIS;
+
+  /** Maximum number of completions that one answer lists. */
+  int maxListed = Integer.MAX_VALUE;
+
   private final Map<RunKey, ActiveRun> running = new HashMap<>();
 
   /** Highest run of each task that ended or was stopped; starts of runs up to it are refused. */
@@ -85,6 +91,12 @@
   /** Runs whose acknowledgement is final, because the lease did not lapse before it. */
   final List<DoneRun> finallyDone = new ArrayList<>();
 
+  /** Runs that failed since the lease last lapsed and are not acknowledged yet, by number. */
+  private final TreeMap<Long, DoneRun> failedSinceLapse = new TreeMap<>();
+
+  /** Failed runs whose acknowledgement is final, because the lease did not lapse before it. */
+  final List<DoneRun> finallyFailed = new ArrayList<>();
+
   /** Tasks with an acknowledged completion as done. */
   final Set<TaskName> acknowledgedDone = new HashSet<>();
 
@@ -106,10 +118,26 @@
 
   private SimulatedWorker(
       String id, long cores, String address, String dataCentre, String pool, long startTimeMillis) {
+    this(
+        new WorkerIncarnation(new WorkerId(id), startTimeMillis + 1),
+        cores,
+        address,
+        dataCentre,
+        pool,
+        startTimeMillis);
+  }
+
+  private SimulatedWorker(
+      WorkerIncarnation incarnation,
+      long cores,
+      String address,
+      String dataCentre,
+      String pool,
+      long startTimeMillis) {
     this.startTimeMillis = startTimeMillis;
     this.info =
         new WorkerInfo(
-            new WorkerIncarnation(new WorkerId(id), startTimeMillis + 1),
+            incarnation,
             pool,
             address,
             new DataCentreId(dataCentre),
@@ -118,11 +146,31 @@
             false);
   }
 
+  /**
+   * Returns a worker that does not state when it started and gets a new identifier after a crash.
+   */
+  static SimulatedWorker withUniqueIdentifier(String id, long cores) {
+    WorkerIncarnation incarnation = WorkerIncarnation.withUniqueIdentifier(new WorkerId(id));
+    return new SimulatedWorker(incarnation, cores, id + ":1", "dc", "pool", 0);
+  }
+
   /** Returns the worker that takes this one's address after a crash. */
   SimulatedWorker nextIncarnation(String id, long now) {
-    long cores = info.capacity().cpuMillis() / 1_000;
-    return new SimulatedWorker(
-        id, cores, info.address(), info.dataCentre().value(), info.pool(), now);
+    WorkerIncarnation incarnation =
+        info.incarnation().identifierReusable()
+            ? new WorkerIncarnation(new WorkerId(id), now + 1)
+            : WorkerIncarnation.withUniqueIdentifier(new WorkerId(id));
+    SimulatedWorker next =
+        new SimulatedWorker(
+            incarnation,
+            info.capacity().cpuMillis() / 1_000,
+            info.address(),
+            info.dataCentre().value(),
+            info.pool(),
+            now);
+    next.maxLeaseMillis = maxLeaseMillis;
+    next.maxListed = maxListed;
+    return next;
   }
 
   /**
@@ -176,6 +224,9 @@
     Map<Long, DoneRun> newlyAcknowledged = doneSinceLapse.headMap(acknowledged, true);
     finallyDone.addAll(newlyAcknowledged.values());
     newlyAcknowledged.clear();
+    Map<Long, DoneRun> newlyFailed = failedSinceLapse.headMap(acknowledged, true);
+    finallyFailed.addAll(newlyFailed.values());
+    newlyFailed.clear();
     List<WorkerReport.Running> list =
         running.values().stream()
             .map(
@@ -187,7 +238,11 @@
                         progress(active, now),
                         load(active.run)))
             .toList();
-    return new WorkerReport(info.incarnation().startTimeMillis(), clock(now), list, completions);
+    return new WorkerReport(
+        info.incarnation().startTimeMillis(),
+        clock(now),
+        list,
+        completions.stream().limit(maxListed).toList());
   }
 
   long ageMillis(long now) {
@@ -195,7 +250,7 @@
   }
 
   private void extendLease(long untilMillis, long now) {
-    leaseEndMillis = Math.max(leaseEndMillis, Math.min(untilMillis, clock(now) + MAX_LEASE_MILLIS));
+    leaseEndMillis = Math.max(leaseEndMillis, Math.min(untilMillis, clock(now) + maxLeaseMillis));
   }
 
   /** Returns its clock, which starts with the incarnation. */
@@ -231,12 +286,15 @@
             if (status == WorkerReport.CompletionStatus.DONE) {
               done.add(run.run);
               doneSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
+            } else if (status == WorkerReport.CompletionStatus.FAILED) {
+              failedSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
             }
             end(run.run, status);
           }
         });
     if (expired) {
       doneSinceLapse.clear();
+      failedSinceLapse.clear();
     }
   }
 
