--- a/core/src/test/java/org/cottontack/core/job/FinalCompletionsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/FinalCompletionsTest.java
@@ -17,6 +17,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -141,6 +142,166 @@
     }
   }
 
+  /** Workers that are dropped and listed again. */
+  public static class ListedAgain {
+
+    private static final long LEASES_ENDED_MILLIS = 11_000;
+    private static final long LONG_MILLIS = 60_000;
+
+    /**
+     * Guards against completions that are never acknowledged because the later run of a done task
+     * ended while the worker of the earlier one was listed again and had not answered yet.
+     */
+    @Test
+    public void acknowledgesOnceTheLaterRunIsOver() {
+      JobSimulation simulation = fleet(2);
+      final JobSpec job = job("again", step(1, 2, List.of()));
+      simulation.submit(job);
+      simulation.run(100);
+      final SimulatedWorker first = busy(simulation);
+      first.reachable = false;
+      simulation.workMillis = LONG_MILLIS;
+      simulation.run(LEASES_ENDED_MILLIS);
+      assertEquals(simulation.starts(), 2);
+      simulation.lost = JobEffect.StopRun.class::isInstance;
+      first.reachable = true;
+      simulation.run(1_000);
+      simulation.unlist(first);
+      simulation.run(300);
+      first.reachable = false;
+      simulation.list(first);
+      simulation.lost = effect -> false;
+      simulation.run(2_000);
+      assertEquals(simulation.phase(job.id()), JobPhase.COMPLETE);
+      first.reachable = true;
+      simulation.run(60_000);
+      assertEquals(first.lastAcknowledgedCompletion(), 1);
+    }
+  }
+
+  /** Workers that list only the first of their completions. */
+  public static class LongLists {
+
+    /** Maximum number of completions in one answer. */
+    private static final int MAX_LISTED = 500;
+
+    private static final long LEASES_ENDED_MILLIS = 9_500;
+    private static final long LONG_MILLIS = 60_000;
+
+    /**
+     * Guards against a run that is taken for missing because its completion comes after those that
+     * fit into an answer. They are not acknowledged while the first one waits for a later run of
+     * its task to end.
+     */
+    @Test
+    public void runsNoTaskAgainWhoseCompletionIsNotListedYet() {
+      JobSimulation simulation = fleet(2, 32);
+      simulation.workers.values().forEach(worker -> worker.maxListed = MAX_LISTED);
+      simulation.submit(job("held", step(1, 2, List.of())));
+      simulation.run(100);
+      final SimulatedWorker first = busy(simulation);
+      first.reachable = false;
+      simulation.workMillis = LONG_MILLIS;
+      simulation.run(LEASES_ENDED_MILLIS);
+      final SimulatedWorker second = busy(simulation);
+      second.reachable = false;
+      first.reachable = true;
+      simulation.workMillis = 100;
+      List<JobSpec> jobs =
+          IntStream.range(0, 100).mapToObj(i -> job("j" + i, step(16, 1, List.of()))).toList();
+      for (JobSpec next : jobs) {
+        simulation.submit(next);
+        simulation.run(100);
+      }
+      simulation.run(60_000);
+      jobs.forEach(next -> assertEquals(simulation.phase(next.id()), JobPhase.COMPLETE));
+      assertEquals(simulation.starts(), 2 + 16 * jobs.size());
+    }
+  }
+
+  /** Runs that failed on a later life of a worker than the one that their starts were sent to. */
+  public static class FailedDuplicates {
+
+    private static final long DELAY_MILLIS = 8_000;
+    private static final long BACK_BEFORE_MILLIS = 20;
+    private static final WorkerId ONLY = new WorkerId("w0");
+
+    /**
+     * Guards against more attempts than allowed: the duplicate of an earlier run's start fails
+     * while a later run is placed, and its acknowledged failure is not counted.
+     */
+    @Test
+    public void countAsAttempts() {
+      JobSimulation simulation = JobFixtures.restartingFleet(1);
+      simulation.listsCrashedWorkers = true;
+      simulation.run(1_000);
+      final FinalityChecker checker = new FinalityChecker(simulation);
+      final long arrives = simulation.now + DELAY_MILLIS;
+      simulation.delay = effect -> effect instanceof JobEffect.StartRun ? DELAY_MILLIS : 0;
+      simulation.submit(job("failing", step(1, 2, List.of())));
+      checker.run(100);
+      simulation.delay = effect -> 0;
+      simulation.workMillis = 30_000;
+      simulation.crash(simulation.workers.get(ONLY));
+      checker.run(arrives - BACK_BEFORE_MILLIS - JobFixtures.RESTART_MILLIS - simulation.now);
+      assertEquals(simulation.workers.get(ONLY).count(), 1);
+      simulation.workMillis = 100;
+      simulation.fails = true;
+      simulation.crash(simulation.workers.get(ONLY));
+      simulation.delay = effect -> effect instanceof JobEffect.LookAtWorker ? DELAY_MILLIS : 0;
+      checker.run(JobFixtures.RESTART_MILLIS + 300);
+      assertEquals(simulation.workers.get(ONLY).count(), 0);
+      simulation.delay = effect -> 0;
+      checker.run(60_000);
+    }
+  }
+
+  /** Jobs that one leader leaves alone, because another version stored their progress. */
+  public static class LeftAlone {
+
+    private static final long TAKEOVER_MILLIS = 2_500;
+
+    private static void takeOver(JobSimulation simulation) {
+      simulation.killLeader();
+      simulation.run(TAKEOVER_MILLIS);
+      simulation.takeOver();
+      simulation.run(2_000);
+    }
+
+    /** Guards against completions that a leader acknowledges although it cannot store them. */
+    @Test
+    public void loseNoCompletion() {
+      JobSimulation simulation = fleet(2);
+      final JobSpec job = job("alone", step(1, 2, List.of()));
+      simulation.submit(job);
+      simulation.run(100);
+      assertEquals(simulation.starts(), 1);
+      simulation.unreadable.add(job.id());
+      takeOver(simulation);
+      simulation.unreadable.clear();
+      takeOver(simulation);
+      assertEquals(simulation.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(simulation.starts(), 1);
+    }
+
+    /** Guards against runs that a leader stops although their job is still active. */
+    @Test
+    public void keepTheirRuns() {
+      JobSimulation simulation = fleet(2);
+      simulation.workMillis = 9_000;
+      final JobSpec job = job("alone", step(1, 2, List.of()));
+      simulation.submit(job);
+      simulation.run(1_000);
+      simulation.unreadable.add(job.id());
+      takeOver(simulation);
+      simulation.unreadable.clear();
+      takeOver(simulation);
+      simulation.run(10_000);
+      assertEquals(simulation.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(simulation.starts(), 1);
+    }
+  }
+
   /** Workers that answer again about when their leases have been waited out. */
   public static class Returning {
 
@@ -190,6 +351,44 @@
     }
   }
 
+  /** Registry entries that carry the address of a worker which is alive. */
+  public static class SharedAddresses {
+
+    private static final WorkerId OTHER = new WorkerId("other");
+
+    /**
+     * Guards against a second run of a task whose worker is missing from the list for a moment
+     * while another entry carries its address. Nothing but the list says that the worker has ended.
+     */
+    @Test
+    public void endNoRunOfWorkerThatAnswers() {
+      JobSimulation simulation = fleet(2);
+      simulation.workMillis = 3_000;
+      final JobSpec job = job("shared", step(1, 2, List.of()));
+      simulation.submit(job);
+      simulation.run(100);
+      final SimulatedWorker first = busy(simulation);
+      WorkerInfo info = first.info;
+      simulation.post(
+          new JobEvent.WorkerSeen(
+              new WorkerInfo(
+                  WorkerIncarnation.withUniqueIdentifier(OTHER),
+                  info.pool(),
+                  info.address(),
+                  info.dataCentre(),
+                  info.capacity(),
+                  info.labels(),
+                  false)));
+      simulation.run(200);
+      simulation.unlist(first);
+      simulation.run(200);
+      simulation.list(first);
+      simulation.run(10_000);
+      assertEquals(simulation.phase(job.id()), JobPhase.COMPLETE);
+      assertEquals(simulation.starts(), 1);
+    }
+  }
+
   /** Random faults. */
   public static class FaultInjection {
 
