--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -38,10 +38,10 @@
   }
 
   /**
-   * A run that was done.
+   * A run that was done or failed.
    *
    * @param run the run
-   * @param doneMillis when it was done
+   * @param doneMillis when it ended
    */
   record DoneRun(RunKey run, long doneMillis) {}
 
@@ -94,6 +94,12 @@
   /** Runs whose acknowledgement is final, because the lease did not lapse before it. */
   final List<DoneRun> finallyDone = new ArrayList<>();
 
+  /** Runs that failed since the lease last lapsed and are not acknowledged yet, by number. */
+  private final TreeMap<Long, DoneRun> failedSinceLapse = new TreeMap<>();
+
+  /** Failed runs whose acknowledgement is final, because the lease did not lapse before it. */
+  final List<DoneRun> finallyFailed = new ArrayList<>();
+
   /** Tasks with an acknowledged completion as done. */
   final Set<TaskName> acknowledgedDone = new HashSet<>();
 
@@ -141,12 +147,28 @@
     return new SimulatedWorker(incarnation, cores, address, dataCentre, "pool", now);
   }
 
+  /** Returns such a worker of the only data centre. */
+  static SimulatedWorker withUniqueIdentifier(String id, long cores) {
+    return withUniqueIdentifier(id, cores, id + ":1", "dc", 0);
+  }
+
   /** Returns the worker that takes this one's address after a crash. */
   SimulatedWorker nextIncarnation(String id, long now) {
-    long cores = info.capacity().cpuMillis() / 1_000;
-    WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId(id), now + 1);
-    return new SimulatedWorker(
-        incarnation, cores, info.address(), info.dataCentre().value(), info.pool(), now);
+    WorkerIncarnation incarnation =
+        info.incarnation().identifierReusable()
+            ? new WorkerIncarnation(new WorkerId(id), now + 1)
+            : WorkerIncarnation.withUniqueIdentifier(new WorkerId(id));
+    SimulatedWorker next =
+        new SimulatedWorker(
+            incarnation,
+            info.capacity().cpuMillis() / 1_000,
+            info.address(),
+            info.dataCentre().value(),
+            info.pool(),
+            now);
+    next.maxLeaseMillis = maxLeaseMillis;
+    next.maxListed = maxListed;
+    return next;
   }
 
   /**
@@ -201,6 +223,9 @@
     Map<Long, DoneRun> newlyAcknowledged = doneSinceLapse.headMap(acknowledged, true);
     finallyDone.addAll(newlyAcknowledged.values());
     newlyAcknowledged.clear();
+    Map<Long, DoneRun> newlyFailed = failedSinceLapse.headMap(acknowledged, true);
+    finallyFailed.addAll(newlyFailed.values());
+    newlyFailed.clear();
     return report(now);
   }
 
@@ -263,12 +288,15 @@
             if (status == WorkerReport.CompletionStatus.DONE) {
               done.add(run.run);
               doneSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
+            } else if (status == WorkerReport.CompletionStatus.FAILED) {
+              failedSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
             }
             end(run.run, status);
           }
         });
     if (expired) {
       doneSinceLapse.clear();
+      failedSinceLapse.clear();
     }
   }
 
