--- a/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulationInvariants.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cottontack.core.id.WorkerId;
 
 /** Invariants of a simulation, which hold at every moment whatever faults are injected. */
 final class SimulationInvariants {
@@ -108,6 +109,28 @@
             });
   }
 
+  /**
+   * Checks that no lease is in force at a worker whose leases the leader takes to have ended,
+   * whichever leader granted it. Workers that have restarted under their identifier are left out: a
+   * late start to an earlier incarnation may give them a lease, and pins its task to them.
+   */
+  void checkLapsed(JobEffect.Note note) {
+    simulation.workers.values().stream()
+        .filter(there -> note.name().equals("worker.lapsed"))
+        .filter(there -> there.info.id().value().equals(note.subject()))
+        .filter(there -> !there.dead && there.leased(simulation.now))
+        .filter(there -> incarnationsOf(there.info.id()) == 1)
+        .findAny()
+        .ifPresent(
+            there -> {
+              throw violation(there.info.id() + " holds a lease that was taken to have ended");
+            });
+  }
+
+  private long incarnationsOf(WorkerId id) {
+    return simulation.incarnations().filter(there -> there.info.id().equals(id)).count();
+  }
+
   private boolean mayRepeat(TaskName task) {
     return isLongRunning(task) || is(task, StepSpec.Trait.SPECULATIVE);
   }
