A run is not missing while its completion may not be listed yet

Callers would see a task that is done run again: its worker has more than 500 completions that are not acknowledged, as one of them waits until a later run of its task is over. A report lists 500. A run whose completion comes after these is in neither list, so it was taken for one that never began and started again at once; its completion is acknowledged later. Cause: a report was taken for complete. By the platform's page completions are returned 500 at a time. Change: a report with that many shows no run as missing. It is looked at again when the list is shorter.

--- a/core/src/main/java/org/cottontack/core/job/WorkerReport.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReport.java
@@ -14,12 +14,20 @@
 public record WorkerReport(
     long startTimeMillis, long clockMillis, List<Running> running, List<Completion> completions) {
 
+  /** Maximum number of completions in one report. The platform specifies it. */
+  static final int MAX_COMPLETIONS = 500;
+
   /** Keeps the lists immutable. */
   public WorkerReport {
     running = List.copyOf(running);
     completions = List.copyOf(completions);
   }
 
+  /** Returns whether some runs may have ended whose completions are not listed yet. */
+  boolean mayOmitCompletions() {
+    return completions.size() >= MAX_COMPLETIONS;
+  }
+
   /**
    * A run in progress.
    *
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -69,7 +69,9 @@
         .forEach(completion -> handleCompletion(worker, completion));
     Set<RunKey> listed = new HashSet<>();
     event.report().running().forEach(running -> listed.add(handleRunning(worker, running)));
-    releaseMissing(worker, listed, event.sentMillis());
+    if (!event.report().mayOmitCompletions()) {
+      releaseMissing(worker, listed, event.sentMillis());
+    }
     interference.learn(worker, term.now.mono());
     pacing.adjust(worker, term.now.mono()).forEach(term.effects::add);
     worker.changed();
