Deferred acknowledgements of a worker that is listed again end with the later run

Operators would see a worker whose ends are never acknowledged: a run of it is done, its task runs again elsewhere, the worker is dropped from the list and listed again, and the later run ends before the worker's first answer. Cause: what is deferred waits beside the workers until the first answer. The end of the later run was recorded with the worker's new state, which the first answer replaces by what was waiting: a deferral without end. Change: the end of the later run is recorded where the deferral is. Evidence: FinalCompletionsTest ListedAgain, red in (no acknowledgement for 60 s), passes; 873 tests of deferrals, late starts and restarts fail only as listed.

--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -230,9 +230,10 @@
   /** Defers the acknowledgement of an earlier run's completion while its task is pinned. */
   private void deferAcknowledgement(Task task, Task.EarlierCompletion completion) {
     long millis = task.pinnedForMillis(now.mono()).orElse(0);
-    worker(completion.on())
-        .map(on -> on.deferredAcknowledgements)
-        .or(() -> unlistedDeferrals.of(completion.on()))
+    // A worker that is listed again takes them over with its first answer.
+    unlistedDeferrals
+        .of(completion.on())
+        .or(() -> worker(completion.on()).map(on -> on.deferredAcknowledgements))
         .ifPresent(deferred -> deferred.defer(completion.number(), now.mono(), millis));
     jobsToRecheck.add(task.job);
   }
