Leases count from the renewal also after the leader was suspended and its time set back

Callers would see a task that was done run again, or two runs at once: a leader cut off from the store is suspended for seconds, the time of day is set back, and once awake it extends leases of the workers that it still reaches past what the next leader waits for. Cause: the age of a renewal is the longer of the steady clock and the time of day. Where one stood still and the other went back it is too young by the time of the suspension. A worker's answer after that gave a fresh value of its clock, on which the lease that is too long was based. Change: the end of a lease is based on all values of the worker's clock since the last one before the renewal, the earliest counts. The worker's clock did not stand still, so the lease ends when the renewal allows, whatever our clocks say. With an exact clock a lease ends up to 2 % of the time since that value earlier. Weighed: a native boot-time clock; the age from the store's clock, which a leader that is cut off does not get. Not covered: mayStart goes by the same age; a start that it lets through is refused by workers that the next leader has polled.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -70,7 +70,7 @@
             worker.target(),
             task.key(),
             task.job.spec.payload(),
-            worker.clock.leaseEnd(startDeadline(worker, task)),
+            worker.clock.leaseEnd(startDeadline(worker, task), term.renewedMillis()),
             task.checkpoint));
   }
 
@@ -327,7 +327,7 @@
       return noLease(worker);
     }
     worker.offeredLeaseEndMillis = until;
-    return worker.clock.leaseEnd(until);
+    return worker.clock.leaseEnd(until, term.renewedMillis());
   }
 
   private static long noLease(Worker worker) {
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -93,6 +93,11 @@
     return Math.min(grantEndMillis(), leaseEnds.limitMillis(worker.info.id(), now));
   }
 
+  /** Returns when the renewal that bounds leases given now was sent, on our steady clock. */
+  long renewedMillis() {
+    return renewal == null ? startMillis : renewal.mono();
+  }
+
   /** Returns when all leases that earlier leaders granted to a worker have ended. */
   long inheritedLeaseEndMillis(WorkerIncarnation incarnation) {
     long storedEnd = leaseEnds.endMillis(incarnation).orElse(inheritedLeaseEndMillis);
--- a/core/src/test/java/org/cottontack/core/job/WorkerClockTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerClockTest.java
@@ -17,7 +17,7 @@
     private static long leaseEnd(long clock) {
       WorkerClock workerClock = new WorkerClock();
       workerClock.observe(clock, READ_MILLIS);
-      return workerClock.leaseEnd(UNTIL_MILLIS);
+      return workerClock.leaseEnd(UNTIL_MILLIS, READ_MILLIS);
     }
 
     /**
@@ -35,13 +35,26 @@
       assertEquals(leaseEnd(500), 500 + 9_800);
     }
 
+    /**
+     * Guards against leases that last longer by the time for which the leader was suspended: its
+     * clock stood still for 4 s after a renewal, the worker's did not.
+     */
+    @Test
+    public void countFromTheRenewalAcrossSuspension() {
+      WorkerClock workerClock = new WorkerClock();
+      workerClock.observe(500, READ_MILLIS);
+      workerClock.observe(4_600, READ_MILLIS + 100);
+      assertEquals(workerClock.leaseEnd(UNTIL_MILLIS, READ_MILLIS + 50), 500 + 9_800);
+      assertEquals(workerClock.leaseEnd(UNTIL_MILLIS, READ_MILLIS + 100), 4_600 + 9_702);
+    }
+
     /** A shorter lease does not end an earlier, longer one. */
     @Test
     public void theLatestEndCounts() {
       WorkerClock workerClock = new WorkerClock();
       workerClock.observe(500, READ_MILLIS);
-      workerClock.leaseEnd(UNTIL_MILLIS);
-      workerClock.leaseEnd(UNTIL_MILLIS - 5_000);
+      workerClock.leaseEnd(UNTIL_MILLIS, READ_MILLIS);
+      workerClock.leaseEnd(UNTIL_MILLIS - 5_000, READ_MILLIS);
       assertEquals(workerClock.lastLeaseEndMillis(), UNTIL_MILLIS);
     }
   }
