A completion that a leader hears just before its term ends is not lost

Callers saw work that was done run again 8.5 s later, when a leader is stopped as the worker of that work leaves. Cause: a leader that ends its term dropped (1) completions that it had taken in and not saved yet, and (2) answers to its polls, which wait up to a second at the worker and so outlive the term. The next leader polls 0.1 to 0.5 s after its election; a worker that has left by then told its end to nobody who keeps it. Change: a leader that is stopped saves its progress with the ends of leases, within the 400 ms that it had for these, and takes runs that it has not started off their workers; before that it abandons its polls, so a worker keeps its end for the next leader's poll and lists it to nobody else. Any other end of a term abandons the polls as well. Weighed: reading answers until the release, which leaves the second after it; a row in which an ended leader notes what it heard.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -118,6 +118,27 @@
     }
   }
 
+  /** A request that may be cancelled while it is in flight. */
+  public static final class Call {
+
+    private volatile boolean cancelled;
+
+    /** The connection that carries the request while its response is awaited. */
+    private volatile Channel channel;
+
+    /**
+     * Cancels the request: it is not sent any more, or its connection is closed so that the server
+     * cannot respond. The result is that of a lost response.
+     */
+    public void cancel() {
+      cancelled = true;
+      Channel open = channel;
+      if (open != null) {
+        open.close();
+      }
+    }
+  }
+
   /**
    * Sends a request.
    *
@@ -125,33 +146,44 @@
    * @param done receives exactly one result, on an event loop
    */
   public void call(Spec spec, Consumer<HttpResult> done) {
+    call(spec, new Call(), done);
+  }
+
+  /**
+   * Sends a request that may be cancelled.
+   *
+   * @param spec the request
+   * @param call cancels it; used for this request only
+   * @param done receives exactly one result, on an event loop
+   */
+  public void call(Spec spec, Call call, Consumer<HttpResult> done) {
     Channel reused = takeIdle(spec.address());
     if (reused == null) {
-      connect(spec, done);
+      connect(spec, call, done);
       return;
     }
     if (reused.eventLoop().inEventLoop()) {
-      sendReused(reused, spec, done);
+      sendReused(reused, spec, call, done);
     } else {
-      reused.eventLoop().execute(() -> sendReused(reused, spec, done));
+      reused.eventLoop().execute(() -> sendReused(reused, spec, call, done));
     }
   }
 
-  private void sendReused(Channel reused, Spec spec, Consumer<HttpResult> done) {
+  private void sendReused(Channel reused, Spec spec, Call call, Consumer<HttpResult> done) {
     if (reused.isActive()) {
-      send(reused, spec, done);
+      send(reused, spec, call, done);
     } else {
-      connect(spec, done);
+      connect(spec, call, done);
     }
   }
 
-  private void connect(Spec spec, Consumer<HttpResult> done) {
+  private void connect(Spec spec, Call call, Consumer<HttpResult> done) {
     bootstrap
         .connect(spec.address().socket())
         .addListener(
             (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
-                send(connected.channel(), spec, done);
+                send(connected.channel(), spec, call, done);
               } else {
                 done.accept(HttpResult.notSent());
               }
@@ -208,7 +240,7 @@
     }
   }
 
-  private void send(Channel channel, Spec spec, Consumer<HttpResult> done) {
+  private void send(Channel channel, Spec spec, Call call, Consumer<HttpResult> done) {
     if (!channel.isActive()) {
       done.accept(HttpResult.notSent());
       return;
@@ -216,12 +248,12 @@
     Exchange exchange = channel.pipeline().get(Exchange.class);
     exchange.address = spec.address();
     // The process may have been paused for a long time since the caller decided to send.
-    if (!spec.allowed().getAsBoolean()) {
+    if (call.cancelled || !spec.allowed().getAsBoolean()) {
       keepIdle(spec.address(), channel);
       done.accept(HttpResult.notSent());
       return;
     }
-    exchange.begin(channel, spec, done);
+    exchange.begin(channel, spec, call, done);
     channel
         .writeAndFlush(request(spec))
         .addListener(
@@ -262,11 +294,14 @@
   private final class Exchange extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private Consumer<HttpResult> callback;
+    private Call call;
     private Address address;
     private Future<?> timeout;
 
-    void begin(Channel channel, Spec spec, Consumer<HttpResult> done) {
+    void begin(Channel channel, Spec spec, Call next, Consumer<HttpResult> done) {
       callback = done;
+      call = next;
+      call.channel = channel;
       timeout =
           channel
               .eventLoop()
@@ -288,8 +323,9 @@
 
     /** Ends the exchange and returns the callback for its result. */
     private Consumer<HttpResult> takeCallback() {
-      Consumer<HttpResult> done = callback;
+      final Consumer<HttpResult> done = callback;
       callback = null;
+      call.channel = null;
       timeout.cancel(false);
       return done;
     }
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -110,8 +110,9 @@
   }
 
   /**
-   * Prepares the end of this term by saving when the leases of unreachable workers end, including
-   * those of workers that have not answered this leader yet.
+   * Prepares the end of this term by saving all progress and when the leases of unreachable workers
+   * end, including those of workers that have not answered this leader yet. Runs whose start was
+   * not sent are taken off their workers.
    *
    * @param moment the present time
    * @return the effects to carry out. Once a save among them is answered, this is to be called
@@ -121,13 +122,18 @@
     term.now = moment;
     term.effects = new ArrayList<>();
     term.ending = true;
-    progressSaver.saveLeaseEnds();
+    term.workers.values().stream()
+        .flatMap(worker -> worker.placed.values().stream())
+        .filter(task -> task.order == Task.Order.UNSAVED && !task.mayHaveBegun())
+        .toList()
+        .forEach(term::release);
+    progressSaver.saveBeforeEnd();
     return term.effects;
   }
 
   /** Returns whether nothing that {@link #prepareEnd} saves remains to be saved. */
   public boolean readyToEnd() {
-    return term.leaseEnds.allStored(term);
+    return progressSaver.allSaved() && term.leaseEnds.allStored(term);
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -50,15 +50,7 @@
       return;
     }
     final long now = term.now.mono();
-    Map<JobId, String> rows = new HashMap<>();
-    List<Job> batch = term.dirty.stream().limit(term.timing.jobsPerSave()).toList();
-    batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
-    batch.forEach(term.dirty::remove);
-    batch.stream()
-        .flatMap(Job::tasks)
-        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
-        .map(Task::key)
-        .forEach(savingStarts::add);
+    final Map<JobId, String> rows = takeDirtyRows();
     if (term.dirty.isEmpty()) {
       term.workers.values().stream()
           .filter(
@@ -85,17 +77,43 @@
     }
   }
 
-  /** Saves only the ends of leases of unreachable workers, because the term is about to end. */
-  void saveLeaseEnds() {
-    if (!saving) {
-      term.leaseEnds
-          .beginSave(term)
-          .ifPresent(
-              ends -> {
-                saving = true;
-                term.effects.add(new JobEffect.SaveProgress(Map.of(), "", Optional.of(ends)));
-              });
+  /**
+   * Returns the progress of the jobs that the next transaction saves, and notes the starts that
+   * wait for it.
+   */
+  private Map<JobId, String> takeDirtyRows() {
+    Map<JobId, String> rows = new HashMap<>();
+    List<Job> batch = term.dirty.stream().limit(term.timing.jobsPerSave()).toList();
+    batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
+    batch.forEach(term.dirty::remove);
+    batch.stream()
+        .flatMap(Job::tasks)
+        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
+        .map(Task::key)
+        .forEach(savingStarts::add);
+    return rows;
+  }
+
+  /**
+   * Saves what the next leader cannot learn from a worker that leaves meanwhile: the progress that
+   * is not saved yet, and the ends of leases of unreachable workers.
+   */
+  void saveBeforeEnd() {
+    if (saving) {
+      return;
     }
+    Map<JobId, String> rows = takeDirtyRows();
+    Optional<Map<WorkerIncarnation, Long>> ends = term.leaseEnds.beginSave(term);
+    if (!rows.isEmpty() || ends.isPresent()) {
+      saving = true;
+      String text = rows.isEmpty() ? "" : learnedIfDue();
+      term.effects.add(new JobEffect.SaveProgress(rows, text, ends));
+    }
+  }
+
+  /** Returns whether all progress is saved. */
+  boolean allSaved() {
+    return !saving && term.dirty.isEmpty();
   }
 
   void restoreLearned(String text) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -131,12 +131,15 @@
   }
 
   /**
-   * Lets the next leader know when the leases of unreachable workers end, and then ends the term.
+   * Lets the next leader know all progress and when the leases of unreachable workers end, and then
+   * ends the term. No worker reports to this leader any more: a completion that only this leader
+   * gets to know would be lost with a worker that leaves.
    *
    * @param done called once that is stored, or after {@link #MAX_END_MILLIS}
    */
   void end(Runnable done) {
     onEnd = Optional.of(done);
+    workers.abandonPolls();
     timers.after(MAX_END_MILLIS, this::endTerm);
     prepareEnd();
   }
@@ -158,6 +161,7 @@
 
   void stop() {
     stopped = true;
+    workers.abandonPolls();
     watchers.forEach(TableWatcher::stop);
     progressStore.stop();
     waitingRows.stop();
--- a/daemon/src/main/java/org/cottontack/daemon/job/WorkerClient.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WorkerClient.java
@@ -25,6 +25,12 @@
   void poll(
       JobEffect.LookAtWorker poll, long epoch, BooleanSupplier allowed, Consumer<PollResult> done);
 
+  /**
+   * Abandons the polls in flight, so that no worker reports to a leader whose term ends. They are
+   * reported as silent.
+   */
+  void abandonPolls();
+
   /** Sets the pace of a run; the consumer receives whether the worker confirmed it. */
   void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done);
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/InstancesSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/InstancesSimulation.java
@@ -490,6 +490,9 @@
           done);
     }
 
+    @Override
+    public void abandonPolls() {}
+
     @Override
     public void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done) {
       process.after(2, () -> done.accept(true));
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -55,6 +55,17 @@
   /** Whether the worker answers no more polls. */
   boolean workerLost;
 
+  /** Whether the runs on the worker are done when it answers the next poll. */
+  boolean completesRuns;
+
+  /** How often the leader has abandoned its polls. */
+  private int abandoned;
+
+  /** Called after a poll has been answered. */
+  Runnable onAnswered = () -> {};
+
+  private final List<WorkerReport.Completion> completions = new ArrayList<>();
+
   JobEntry entry;
 
   LeaderSimulation() {
@@ -166,10 +177,16 @@
           POLL_TIMEOUT_MILLIS, () -> done.accept(PollResult.of(PollResult.Outcome.SILENT)));
       return;
     }
+    int abandonedBefore = abandoned;
     process.after(
         Math.max(2, poll.waitMillis()),
         () -> {
+          if (abandoned > abandonedBefore) {
+            done.accept(PollResult.of(PollResult.Outcome.SILENT));
+            return;
+          }
           long clock = process.now().mono();
+          completeRuns();
           List<WorkerReport.Running> list =
               running.keySet().stream()
                   .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, 0))
@@ -177,7 +194,31 @@
           done.accept(
               new PollResult(
                   PollResult.Outcome.ANSWERED,
-                  new WorkerReport(WorkerIncarnation.UNKNOWN_START_TIME, clock, list, List.of())));
+                  new WorkerReport(
+                      WorkerIncarnation.UNKNOWN_START_TIME, clock, list, completions)));
+          onAnswered.run();
         });
   }
+
+  @Override
+  public void abandonPolls() {
+    abandoned++;
+  }
+
+  private void completeRuns() {
+    if (completesRuns) {
+      running.keySet().forEach(this::complete);
+      running.clear();
+    }
+  }
+
+  private void complete(RunKey run) {
+    completions.add(
+        new WorkerReport.Completion(
+            completions.size() + 1L,
+            run.task(),
+            run.run(),
+            WorkerReport.CompletionStatus.DONE,
+            ""));
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -9,6 +9,8 @@
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.JobPhase;
+import org.cottontack.core.job.ProgressText;
 import org.testng.annotations.Test;
 
 /** Tests of a leader over a store that loses or delays responses, or carries calls out late. */
@@ -274,6 +276,35 @@
       assertTrue(leaseEnds(simulation).matches("2\nw 0 \\d+"), leaseEnds(simulation));
     }
 
+    /**
+     * Guards against work that is repeated because a leader that is stopped drops a completion that
+     * it has just received, and the worker leaves before the next leader polls it.
+     */
+    @Test
+    public void storesCompletionsBeforeStopping() {
+      LeaderSimulation simulation = withRun();
+      boolean[] left = {false};
+      simulation.onAnswered = () -> simulation.entry.stop(() -> left[0] = true);
+      simulation.completesRuns = true;
+      simulation.time.run(1_500);
+      assertTrue(left[0]);
+      String progress = simulation.store.table(JobTables.PROGRESS).get("a");
+      assertEquals(ProgressText.phase(progress), JobPhase.COMPLETE, progress);
+    }
+
+    /**
+     * Guards against a completion that a worker lists only to a leader whose term has ended, and
+     * which the next leader never gets to know where the worker leaves.
+     */
+    @Test
+    public void abandonsPollsBeforeStopping() {
+      LeaderSimulation simulation = withRun();
+      simulation.entry.stop(() -> {});
+      simulation.completesRuns = true;
+      simulation.time.run(2_000);
+      assertEquals(simulation.running.size(), 1);
+    }
+
     /** Guards against a stop that waits for a store that does not answer. */
     @Test
     public void stopsWithoutTheStore() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/StartsSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StartsSimulation.java
@@ -256,6 +256,9 @@
         answers ? orderDelayMillis + 1 : ORDER_TIMEOUT_MILLIS, () -> done.accept(answers));
   }
 
+  @Override
+  public void abandonPolls() {}
+
   @Override
   public void pace(JobEffect.PaceRun pace, long epoch, Consumer<Boolean> done) {
     process.after(2, () -> done.accept(true));
