Red: runs lapse in chains of leaders that do not know the store's clock

What LeaseEndBounds costs: a worker was cut off, its end is stored, it answers again, and eight leaders follow each other. Terms of 50 and 300 ms that end by a stop while saves take 50 to 1,500 ms lapse: each leader begins with the stored end, extends nothing, and ends before it is withdrawn. A time of day that is set forward between an instance's first response and its takeover has the same effect by reading.

--- a/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
@@ -85,6 +85,9 @@
     /** How late this leader takes times on the store's clock to be, in milliseconds. */
     final long clockErrorMillis;
 
+    /** How early this leader takes the earliest ends of stored leases to be, in milliseconds. */
+    final long earlyMillis;
+
     /** Translations of stored ends of leases, which keep their stored value. */
     private final Map<WorkerIncarnation, TranslatedEnd> translatedEnds = new HashMap<>();
 
@@ -92,6 +95,7 @@
       this.instance = instance;
       this.epoch = epoch;
       this.clockErrorMillis = LinkSimulation.this.clockErrorMillis.getAsLong();
+      this.earlyMillis = LinkSimulation.this.earlyMillis.getAsLong();
       this.inheritedLeaseEndMillis = inheritedLeaseEndMillis + clockErrorMillis;
       this.renewal = moment();
       this.storeContactMillis = now;
@@ -111,7 +115,8 @@
           (worker, end) ->
               found.put(
                   worker,
-                  new LeaseEndBounds(Math.min(end.storeMillis(), end.millis()), end.millis())));
+                  new LeaseEndBounds(
+                      Math.min(end.storeMillis(), end.millis()) - earlyMillis, end.millis())));
       return found;
     }
 
@@ -195,6 +200,12 @@
    */
   LongSupplier clockErrorMillis = () -> 0;
 
+  /**
+   * By how much the next leader takes the earliest ends of stored leases to be earlier than they
+   * are, in milliseconds; it extends leases only up to there.
+   */
+  LongSupplier earlyMillis = () -> 0;
+
   /** Longest reading of a new leader, in milliseconds. */
   long maxReadMillis = 300;
 
