Tests of cancelled calls

Cause: HttpClient.Call had no test of its own. Over real sockets: a cancelled call ends as lost and its connection is closed; one that was answered leaves its connection in the pool.

--- a/adapters/src/test/java/org/cottontack/adapters/http/HttpClientTest.java
+++ b/adapters/src/test/java/org/cottontack/adapters/http/HttpClientTest.java
@@ -104,6 +104,34 @@
       assertEquals(worker.opened(), 1);
     }
 
+    /** Guards against a response that is still delivered to a caller that has given up. */
+    @Test
+    public void closesConnectionOfCancelledCall() throws Exception {
+      HttpClient client = new HttpClient(group, IDLE_MILLIS);
+      CountDownLatch pending = new CountDownLatch(2);
+      worker.pendingRequests = pending;
+      HttpClient.Call call = new HttpClient.Call();
+      CompletableFuture<HttpResult> result = call(client, call);
+      while (pending.getCount() > 1) {
+        Thread.onSpinWait();
+      }
+      call.cancel();
+      HttpResult lost = result.get(WAIT_SECONDS, TimeUnit.SECONDS);
+      assertEquals(lost.outcome(), HttpResult.Outcome.LOST);
+    }
+
+    /** Guards against closing a connection that has been returned to the pool. */
+    @Test
+    public void keepsConnectionOfAnsweredCall() throws Exception {
+      HttpClient client = new HttpClient(group, IDLE_MILLIS);
+      HttpClient.Call call = new HttpClient.Call();
+      assertTrue(call(client, call).get(WAIT_SECONDS, TimeUnit.SECONDS).is(200));
+      call.cancel();
+      HttpClient.Call next = new HttpClient.Call();
+      assertTrue(call(client, next).get(WAIT_SECONDS, TimeUnit.SECONDS).is(200));
+      assertEquals(worker.opened(), 1);
+    }
+
     /** Sends requests that are all in flight at the same time. */
     private void callConcurrently(HttpClient client, int calls) throws Exception {
       worker.pendingRequests = new CountDownLatch(calls);
@@ -131,6 +159,14 @@
       return call(client, HttpClient.Spec.get(worker.address(), "/", timeoutMillis));
     }
 
+    private CompletableFuture<HttpResult> call(HttpClient client, HttpClient.Call call) {
+      long timeoutMillis = TimeUnit.SECONDS.toMillis(2 * WAIT_SECONDS);
+      CompletableFuture<HttpResult> result = new CompletableFuture<>();
+      client.call(
+          HttpClient.Spec.get(worker.address(), "/", timeoutMillis), call, result::complete);
+      return result;
+    }
+
     private CompletableFuture<HttpResult> call(HttpClient client, HttpClient.Spec spec) {
       CompletableFuture<HttpResult> result = new CompletableFuture<>();
       client.call(spec, result::complete);
