--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
+import org.cottontack.core.load.LoadControl;
 
 /**
  * Decides, during one leader's term, which task runs on which worker. A placement is stored before
@@ -36,19 +37,39 @@
    */
   public JobScheduler(
       JobTiming timing, JobTable table, Moment start, long inheritedLeaseEndMillis) {
-    this(timing, table, start, inheritedLeaseEndMillis, new LearnedInterference());
+    this(timing, LoadControl.OFF, table, start, inheritedLeaseEndMillis);
+  }
+
+  /**
+   * Begins a term with load control.
+   *
+   * @param timing delays and lease lengths
+   * @param loadControl the parts of load control in force
+   * @param table the rules in force
+   * @param start when the term began
+   * @param inheritedLeaseEndMillis when all leases that earlier leaders gave to workers have ended,
+   *     on this leader's steady clock
+   */
+  public JobScheduler(
+      JobTiming timing,
+      LoadControl loadControl,
+      JobTable table,
+      Moment start,
+      long inheritedLeaseEndMillis) {
+    this(timing, loadControl, table, start, inheritedLeaseEndMillis, new LearnedInterference());
   }
 
   /** Begins a term with a model of how tasks slow each other. */
   JobScheduler(
       JobTiming timing,
+      LoadControl loadControl,
       JobTable table,
       Moment start,
       long inheritedLeaseEndMillis,
       Interference interference) {
     DurationEstimates durationEstimates = new DurationEstimates();
     Urgency urgency = new Urgency(durationEstimates);
-    term = new Term(timing, table, start, inheritedLeaseEndMillis);
+    term = new Term(timing, loadControl, table, start, inheritedLeaseEndMillis);
     orders = new Orders(term);
     lifecycle = new Lifecycle(term, orders, durationEstimates, urgency);
     WorkerSelector workerSelector = new WorkerSelector(interference);
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.load.LoadControl;
 
 /**
  * The state of one leader's term: its jobs, its workers and the effects to carry out. It is shared
@@ -21,6 +22,7 @@
 final class Term {
 
   final JobTiming timing;
+  final LoadControl loadControl;
   final long startMillis;
   final long inheritedLeaseEndMillis;
   final Map<JobId, Job> jobs = new LinkedHashMap<>();
@@ -68,8 +70,14 @@
   Moment now;
   List<JobEffect> effects = new ArrayList<>();
 
-  Term(JobTiming timing, JobTable table, Moment start, long inheritedLeaseEndMillis) {
+  Term(
+      JobTiming timing,
+      LoadControl loadControl,
+      JobTable table,
+      Moment start,
+      long inheritedLeaseEndMillis) {
     this.timing = timing;
+    this.loadControl = loadControl;
     this.table = table;
     this.now = start;
     this.startMillis = start.mono();
--- /dev/null
+++ b/core/src/main/java/org/cottontack/core/load/package-info.java
@@ -0,0 +1,2 @@
+/** Which parts of load control are in force in a deployment. */
+package org.cottontack.core.load;
--- a/core/src/test/java/org/cottontack/core/job/Replay.java
+++ b/core/src/test/java/org/cottontack/core/job/Replay.java
@@ -5,10 +5,13 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
@@ -44,6 +47,8 @@
   private record ScheduledAction(long at, long sequence, Runnable action) {}
 
   private final ReplayLoad load;
+  private final Random stopTimes;
+  private final Set<RunKey> stopping = new HashSet<>();
   private final Map<WorkerId, ReplayWorker> workers = new HashMap<>();
   private final Map<JobId, ReplayLoad.Arrival> arrived = new HashMap<>();
   private final Map<JobId, Long> ended = new HashMap<>();
@@ -73,6 +78,7 @@
   Replay(ReplayShape shape, ReplayPolicy policy) {
     this.load = new ReplayLoad(shape, policy);
     this.policy = policy;
+    this.stopTimes = new Random(shape.seed());
     this.startMillis = 100_000;
     this.now = startMillis - 8_000;
     load.workers.forEach(worker -> workers.put(worker.info.id(), worker));
@@ -98,6 +104,7 @@
     leader =
         new JobScheduler(
             JobTiming.STANDARD,
+            policy.loadControl(),
             ReplayLoad.TABLE,
             moment(),
             inheritedLeaseEndMillis,
@@ -227,7 +234,7 @@
       after(ONE_WAY_DELAY_MILLIS, () -> start(from, start));
     } else if (effect instanceof JobEffect.StopRun stop) {
       moves++;
-      sendToWorker(stop.target().incarnation(), worker -> worker.stop(stop.run()));
+      stop(stop);
       after(
           2 * ONE_WAY_DELAY_MILLIS,
           () -> post(from, new JobEvent.StopEnded(stop.target().incarnation(), stop.run(), true)));
@@ -244,6 +251,18 @@
     }
   }
 
+  /** Stops a run; a repeated order does not hasten the first. */
+  private void stop(JobEffect.StopRun stop) {
+    long longest = load.shape.troubles().stopMillis();
+    if (longest == 0) {
+      sendToWorker(stop.target().incarnation(), worker -> worker.stop(stop.run()));
+    } else if (stopping.add(stop.run())) {
+      after(
+          (long) (longest * stopTimes.nextDouble()),
+          () -> sendToWorker(stop.target().incarnation(), worker -> worker.stop(stop.run())));
+    }
+  }
+
   private void save(JobScheduler from, JobEffect.SaveProgress save) {
     if (storeUnavailable) {
       waitingSaves.add(save);
--- a/core/src/test/java/org/cottontack/core/job/ReplayPolicy.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayPolicy.java
@@ -1,6 +1,9 @@
 package org.cottontack.core.job;
 
+import java.util.Set;
 import java.util.stream.Stream;
+import org.cottontack.core.load.LoadControl;
+import org.cottontack.core.load.LoadPart;
 
 /**
  * The policy of the leaders in a replay: the real decisions, or with some of their inputs replaced.
@@ -38,6 +41,38 @@
     }
   },
 
+  /** Predicts the load of services and the arrival of short jobs. */
+  FORECAST {
+    @Override
+    LoadControl loadControl() {
+      return with(LoadPart.FORECAST);
+    }
+  },
+
+  /** Limits the jobs in progress. */
+  ADMISSION {
+    @Override
+    LoadControl loadControl() {
+      return with(LoadPart.ADMISSION);
+    }
+  },
+
+  /** Rates workers. */
+  WORKER_SCORES {
+    @Override
+    LoadControl loadControl() {
+      return with(LoadPart.WORKER_SCORES);
+    }
+  },
+
+  /** All parts of load control. */
+  ALL_PARTS {
+    @Override
+    LoadControl loadControl() {
+      return with(LoadPart.values());
+    }
+  },
+
   /** Runs no best-effort tasks beside services, unless little of the fleet is reserved. */
   FILL_NOTHING {
     @Override
@@ -54,16 +89,28 @@
     }
   };
 
+  private static LoadControl with(LoadPart... parts) {
+    return new LoadControl(Set.of(parts), LONG_STOP_MILLIS, LoadControl.DEFAULT_RESTORE_MILLIS);
+  }
+
   /** Returns the interference estimates that a leader starts with. */
   Interference interference(ReplayLoad load) {
     return new LearnedInterference();
   }
 
+  /** Returns the load control of the leaders. */
+  LoadControl loadControl() {
+    return LoadControl.OFF;
+  }
+
   /** Returns whether callers declare the true durations. */
   boolean declaresTrueDurations() {
     return false;
   }
 
+  /** A stop that outlasts the period of reports, in milliseconds. */
+  private static final long LONG_STOP_MILLIS = 900;
+
   /** Knows everything of a load except the phases of best-effort tasks. */
   private record KnownInterference(ReplayLoad load) implements Interference {
 
--- a/core/src/test/java/org/cottontack/core/job/ReplayShape.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayShape.java
@@ -53,6 +53,7 @@
    * @param failing share of the workers that fail everything that they start
    * @param takeoverMillis time between two changes of leaders; 0 for none
    * @param storeOutageMillis how long the store is unavailable after half of the time
+   * @param stopMillis longest time that a worker takes to stop a run
    */
   record Troubles(
       double burst,
@@ -60,30 +61,39 @@
       double slow,
       double failing,
       long takeoverMillis,
-      long storeOutageMillis) {
+      long storeOutageMillis,
+      long stopMillis) {
 
-    static final Troubles FEW = new Troubles(1.4, 0, 0, 0, 0, 0);
-    static final Troubles MANY = new Troubles(2.0, 3, 0.06, 0.04, 9_000, 1_500);
+    static final Troubles FEW = new Troubles(1.4, 0, 0, 0, 0, 0, 0);
+    static final Troubles MANY = new Troubles(2.0, 3, 0.06, 0.04, 9_000, 1_500, 0);
 
     Troubles bursting(double factor) {
-      return new Troubles(factor, lostWorkers, slow, failing, takeoverMillis, storeOutageMillis);
+      return new Troubles(
+          factor, lostWorkers, slow, failing, takeoverMillis, storeOutageMillis, stopMillis);
     }
 
     Troubles losing(int workers) {
-      return new Troubles(burst, workers, slow, failing, takeoverMillis, storeOutageMillis);
+      return new Troubles(
+          burst, workers, slow, failing, takeoverMillis, storeOutageMillis, stopMillis);
     }
 
     Troubles unsound(double slowShare, double failingShare) {
       return new Troubles(
-          burst, lostWorkers, slowShare, failingShare, takeoverMillis, storeOutageMillis);
+          burst,
+          lostWorkers,
+          slowShare,
+          failingShare,
+          takeoverMillis,
+          storeOutageMillis,
+          stopMillis);
     }
 
     Troubles takingOver(long millis) {
-      return new Troubles(burst, lostWorkers, slow, failing, millis, storeOutageMillis);
+      return new Troubles(burst, lostWorkers, slow, failing, millis, storeOutageMillis, stopMillis);
     }
 
     Troubles storeOutage(long millis) {
-      return new Troubles(burst, lostWorkers, slow, failing, takeoverMillis, millis);
+      return new Troubles(burst, lostWorkers, slow, failing, takeoverMillis, millis, stopMillis);
     }
   }
 
@@ -163,11 +173,46 @@
         LENGTH_MILLIS);
   }
 
+  /**
+   * Bursts of wide best-effort jobs beside services that reserve most of the fleet, on workers of
+   * which some are slow or fail, with changes of leaders.
+   */
+  static ReplayShape contended() {
+    return new ReplayShape(
+        "contended",
+        0,
+        49,
+        0.82,
+        0.42,
+        0.6,
+        new Work(2.58, 9.5, 57, 3_650, 640),
+        new Work(2.78, 20, 80, 3_500, 1_700),
+        new Troubles(2.4, 1, 0.05, 0.03, 12_000, 1_500, 900),
+        36_000);
+  }
+
+  /** The same services beside fewer and longer best-effort tasks. */
+  static ReplayShape uneven() {
+    return new ReplayShape(
+        "uneven",
+        0,
+        49,
+        0.82,
+        0.42,
+        0.6,
+        new Work(1.3, 9.5, 57, 4_100, 850),
+        new Work(1.53, 20, 80, 3_500, 2_300),
+        new Troubles(2.0, 1, 0.05, 0.03, 12_000, 1_500, 900),
+        36_000);
+  }
+
   /** Returns the loads of a table. */
   static List<ReplayShape> all() {
     ReplayShape harmful = wide().named("harmful").sharing(0.8, 0.8);
     Troubles few = Troubles.FEW;
     return List.of(
+        contended(),
+        uneven(),
         usual(),
         usual().named("usual, trouble").with(Troubles.MANY),
         wide(),
--- a/core/src/test/java/org/cottontack/core/job/ReplayTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayTest.java
@@ -16,7 +16,7 @@
 
   private static final ReplayShape SMALL =
       ReplayShape.usual()
-          .with(new ReplayShape.Troubles(2, 1, 0.1, 0.1, 3_000, 500))
+          .with(new ReplayShape.Troubles(2, 1, 0.1, 0.1, 3_000, 500, 0))
           .small(12, 8_000)
           .seeded(7);
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobTable;
+import org.cottontack.core.load.LoadControl;
 
 /**
  * An entry instance for jobs. All instances are equal: each accepts jobs, and one of them is the
@@ -31,6 +32,7 @@
   private final WatchedStore store;
   private final WorkerClient workers;
   private final long keepMillis;
+  private final LoadControl loadControl;
   private final WorkerRegistry registry;
   private final JobMetrics metrics = new JobMetrics(this);
   private JobTable table = JobTable.EMPTY;
@@ -58,6 +60,7 @@
       WorkerRegistry registry,
       WorkerClient workers) {
     this.keepMillis = keepMillis;
+    this.loadControl = instance.loadControl();
     this.store = store;
     this.timers = timers;
     this.rules = rules;
@@ -107,7 +110,16 @@
       Retention retention = new Retention(store, timers, keepMillis);
       leader =
           new Leader(
-              store, timers, workers, registry, rules, leadership, metrics, retention, epoch);
+              store,
+              timers,
+              workers,
+              registry,
+              rules,
+              leadership,
+              metrics,
+              retention,
+              loadControl,
+              epoch);
       leader.table(table);
       leader.evacuate(evacuated);
       leader.start();
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -57,7 +57,11 @@
     WatchedStore store = new WatchedStore(adapter.store(http, settings.store()), timers);
     entry =
         new JobEntry(
-            new Instance(settings.name(), settings.dataCentre(), settings.capacity()),
+            new Instance(
+                settings.name(),
+                settings.dataCentre(),
+                settings.capacity(),
+                settings.loadControl()),
             settings.keepMillis(),
             store,
             timers,
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -23,6 +23,7 @@
 import org.cottontack.core.job.JobTiming;
 import org.cottontack.core.job.ProgressText;
 import org.cottontack.core.job.WorkerIncarnation;
+import org.cottontack.core.load.LoadControl;
 import org.cottontack.wire.JobCodec;
 import org.cottontack.wire.WireException;
 
@@ -68,6 +69,7 @@
   private final LeaseEnds leaseEnds;
   private final WaitingRows waitingRows;
   private final Retention retention;
+  private final LoadControl loadControl;
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
   private final Set<JobId> cancelled = new HashSet<>();
   private final List<TableWatcher> watchers = new ArrayList<>();
@@ -93,6 +95,7 @@
       Leadership leadership,
       JobMetrics metrics,
       Retention retention,
+      LoadControl loadControl,
       long epoch) {
     this.store = store;
     this.timers = timers;
@@ -102,6 +105,7 @@
     this.leadership = leadership;
     this.metrics = metrics;
     this.retention = retention;
+    this.loadControl = loadControl;
     this.epoch = epoch;
     this.progressStore = new ProgressStore(store, timers, epoch, leadership::stepDown);
     this.leaseEnds = new LeaseEnds(leadership.storeClock());
@@ -281,7 +285,11 @@
     accepted.keySet().stream().filter(retention::matchCancellation).forEach(cancelled::add);
     JobScheduler created =
         new JobScheduler(
-            JobTiming.STANDARD, table, timers.now(), leadership.inheritedLeaseEndMillis());
+            JobTiming.STANDARD,
+            loadControl,
+            table,
+            timers.now(),
+            leadership.inheritedLeaseEndMillis());
     scheduler = created;
     post(
         new JobEvent.LeaseEndsRecovered(
--- a/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
@@ -2,9 +2,12 @@
 
 import java.math.BigDecimal;
 import java.nio.file.Path;
+import java.util.Locale;
 import java.util.Map;
 import org.cottontack.adapters.Address;
 import org.cottontack.core.job.Capacity;
+import org.cottontack.core.load.LoadControl;
+import org.cottontack.core.load.LoadPart;
 
 /** The validated settings of an entry instance for jobs. */
 public final class JobSettings {
@@ -18,6 +21,9 @@
   /** Number of decimal places by which a value is shifted to convert it to thousandths. */
   private static final int TO_THOUSANDTHS = 3;
 
+  /** Longest time that a worker may take to stop or to resume a run, in milliseconds. */
+  private static final long MAX_WORKER_MILLIS = 60_000;
+
   /** All settings, each with its path in the file, its unit, its range and its default. */
   private enum Key implements SettingName {
     NAME(SettingRule.text("name", "name of the instance")),
@@ -30,7 +36,24 @@
     GRACE(SettingRule.seconds("stop.graceSeconds", "6", 0, 3_600)),
     PROCESSOR_SHARE(SettingRule.decimal("capacity.processorShare", "1", 0, 1_000, "cores")),
     CORES(SettingRule.decimal("capacity.cores", "1", 0, 1_000, "cores")),
-    LINK(SettingRule.decimal("capacity.linkMbps", "1000", 0, 1_000_000, "Mbit/s"));
+    LINK(SettingRule.decimal("capacity.linkMbps", "1000", 0, 1_000_000, "Mbit/s")),
+    STOP(
+        SettingRule.number(
+            "workers.stopMillis",
+            Long.toString(LoadControl.DEFAULT_STOP_MILLIS),
+            0,
+            MAX_WORKER_MILLIS,
+            "milliseconds")),
+    RESTORE(
+        SettingRule.number(
+            "workers.restoreMillis",
+            Long.toString(LoadControl.DEFAULT_RESTORE_MILLIS),
+            0,
+            MAX_WORKER_MILLIS,
+            "milliseconds")),
+    ADMISSION(SettingRule.choice("loadControl.admission", LoadPart.Mode.AUTO)),
+    FORECAST(SettingRule.choice("loadControl.forecast", LoadPart.Mode.AUTO)),
+    WORKER_SCORES(SettingRule.choice("loadControl.workerScores", LoadPart.Mode.AUTO));
 
     private final SettingRule rule;
 
@@ -119,6 +142,21 @@
     return new Capacity(thousandths(processor), thousandths(number(Key.LINK)));
   }
 
+  /** Returns the load control of the deployment. */
+  public LoadControl loadControl() {
+    return LoadControl.of(
+        Map.of(
+            LoadPart.ADMISSION, mode(Key.ADMISSION),
+            LoadPart.FORECAST, mode(Key.FORECAST),
+            LoadPart.WORKER_SCORES, mode(Key.WORKER_SCORES)),
+        number(Key.STOP).longValue(),
+        number(Key.RESTORE).longValue());
+  }
+
+  private LoadPart.Mode mode(Key key) {
+    return LoadPart.Mode.valueOf(values.get(key).toUpperCase(Locale.ROOT));
+  }
+
   private long millis(Key key) {
     return thousandths(number(key));
   }
--- a/daemon/src/main/java/org/cottontack/daemon/settings/SettingRule.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/SettingRule.java
@@ -2,7 +2,11 @@
 
 import com.google.errorprone.annotations.Immutable;
 import java.math.BigDecimal;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cottontack.adapters.AdapterException;
 import org.cottontack.adapters.Address;
 
@@ -14,7 +18,7 @@
  * @param defaultValue its default, or empty when the setting is required
  * @param min smallest allowed number
  * @param max largest allowed number
- * @param unit the unit of a number, or what a text stands for
+ * @param unit the unit of a number, what a text stands for, or the words of a choice
  */
 @Immutable
 record SettingRule(
@@ -43,6 +47,15 @@
         }
       }
     },
+    /** One of several words, which the unit lists. */
+    CHOICE {
+      @Override
+      Optional<String> fault(SettingRule rule, String value) {
+        return List.of(rule.unit.split("\\|")).contains(value)
+            ? Optional.empty()
+            : Optional.of("%s: '%s' is not one of %s".formatted(rule.path, value, rule.unit));
+      }
+    },
     /** A whole number within a range. */
     NUMBER {
       @Override
@@ -85,6 +98,16 @@
     return new SettingRule(path, Kind.ADDRESS, Optional.empty(), 0, 0, "host:port");
   }
 
+  /** Returns the rule of a setting whose values are the names of an enum in lower case. */
+  static <E extends Enum<E>> SettingRule choice(String path, E defaultValue) {
+    String words =
+        Stream.of(defaultValue.getDeclaringClass().getEnumConstants())
+            .map(word -> word.name().toLowerCase(Locale.ROOT))
+            .collect(Collectors.joining("|"));
+    return new SettingRule(
+        path, Kind.CHOICE, Optional.of(defaultValue.name().toLowerCase(Locale.ROOT)), 0, 0, words);
+  }
+
   static SettingRule number(String path, String defaultValue, long min, long max, String unit) {
     return new SettingRule(path, Kind.NUMBER, Optional.of(defaultValue), min, max, unit);
   }
--- a/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -1,10 +1,13 @@
 package org.cottontack.daemon.settings;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import java.util.Set;
 import org.cottontack.core.job.Capacity;
+import org.cottontack.core.load.LoadPart;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -107,4 +110,52 @@
               "stop.graceSeconds: 'soon' is not a number of seconds"));
     }
   }
+
+  /** The load control of a deployment. */
+  public static class LoadControls {
+
+    /** Returns settings and the parts of load control that they put in force. */
+    @DataProvider
+    public Object[][] values() {
+      return new Object[][] {
+        {"", Set.of()},
+        {"workers:\n  stopMillis: 400\n", Set.of()},
+        {"workers:\n  stopMillis: 900\n", Set.of(LoadPart.values())},
+        {
+          "workers:\n  stopMillis: 900\nloadControl:\n  forecast: disabled\n",
+          Set.of(LoadPart.ADMISSION, LoadPart.WORKER_SCORES)
+        },
+        {"loadControl:\n  admission: enabled\n", Set.of(LoadPart.ADMISSION)},
+      };
+    }
+
+    /** A part that is in force unasked would change the decisions of other deployments. */
+    @Test(dataProvider = "values")
+    public void areInForceWhereSettingsAskForThem(String text, Set<LoadPart> parts) {
+      assertEquals(JobSettings.parse(GOOD + text).loadControl().parts(), parts);
+    }
+
+    /** Returns settings that are out of range, and the fault that is reported. */
+    @DataProvider
+    public Object[][] faults() {
+      return new Object[][] {
+        {
+          "workers:\n  stopMillis: 60001\n",
+          "workers.stopMillis: 60001 is not between 0 and 60000 milliseconds"
+        },
+        {
+          "loadControl:\n  admission: maybe\n",
+          "loadControl.admission: 'maybe' is not one of auto|enabled|disabled"
+        },
+      };
+    }
+
+    /** An operator who mistypes a value must read which one, and what is allowed. */
+    @Test(dataProvider = "faults")
+    public void nameFieldValueAndAllowedRange(String text, String fault) {
+      SettingsException e =
+          expectThrows(SettingsException.class, () -> JobSettings.parse(GOOD + text));
+      assertTrue(e.getMessage().contains(fault), e.getMessage());
+    }
+  }
 }
