Interfaces between the parts of load control

Change: AdmissionLimits is what a leader publishes to entry instances; StoredLines is state of a part that the next leader restores with what was learned. Result: LearnedTextTest passes; nothing implements the interfaces yet.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cottontack.core.Moment;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.load.LoadControl;
 
@@ -25,6 +26,7 @@
   private final PlacementPass placementPass;
   private final ProgressSaver progressSaver;
   private long loadLoggedMillis;
+  private final AdmissionLimits admissionLimits = AdmissionLimits.NONE;
 
   /**
    * Begins a term.
@@ -119,6 +121,11 @@
     return term.effects;
   }
 
+  /** Returns the jobs that entry instances are to reject at present. */
+  public AdmissionLimits admissionLimits() {
+    return admissionLimits;
+  }
+
   /**
    * Returns whether this leader may yield leadership to an instance of a data centre. That instance
    * must be on this leader's side of any partition, and the ends of the leases of unreachable
--- a/core/src/main/java/org/cottontack/core/job/LearnedText.java
+++ b/core/src/main/java/org/cottontack/core/job/LearnedText.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.load.StoredLines;
 
 /**
  * The stored form of what a leader has learned: one line for each queue, each pair of images and
@@ -63,10 +64,17 @@
 
   private final Interference interference;
   private final DurationEstimates estimates;
+  private final List<StoredLines> parts;
 
   LearnedText(Interference interference, DurationEstimates estimates) {
+    this(interference, estimates, List.of());
+  }
+
+  /** Creates the text of a leader with parts of load control. */
+  LearnedText(Interference interference, DurationEstimates estimates, List<StoredLines> parts) {
     this.interference = interference;
     this.estimates = estimates;
+    this.parts = List.copyOf(parts);
   }
 
   /**
@@ -79,7 +87,12 @@
       Map<WorkerIncarnation, Long> deferred) {
     List<String> pairs = interference.pairs().map(LearnedText::line).toList();
     List<String> learned =
-        Stream.concat(estimates.queues().map(LearnedText::line), reversed(pairs).stream()).toList();
+        Stream.of(
+                estimates.queues().map(LearnedText::line),
+                parts.stream().flatMap(StoredLines::lines),
+                reversed(pairs).stream())
+            .flatMap(lines -> lines)
+            .toList();
     List<String> incarnations =
         Stream.of(
                 deferred.entrySet().stream()
@@ -217,7 +230,7 @@
                 number(fields[7])));
         return true;
       }
-      return false;
+      return parts.stream().anyMatch(part -> part.owns(fields[0]) && part.restore(fields));
     } catch (IllegalArgumentException e) {
       // The caller logs how many lines could not be read.
       return false;
