Admission control in the instances

Cause: docs/design/14-load-control.md, part 1: bursts bring more work than can be completed on time, and instances accept all of it. Change: the leader writes its limits as row 'admission' of table leader in the transaction of a lease renewal, if they have changed. Nothing is written or read with LoadPart.ADMISSION off. Tests: ElectionSimulation and InstancesSimulation get limits and load control, both off by default.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -44,6 +44,12 @@
    */
   private static final long PROBE_AFTER_MILLIS = 250;
 
+  /**
+   * Longest wait for the row of a job that admission control rejects, in milliseconds; then the job
+   * is submitted as usual. A read takes 250 ms when the store is 60 times slower than usual.
+   */
+  private static final long STORED_CHECK_MILLIS = 300;
+
   /**
    * Delay before a transaction that was refused or has no response is sent again, in milliseconds.
    */
@@ -67,28 +73,74 @@
     /**
      * The job was cancelled before its submission: it is not stored and will not be stored later.
      */
-    CANCELLED
+    CANCELLED,
+    /**
+     * The job could only be complete too late, because more work waits than can be done: it is not
+     * stored and will not be stored by this call.
+     */
+    OVERLOADED
+  }
+
+  /** Receives the answer to a submission; exactly one of the methods is called, once. */
+  @FunctionalInterface
+  public interface Caller {
+
+    /** Called with the answer. */
+    void answered(Answer answer);
+
+    /**
+     * Called in place of the answer {@link Answer#OVERLOADED}.
+     *
+     * @param retryAfterMillis when the caller should submit the job again, in milliseconds
+     */
+    default void overloaded(long retryAfterMillis) {
+      answered(Answer.OVERLOADED);
+    }
   }
 
   private final WatchedStore store;
   private final Timers timers;
   private final JobMetrics metrics;
+  private final AdmissionGate gate;
 
   /** Creates an intake on a store. */
-  Intake(WatchedStore store, Timers timers, JobMetrics metrics) {
+  Intake(WatchedStore store, Timers timers, JobMetrics metrics, AdmissionGate gate) {
+    this.gate = gate;
     this.store = store;
     this.timers = timers;
     this.metrics = metrics;
   }
 
   /**
-   * Stores a job unless it is already stored or was cancelled before its submission.
+   * Stores a job unless it is already stored, was cancelled before its submission, or is rejected
+   * by admission control.
    *
    * @param job the job
    * @param timeoutMillis how long the caller waits, if specified
-   * @param done receives the answer
+   * @param caller receives the answer
    */
-  public void submit(JobSpec job, OptionalLong timeoutMillis, Consumer<Answer> done) {
+  public void submit(JobSpec job, OptionalLong timeoutMillis, Caller caller) {
+    long startMillis = timers.now().mono();
+    Consumer<Answer> logged = withLogging("job.submitted", job.id(), caller::answered);
+    Consumer<AdmissionGate.Rejection> rejected =
+        rejection -> {
+          logRejected(job, rejection);
+          logAnswer("job.submitted", job.id(), Answer.OVERLOADED, startMillis);
+          caller.overloaded(rejection.limit().retryAfterMillis());
+        };
+    long deadlineMillis = deadlineMillis(timeoutMillis);
+    Runnable storeJob =
+        () ->
+            ifStoreAvailable(
+                () -> store(job, deadlineMillis, logged), () -> logged.accept(Answer.REJECTED));
+    if (store.unavailable() || gate.rejection(job).isEmpty()) {
+      storeJob.run();
+    } else {
+      new StoredJobCheck(job, () -> logged.accept(Answer.STORED), rejected, storeJob).start();
+    }
+  }
+
+  private void store(JobSpec job, long deadlineMillis, Consumer<Answer> done) {
     RowKey row = JobTables.job(job.id());
     Transaction transaction =
         new Transaction(
@@ -99,17 +151,24 @@
                 JobTables.waiting(job.id()),
                 Payload.of(job.queue().name())),
             List.of());
-    Consumer<Answer> logged = withLogging("job.submitted", job.id(), done);
-    long deadlineMillis = deadlineMillis(timeoutMillis);
-    ifStoreAvailable(
-        () ->
-            new RetriedTransaction(
-                    transaction,
-                    deadlineMillis,
-                    answer -> logged.accept(submissionAnswer(job.id(), answer)),
-                    logged)
-                .start(),
-        () -> logged.accept(Answer.REJECTED));
+    new RetriedTransaction(
+            transaction,
+            deadlineMillis,
+            result -> done.accept(submissionAnswer(job.id(), result)),
+            done)
+        .start();
+  }
+
+  private void logRejected(JobSpec job, AdmissionGate.Rejection rejection) {
+    metrics.rejected(job.queue().name(), rejection.ageMillis());
+    LOG.info(
+        new StringMapMessage()
+            .with("event", "job.refused")
+            .with("job", job.id())
+            .with("queue", job.queue().name())
+            .with("waitMillis", rejection.limit().waitMillis())
+            .with("retryMillis", rejection.limit().retryAfterMillis())
+            .with("newsAgeMillis", rejection.ageMillis()));
   }
 
   /**
@@ -278,18 +337,77 @@
   private Consumer<Answer> withLogging(String event, JobId id, Consumer<Answer> done) {
     long startMillis = timers.now().mono();
     return answer -> {
-      long elapsedMillis = timers.now().mono() - startMillis;
-      metrics.answered(event, answer, elapsedMillis);
-      LOG.info(
-          new StringMapMessage()
-              .with("event", event)
-              .with("job", id)
-              .with("answer", answer)
-              .with("millis", elapsedMillis));
+      logAnswer(event, id, answer, startMillis);
       done.accept(answer);
     };
   }
 
+  private void logAnswer(String event, JobId id, Answer answer, long startMillis) {
+    long elapsedMillis = timers.now().mono() - startMillis;
+    metrics.answered(event, answer, elapsedMillis);
+    LOG.info(
+        new StringMapMessage()
+            .with("event", event)
+            .with("job", id)
+            .with("answer", answer)
+            .with("millis", elapsedMillis));
+  }
+
+  /**
+   * Reads the row of a job that admission control rejects. A stored job must not be reported as
+   * rejected to a caller that submits it again, because it will run.
+   */
+  private final class StoredJobCheck {
+
+    private final JobSpec job;
+    private final Runnable stored;
+    private final Consumer<AdmissionGate.Rejection> rejected;
+    private final Runnable proceed;
+    private boolean finished;
+
+    /**
+     * Creates a check; nothing is read before {@link #start}.
+     *
+     * @param stored called if the job is stored
+     * @param rejected called if it is not stored and is still rejected
+     * @param proceed called if this is unknown, or if the job is no longer rejected
+     */
+    StoredJobCheck(
+        JobSpec job,
+        Runnable stored,
+        Consumer<AdmissionGate.Rejection> rejected,
+        Runnable proceed) {
+      this.job = job;
+      this.stored = stored;
+      this.rejected = rejected;
+      this.proceed = proceed;
+    }
+
+    void start() {
+      RowKey row = JobTables.job(job.id());
+      timers.after(STORED_CHECK_MILLIS, () -> finish(proceed));
+      store.scan(row.table(), row.part(), row.key(), scan -> finish(() -> decide(scan)));
+    }
+
+    private void decide(TableStore.Scan scan) {
+      RowKey key = JobTables.job(job.id());
+      if (!scan.answered()) {
+        proceed.run();
+      } else if (scan.rows().stream().anyMatch(row -> row.at().equals(key))) {
+        stored.run();
+      } else {
+        gate.rejection(job).ifPresentOrElse(rejected, proceed);
+      }
+    }
+
+    private void finish(Runnable result) {
+      if (!finished) {
+        finished = true;
+        result.run();
+      }
+    }
+  }
+
   /**
    * One transaction, sent until it has a definite result, the caller's timeout has passed, or the
    * store is unavailable. A late attempt is not abandoned when the next one is sent; its response
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobTable;
 import org.cottontack.core.load.LoadControl;
@@ -66,9 +67,9 @@
     this.rules = rules;
     this.registry = registry;
     this.workers = workers;
-    this.intake = new Intake(store, timers, metrics);
     String self = instance.name() + "/" + UUID.randomUUID();
     this.leadership = new Leadership(store, timers, instance, self, new TermListener());
+    this.intake = new Intake(store, timers, metrics, leadership.admissionGate());
   }
 
   /** Starts watching the table and joins the election as soon as there is a table. */
@@ -134,6 +135,11 @@
     public boolean mayYieldLeadershipTo(String dataCentre) {
       return leader != null && leader.mayYieldLeadershipTo(dataCentre);
     }
+
+    @Override
+    public AdmissionLimits admissionLimits() {
+      return leader == null ? AdmissionLimits.NONE : leader.admissionLimits();
+    }
   }
 
   private void endTerm() {
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
@@ -12,7 +14,11 @@
 /** Counters and latency histograms of jobs; {@code docs/OPERATIONS.md} lists the names. */
 public final class JobMetrics {
 
+  /** Maximum number of queues with a counter of their own; the others share one. */
+  private static final int MAX_QUEUES = 64;
+
   private final MetricRegistry registry = new MetricRegistry();
+  private final Set<String> rejectedQueues = new HashSet<>();
 
   /** Registers the gauges of an instance. */
   JobMetrics(JobEntry entry) {
@@ -28,6 +34,15 @@
     timer(name).update(millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Counts a job that admission control rejected and records the age of the limits. */
+  void rejected(String queue, long ageMillis) {
+    boolean counted =
+        rejectedQueues.contains(queue)
+            || (rejectedQueues.size() < MAX_QUEUES && rejectedQueues.add(queue));
+    count("admission.refused." + (counted ? queue : "other"));
+    timer("admission.newsAge").update(ageMillis, TimeUnit.MILLISECONDS);
+  }
+
   /** Counts an event that the leader handled; start results are also counted by result. */
   void event(JobEvent event) {
     if (event instanceof JobEvent.StartEnded start) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -13,6 +13,7 @@
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.cottontack.core.Moment;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
@@ -130,6 +131,11 @@
     return scheduler == null ? 0 : scheduler.longestLeaseWaitMillis(timers.now());
   }
 
+  /** Returns the jobs that instances are to reject at present; none before the term has begun. */
+  AdmissionLimits admissionLimits() {
+    return scheduler == null ? AdmissionLimits.NONE : scheduler.admissionLimits();
+  }
+
   void start() {
     progressStore.takeOver(this::readTables);
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -10,7 +10,9 @@
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.cottontack.core.Moment;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.job.LeaderLease;
+import org.cottontack.core.load.LoadPart;
 import org.cottontack.core.peer.Payload;
 
 /**
@@ -69,6 +71,9 @@
   private final Listener listener;
   private final LeadershipHandover handover;
   private final LeaseRow leaseRow;
+  private final boolean publishesLimits;
+  private final AdmissionRow admissionRow = new AdmissionRow();
+  private final AdmissionGate admissionGate;
   private final Map<RowKey, Row> rows = new HashMap<>();
   private LeaderLease lease = new LeaderLease();
   private long position;
@@ -99,6 +104,11 @@
      * that has not begun has polled no worker, so it cannot rule this out, and returns true.
      */
     boolean mayYieldLeadershipTo(String dataCentre);
+
+    /** Returns the jobs that instances are to reject at present, by the leader's decision. */
+    default AdmissionLimits admissionLimits() {
+      return AdmissionLimits.NONE;
+    }
   }
 
   /**
@@ -117,6 +127,8 @@
     this.listener = listener;
     this.handover = new LeadershipHandover(instance, MIN_HANDOVER_INTERVAL_MILLIS);
     this.leaseRow = new LeaseRow(self);
+    this.publishesLimits = instance.loadControl().has(LoadPart.ADMISSION);
+    this.admissionGate = new AdmissionGate(timers, publishesLimits);
   }
 
   void start() {
@@ -140,6 +152,11 @@
         });
   }
 
+  /** Returns the gate for submissions to this instance. */
+  AdmissionGate admissionGate() {
+    return admissionGate;
+  }
+
   /** Returns whether this instance leads. */
   boolean leading() {
     return leading;
@@ -175,6 +192,10 @@
 
   private void updateRows(List<Row> changes) {
     changes.forEach(row -> rows.put(row.at(), row));
+    admissionGate.observed(
+        Optional.ofNullable(rows.get(ELECTION)).map(Leadership::epochOf).orElse(0L),
+        Optional.ofNullable(rows.get(LEASE)),
+        Optional.ofNullable(rows.get(AdmissionRow.KEY)));
   }
 
   private void decide() {
@@ -327,6 +348,8 @@
     renewalSentMillis = sent.mono();
     log("leader.won", "epoch=" + epoch);
     handover.began(rows);
+    admissionRow.began(won);
+    admissionGate.termBegan(listener::admissionLimits, this::renewal);
     listener.won(won);
     timers.after(RENEW_MILLIS, () -> renew(won));
   }
@@ -367,7 +390,14 @@
     }
     leaseVersionKnown = false;
     Payload text = leaseRow.held(renewals, sent, includesTime);
-    Transaction transaction = new Transaction(expected, Map.of(LEASE, text), List.of());
+    Map<RowKey, Payload> writes = new HashMap<>();
+    writes.put(LEASE, text);
+    if (publishesLimits && includesTime) {
+      admissionRow
+          .send(renewals, listener.admissionLimits())
+          .ifPresent(limits -> writes.put(AdmissionRow.KEY, limits));
+    }
+    Transaction transaction = new Transaction(expected, writes, List.of());
     long number = renewals;
     store.commit(transaction, COMMIT_TIMEOUT_MILLIS, result -> renewed(term, number, sent, result));
   }
@@ -379,6 +409,7 @@
     leaseRow.updateClock(sent, timers.now(), result.storeMillis());
     if (result.outcome() == CommitResult.Outcome.DONE) {
       lease.renewed(sent);
+      admissionRow.stored(number);
       leaseVersion = Math.max(leaseVersion, result.version());
       // When a response is late, newer renewals are already in flight. A renewal that expected the
       // row version of this one would conflict, and so would each later one while responses are
@@ -444,6 +475,7 @@
   private void endTerm(String reason) {
     log("leader.lost", "epoch=" + epoch + " " + reason);
     leading = false;
+    admissionGate.termEnded();
     lease = new LeaderLease();
     handover.ended(timers.now().mono());
     listener.lost();
@@ -493,6 +525,7 @@
       return;
     }
     leading = false;
+    admissionGate.termEnded();
     releaseLease(Map.of(LEASE, free("")), result -> done.run());
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseText.java
@@ -32,6 +32,7 @@
    */
   private static final String UNKNOWN_HOLDER = "?";
 
+  private static final int RENEWALS = 1;
   private static final int GRANT = 2;
   private static final int SENT = 3;
   private static final Pattern NUMBER = Pattern.compile("\\d{1,15}");
@@ -47,6 +48,11 @@
         number(words, SENT, 0));
   }
 
+  /** Returns the number of a holder's renewal; 0 when the text states none. */
+  static long renewals(String text) {
+    return number(text.split(" ", -1), RENEWALS, 0);
+  }
+
   /**
    * Parses the number at an index. A text of another version may have fewer or more words; the
    * default is the longest wait, which is always safe.
--- a/daemon/src/test/java/org/cottontack/daemon/job/ElectionSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ElectionSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.job.Capacity;
 
 /** Candidates for leadership that share a store, in virtual time. */
@@ -21,6 +22,7 @@
     boolean reachesStore = true;
     boolean begins = true;
     String unreachableDataCentre = "nowhere";
+    AdmissionLimits limits = AdmissionLimits.NONE;
 
     Candidate(VirtualTimers time, FakeTableStore store, Instance instance, int incarnation) {
       timers = time.process();
@@ -47,6 +49,11 @@
     public boolean mayYieldLeadershipTo(String dataCentre) {
       return !dataCentre.equals(unreachableDataCentre);
     }
+
+    @Override
+    public AdmissionLimits admissionLimits() {
+      return limits;
+    }
   }
 
   Candidate candidate(String name, int incarnation) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/InstancesSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/InstancesSimulation.java
@@ -27,6 +27,7 @@
 import org.cottontack.core.job.StartResult;
 import org.cottontack.core.job.TaskName;
 import org.cottontack.core.job.WorkerReport;
+import org.cottontack.core.load.LoadControl;
 import org.cottontack.core.peer.Payload;
 
 /**
@@ -57,6 +58,9 @@
   /** What has happened so far, each with its time. */
   private final List<String> trace = new ArrayList<>();
 
+  /** The load control of processes that begin. */
+  LoadControl loadControl = LoadControl.OFF;
+
   /** How long each new run works, in milliseconds. */
   LongSupplier workMillis = () -> 500;
 
@@ -223,7 +227,7 @@
       process = time.process();
       Link link = new Link(this, process);
       WatchedStore watched = new WatchedStore(link.store(), process);
-      Instance instance = new Instance(name, dataCentre, capacity);
+      Instance instance = new Instance(name, dataCentre, capacity, loadControl);
       jobs = new JobEntry(instance, KEEP_MILLIS, watched, process, link, link, link);
       jobs.start();
       log(name + " begins");
