explain counts jobs that were refused for overload

Cause: the time until a refused job was stored was attributed to the store. Change: the cause 'refused for overload' from the first job.refused until the job is stored; the table states how many jobs were refused and how many of them were never stored. Result: ExplainCommandTest passes, two new tests.

--- a/ctl/src/main/java/org/cottontack/ctl/explain/Cause.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/Cause.java
@@ -14,6 +14,8 @@
    * submission was retried.
    */
   INTAKE(false, "store did not take it in"),
+  /** Admission control rejected submissions of the job, which was stored later. */
+  REFUSED(false, "refused for overload"),
   /** No instance was the leader, so nothing was scheduled. */
   NO_LEADER(false, "no leader"),
   /** Tasks were ready and no worker had capacity for them. */
--- a/ctl/src/main/java/org/cottontack/ctl/explain/CriticalPath.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/CriticalPath.java
@@ -59,7 +59,13 @@
       until = readyMillis;
     }
     add(Cause.NO_LEADER, job.storedMillis, Math.min(until, job.takenMillis), "until taken");
-    add(Cause.INTAKE, job.submittedMillis, job.storedMillis, "until stored");
+    long refusedMillis = job.firstRefusedMillis == 0 ? job.storedMillis : job.firstRefusedMillis;
+    add(Cause.REFUSED, refusedMillis, job.storedMillis, "until stored");
+    add(
+        Cause.INTAKE,
+        job.submittedMillis,
+        Math.min(refusedMillis, job.storedMillis),
+        "until stored");
   }
 
   private List<Integer> allSteps() {
--- a/ctl/src/main/java/org/cottontack/ctl/explain/ExplainCommand.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/ExplainCommand.java
@@ -59,8 +59,11 @@
     }
     if (!job.ended()) {
       out.printf(
-          "%s: stored %s, taken %s, not ended%n",
-          id, job.storedMillis > 0 ? "yes" : "no", job.takenMillis > 0 ? "yes" : "no");
+          "%s: stored %s, taken %s, not ended%s%n",
+          id,
+          job.storedMillis > 0 ? "yes" : "no",
+          job.takenMillis > 0 ? "yes" : "no",
+          job.firstRefusedMillis > 0 ? ", " + Cause.REFUSED.label() : "");
       return true;
     }
     out.printf(
--- a/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
@@ -102,6 +102,7 @@
     }
     switch (line.event()) {
       case "job.submitted" -> job(line.subject()).submitted(line);
+      case "job.refused" -> job(line.subject()).refused(line);
       case "job.taken" -> job(line.subject()).taken(line);
       case "job.placed" -> placed(line);
       case "job.ended" -> ended(line);
--- a/ctl/src/main/java/org/cottontack/ctl/explain/JobHistory.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/JobHistory.java
@@ -46,6 +46,7 @@
   long objectiveMillis;
   long submittedMillis;
   long storedMillis;
+  long firstRefusedMillis;
   long takenMillis;
   long endMillis;
   String outcome = "";
@@ -62,6 +63,10 @@
     }
   }
 
+  void refused(LogLine line) {
+    firstRefusedMillis = firstRefusedMillis == 0 ? line.millis() : firstRefusedMillis;
+  }
+
   void taken(LogLine line) {
     if (takenMillis != 0) {
       return;
--- a/ctl/src/main/java/org/cottontack/ctl/explain/LossTable.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/LossTable.java
@@ -107,6 +107,19 @@
     printTable(out, "from second", losses, loss -> interval(loss.job(), first));
     out.println();
     printServing(out);
+    printRefused(out);
+  }
+
+  private void printRefused(PrintStream out) {
+    List<JobHistory> refused =
+        histories.jobs().values().stream().filter(job -> job.firstRefusedMillis > 0).toList();
+    if (!refused.isEmpty()) {
+      out.printf(
+          "%d jobs %s, %d of them never stored%n",
+          refused.size(),
+          Cause.REFUSED.label(),
+          refused.stream().filter(job -> job.storedMillis == 0).count());
+    }
   }
 
   private static List<Loss> ofKind(List<Loss> losses, JobHistory.Kind kind) {
--- a/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
@@ -119,6 +119,22 @@
       assertEquals(path.get(Cause.LOST_WORKER), Long.valueOf(4_000));
     }
 
+    /** Time in which submissions were refused for overload is not blamed on the store. */
+    @Test
+    public void refusalsAreNotIntakeDelays() {
+      Log log =
+          new Log()
+              .line(500, Map.of("event", "job.submitted", "job", "a", "answer", "OVERLOADED"))
+              .line(500, Map.of("event", "job.refused", "job", "a", "queue", "q"))
+              .accepted(2_000, "a", step(1, "", ""))
+              .line(2_010, "job.placed", "a", "table=1 left=0 0.0#1@w1")
+              .line(3_010, "run.ended", "a.0.0.0#1", "w1 DONE ran=1000 slowed=0 expected=1000")
+              .line(3_010, "job.ended", "a", "COMPLETE");
+      Map<Cause, Long> path = log.timeByCause("a");
+      assertEquals(path.get(Cause.REFUSED), Long.valueOf(1_500));
+      assertFalse(path.containsKey(Cause.INTAKE), path.toString());
+    }
+
     /** A wait without a leader is not counted as a wait for capacity. */
     @Test
     public void leaderlessWaitIsNotWaitForCapacity() {
@@ -196,6 +212,21 @@
           text);
     }
 
+    /** Jobs that were only refused are on no critical path. */
+    @Test
+    public void countsRefusedJobs() {
+      Log log =
+          new Log()
+              .line(500, Map.of("event", "job.refused", "job", "a"))
+              .line(600, Map.of("event", "job.refused", "job", "a"))
+              .line(700, Map.of("event", "job.refused", "job", "b"))
+              .accepted(900, "b", step(1, "", ""));
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      new LossTable(log.histories()).print(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+      String text = bytes.toString(StandardCharsets.UTF_8);
+      assertTrue(text.contains("2 jobs refused for overload, 1 of them never stored"), text);
+    }
+
     @Test
     public void printsSpansOfOneJob() {
       String text = explain("b000000000000002");
