Admission gate: reads rows only with the part in force; tests of the order of rows

Cause: with the part off, the rows were still parsed for the gate; three rules of the gate had no test of their own. Change: Leadership feeds the gate only with LoadPart.ADMISSION in force. Tests for a duplicate of an old renewal, a renewal read after a gap, and limits that arrive without their renewal.

--- a/daemon/src/main/java/org/cottontack/daemon/job/AdmissionGate.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/AdmissionGate.java
@@ -76,9 +76,6 @@
    * @param limits the row with the limits
    */
   void observed(long electionEpoch, Optional<Row> lease, Optional<Row> limits) {
-    if (!inForce) {
-      return;
-    }
     lease.ifPresent(row -> observeLease(electionEpoch, row));
     limits.filter(row -> row.version() != textVersion).ifPresent(this::readLimits);
     epoch = electionEpoch;
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -192,10 +192,12 @@
 
   private void updateRows(List<Row> changes) {
     changes.forEach(row -> rows.put(row.at(), row));
-    admissionGate.observed(
-        Optional.ofNullable(rows.get(ELECTION)).map(Leadership::epochOf).orElse(0L),
-        Optional.ofNullable(rows.get(LEASE)),
-        Optional.ofNullable(rows.get(AdmissionRow.KEY)));
+    if (publishesLimits) {
+      admissionGate.observed(
+          Optional.ofNullable(rows.get(ELECTION)).map(Leadership::epochOf).orElse(0L),
+          Optional.ofNullable(rows.get(LEASE)),
+          Optional.ofNullable(rows.get(AdmissionRow.KEY)));
+    }
   }
 
   private void decide() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
@@ -207,24 +207,56 @@
       assertEquals(simulation.row(), Optional.of(new AdmissionText(1, LIMITS)));
       simulation.submit(TestJobs.job(ID, 1), Intake.Answer.STORED);
     }
+  }
+
+  /** The order in which an instance reads the rows. */
+  public static class Reading {
+
+    /** A gate and the time at which it reads. */
+    private static final class Reader {
+      private final VirtualTimers time = new VirtualTimers();
+      private final AdmissionGate gate = new AdmissionGate(time.process(), true);
+
+      /** Reads renewals, each by its number and the version of its row, beside one limits row. */
+      private boolean rejectsAfter(long limitsVersion, long[]... renewals) {
+        for (long[] renewal : renewals) {
+          time.run(renewal[0]);
+          String lease = "a/1 " + renewal[1] + " 8500 0";
+          String limits = new AdmissionText(1, LIMITS).text();
+          gate.observed(
+              1, row("lease", lease, renewal[2]), row("admission", limits, limitsVersion));
+        }
+        return gate.rejection(TestJobs.job(ID, 1)).isPresent();
+      }
+
+      private static Optional<Row> row(String key, String text, long version) {
+        RowKey at = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, key);
+        return Optional.of(new Row(at, Payload.of(text), version, false));
+      }
+    }
 
-    /** A renewal is carried out after later ones, when the leader is lost. */
+    /** A renewal that is carried out after later ones does not show that the leader still leads. */
     @Test
-    public void rejectNothingOnDuplicateOfOldRenewal() {
-      VirtualTimers time = new VirtualTimers();
-      AdmissionGate gate = new AdmissionGate(time.process(), true);
-      Optional<Row> limits = row("admission", new AdmissionText(1, LIMITS).text(), 5);
-      gate.observed(1, row("lease", "a/1 1 8500 0", 4), Optional.empty());
-      gate.observed(1, row("lease", "a/1 2 8500 0", 5), limits);
-      assertTrue(gate.rejection(TestJobs.job(ID, 1)).isPresent());
-      time.run(AdmissionGate.MAX_AGE_MILLIS + 1);
-      gate.observed(1, row("lease", "a/1 1 8500 0", 6), limits);
-      assertFalse(gate.rejection(TestJobs.job(ID, 1)).isPresent());
+    public void duplicateOfOldRenewalConfirmsNothing() {
+      Reader reader = new Reader();
+      assertTrue(reader.rejectsAfter(5, new long[] {0, 1, 4}, new long[] {500, 2, 5}));
+      assertFalse(reader.rejectsAfter(5, new long[] {1_400, 2, 5}, new long[] {200, 1, 6}));
     }
 
-    private static Optional<Row> row(String key, String text, long version) {
-      RowKey at = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, key);
-      return Optional.of(new Row(at, Payload.of(text), version, false));
+    /** The renewal may have been stored at any time since the response before. */
+    @Test
+    public void renewalReadAfterGapConfirmsNothing() {
+      Reader reader = new Reader();
+      assertFalse(reader.rejectsAfter(5, new long[] {0, 1, 4}, new long[] {2_100, 2, 5}));
+      assertTrue(reader.rejectsAfter(5, new long[] {500, 3, 6}));
+    }
+
+    /** Limits that arrive before their renewal are as old as the renewal before them. */
+    @Test
+    public void limitsWithoutTheirRenewalDoNotCount() {
+      Reader reader = new Reader();
+      assertFalse(reader.rejectsAfter(6, new long[] {0, 1, 4}, new long[] {500, 2, 5}));
+      assertTrue(reader.rejectsAfter(6, new long[] {100, 3, 6}));
     }
   }
 
