Test of a late renewal after an unanswered one

Cause: a trial on a scratch copy that let every renewal write limits, also where the version of the lease row is not known, was not noticed by any test. Change: the test of the late renewal also runs after an unanswered renewal.

--- a/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
@@ -17,6 +17,7 @@
 import org.cottontack.core.load.LoadPart;
 import org.cottontack.core.peer.Payload;
 import org.cottontack.daemon.job.ElectionSimulation.Candidate;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of the rejection of jobs under limits that a leader publishes. */
@@ -272,10 +273,21 @@
       simulation.submit(TestJobs.job(ID, 1), Intake.Answer.STORED);
     }
 
+    /** Whether an unanswered renewal precedes the one that writes the limits. */
+    @DataProvider
+    public static Object[][] answerLostBefore() {
+      return new Object[][] {{false}, {true}};
+    }
+
     /** The renewal that writes the limits is carried out after they have been lifted. */
-    @Test
-    public void lateRenewalRestoresNoLimits() {
+    @Test(dataProvider = "answerLostBefore")
+    public void lateRenewalRestoresNoLimits(boolean answerLostBefore) {
       Simulation simulation = new Simulation(ON);
+      if (answerLostBefore) {
+        simulation.election.store.commitBehaviour =
+            transaction -> FakeTableStore.CommitBehaviour.ANSWER_LOST;
+        simulation.election.time.run(500);
+      }
       boolean[] first = {true};
       simulation.election.store.commitBehaviour =
           transaction -> {
