Limits age from the request before the renewal; only timed renewals confirm them

Cause, found in review: a renewal without a time writes no limits, not even to lift them, but confirmed the old ones; while commits take longer than the renewal interval, all renewals are of this kind and lifted limits stayed in force. A response that was delayed made limits look younger than they were. Change: only renewals that state their time confirm limits; their age counts from when the previous request was sent.

--- a/daemon/src/main/java/org/cottontack/daemon/job/AdmissionGate.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/AdmissionGate.java
@@ -46,7 +46,7 @@
   private boolean leaseHeld;
   private long leaseVersion;
   private long renewals;
-  private Moment lastResponse = TableWatcher.NEVER;
+  private Moment lastRequest = TableWatcher.NEVER;
   private Moment renewedAfter = TableWatcher.NEVER;
 
   /**
@@ -71,40 +71,43 @@
   /**
    * Records a response of the store to a read or a watch of the leader table.
    *
+   * @param requestSent when the request was sent
    * @param electionEpoch the epoch of the election row, 0 without a row
    * @param lease the lease row
    * @param limits the row with the limits
    */
-  void observed(long electionEpoch, Optional<Row> lease, Optional<Row> limits) {
+  void observed(Moment requestSent, long electionEpoch, Optional<Row> lease, Optional<Row> limits) {
     lease.ifPresent(row -> observeLease(electionEpoch, row));
     limits.filter(row -> row.version() != textVersion).ifPresent(this::readLimits);
     epoch = electionEpoch;
-    lastResponse = timers.now();
+    lastRequest = requestSent;
   }
 
   /**
    * Records the lease row. Only a renewal with a higher number shows that the leader still renews:
-   * an unanswered renewal may be carried out after later ones, when the leader is lost. The renewal
-   * was stored at some time since the previous response, so its age counts from that response. The
-   * first row of a term that this instance sees may be of any age.
+   * an unanswered renewal may be carried out after later ones, when the leader is lost. Only a
+   * renewal that states its time confirms the limits, because any other one writes no limits, not
+   * even to lift them. The renewal was stored at some time since the previous request was sent, so
+   * its age counts from then. The first row of a term that this instance sees may be of any age.
    */
   private void observeLease(long electionEpoch, Row lease) {
+    LeaseText renewal = LeaseText.parse(lease.text());
     long number = LeaseText.renewals(lease.text());
     if (electionEpoch != epoch) {
       renewedAfter = TableWatcher.NEVER;
       renewals = number;
     } else if (number > renewals) {
-      renewedAfter = lastResponse;
+      renewedAfter = renewal.sentMillis() > 0 ? lastRequest : renewedAfter;
       renewals = number;
     }
-    leaseHeld = !LeaseText.parse(lease.text()).isFree();
+    leaseHeld = !renewal.isFree();
     leaseVersion = lease.version();
   }
 
   private void readLimits(Row row) {
     textVersion = row.version();
     text = row.removed() ? Optional.empty() : AdmissionText.parse(row.text());
-    if (text.isEmpty()) {
+    if (text.isEmpty() && !row.removed()) {
       LOG.warn("skipping unreadable admission limits: {}", row.text());
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -146,7 +146,7 @@
             return;
           }
           leaseRow.updateClock(requestSent, timers.now(), scan.storeMillis());
-          updateRows(scan.rows());
+          updateRows(requestSent, scan.rows());
           position = scan.version();
           decide();
         });
@@ -190,10 +190,11 @@
     return leaseRow.storeClock();
   }
 
-  private void updateRows(List<Row> changes) {
+  private void updateRows(Moment requestSent, List<Row> changes) {
     changes.forEach(row -> rows.put(row.at(), row));
     if (publishesLimits) {
       admissionGate.observed(
+          requestSent,
           Optional.ofNullable(rows.get(ELECTION)).map(Leadership::epochOf).orElse(0L),
           Optional.ofNullable(rows.get(LEASE)),
           Optional.ofNullable(rows.get(AdmissionRow.KEY)));
@@ -254,6 +255,7 @@
   }
 
   private void watch() {
+    Moment requestSent = timers.now();
     store.watch(
         JobTables.LEADER,
         position,
@@ -261,7 +263,7 @@
         changes -> {
           switch (changes.outcome()) {
             case CURRENT -> {
-              updateRows(changes.rows());
+              updateRows(requestSent, changes.rows());
               position = Math.max(position, changes.version());
               decide();
             }
@@ -315,6 +317,7 @@
    * lost.
    */
   private void checkTakeover(long next, Moment sent) {
+    Moment requestSent = timers.now();
     store.scan(
         JobTables.LEADER,
         ELECTION.part(),
@@ -324,7 +327,7 @@
             timers.after(PAUSE_MILLIS, () -> checkTakeover(next, sent));
             return;
           }
-          updateRows(scan.rows());
+          updateRows(requestSent, scan.rows());
           position = scan.version();
           Row election = rows.get(ELECTION);
           if (election != null && election.text().equals(next + " " + self)) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/AdmissionTest.java
@@ -216,16 +216,24 @@
     /** A gate and the time at which it reads. */
     private static final class Reader {
       private final VirtualTimers time = new VirtualTimers();
-      private final AdmissionGate gate = new AdmissionGate(time.process(), true);
+      private final Timers clock = time.process();
+      private final AdmissionGate gate = new AdmissionGate(clock, true);
 
-      /** Reads renewals, each by its number and the version of its row, beside one limits row. */
+      /**
+       * Reads renewals, each by the time since the previous one, its number, the version of its row
+       * and, unless it is 1, the time that it states, beside one limits row.
+       */
       private boolean rejectsAfter(long limitsVersion, long[]... renewals) {
         for (long[] renewal : renewals) {
           time.run(renewal[0]);
-          String lease = "a/1 " + renewal[1] + " 8500 0";
+          long sent = renewal.length > 3 ? renewal[3] : 1;
+          String lease = "a/1 " + renewal[1] + " 8500 " + sent;
           String limits = new AdmissionText(1, LIMITS).text();
           gate.observed(
-              1, row("lease", lease, renewal[2]), row("admission", limits, limitsVersion));
+              clock.now(),
+              1,
+              row("lease", lease, renewal[2]),
+              row("admission", limits, limitsVersion));
         }
         return gate.rejection(TestJobs.job(ID, 1)).isPresent();
       }
@@ -252,6 +260,15 @@
       assertTrue(reader.rejectsAfter(5, new long[] {500, 3, 6}));
     }
 
+    /** A renewal without a time writes no limits, so limits may have been lifted since. */
+    @Test
+    public void renewalWithoutTimeConfirmsNothing() {
+      Reader reader = new Reader();
+      assertTrue(reader.rejectsAfter(5, new long[] {0, 1, 4}, new long[] {500, 2, 5}));
+      assertTrue(reader.rejectsAfter(5, new long[] {500, 3, 6, 0}));
+      assertFalse(reader.rejectsAfter(5, new long[] {500, 4, 7, 0}, new long[] {600, 5, 8, 0}));
+    }
+
     /** Limits that arrive before their renewal are as old as the renewal before them. */
     @Test
     public void limitsWithoutTheirRenewalDoNotCount() {
