Keep runs and completions of jobs that a leader cannot read

Cause: a leader that cannot read a job's rows did not know the job. It stopped the job's runs as no longer needed and acknowledged its completions without storing them, so the next leader ran done tasks again.

Change: Leader.begin posts JobsLeftAlone for unreadable progress and for unreadable rows of jobs that have not ended. Runs of these jobs go on, with their leases renewed. Their workers get no new work and have no free capacity, because the size of these runs is unknown. From the first completion of such a job on, nothing is acknowledged to its worker in the term. A worker with 250 completions withheld gets no new work, because a report ends after 500. A cancelled job is no longer left alone. JobSimulation.takeOver posts the event for its unreadable jobs.

--- a/core/src/main/java/org/cottontack/core/job/DeferredAcknowledgements.java
+++ b/core/src/main/java/org/cottontack/core/job/DeferredAcknowledgements.java
@@ -4,12 +4,16 @@
 import java.util.TreeMap;
 
 /**
- * Completions that are stored but not acknowledged yet, because a duplicate start of their run may
- * still arrive. This happens when a start goes unanswered, is sent again and its run is done; then
- * the worker crashes, and the duplicate reaches its next incarnation before the leader does. If the
- * completion was acknowledged, the duplicate would run a task again that counts as done for good. A
- * completion that was not acknowledged is lost with its incarnation, so it does not conflict with
- * the run of the duplicate.
+ * Completions that are not acknowledged yet.
+ *
+ * <p>Some are stored, but a duplicate start of their run may still arrive. This happens when a
+ * start goes unanswered, is sent again and its run is done; then the worker crashes, and the
+ * duplicate reaches its next incarnation before the leader does. If the completion was
+ * acknowledged, the duplicate would run a task again that counts as done for good. A completion
+ * that was not acknowledged is lost with its incarnation, so it does not conflict with the run of
+ * the duplicate.
+ *
+ * <p>Others cannot be stored by this leader, because it cannot read the rows of their jobs.
  */
 final class DeferredAcknowledgements {
 
@@ -21,6 +25,7 @@
   private final TreeMap<Long, Long> expiresMillis = new TreeMap<>();
   private long inheritedFirst = NONE;
   private long inheritedUntilMillis;
+  private long firstWithheld = NONE;
 
   /** Defers the acknowledgement of a completion for the given time. */
   void defer(long number, long nowMillis, long millis) {
@@ -50,7 +55,21 @@
     }
   }
 
-  /** Returns whether any acknowledgement is deferred. */
+  /**
+   * Withholds the acknowledgement of a completion, and with it those of all later ones, for the
+   * rest of the term. The next leader need not know this: it finds the completion listed, and
+   * either stores it or withholds its acknowledgement as well.
+   */
+  void withhold(long number) {
+    firstWithheld = Math.min(firstWithheld, number);
+  }
+
+  /** Returns how many of the completions up to a number are withheld. */
+  long withheld(long seen) {
+    return Math.max(0, seen - firstWithheld + 1);
+  }
+
+  /** Returns whether any acknowledgement is deferred for a time; withheld ones do not count. */
   boolean any(long nowMillis) {
     expiresMillis.values().removeIf(expires -> expires <= nowMillis);
     return !expiresMillis.isEmpty();
@@ -65,8 +84,9 @@
     return OptionalLong.of(Math.min(expiresMillis.firstKey(), inheritedFirst));
   }
 
-  /** Returns the highest number up to which no acknowledgement is deferred. */
+  /** Returns the highest number up to which no acknowledgement is deferred or withheld. */
   long acknowledgeable(long seen, long nowMillis) {
-    return any(nowMillis) ? Math.min(seen, expiresMillis.firstKey() - 1) : seen;
+    long notWithheld = Math.min(seen, firstWithheld - 1);
+    return any(nowMillis) ? Math.min(notWithheld, expiresMillis.firstKey() - 1) : notWithheld;
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -191,7 +191,13 @@
     boolean empty = worker.placed.isEmpty() && worker.orphans.isEmpty();
     boolean idle = empty && !worker.listsCompletions && !unreachable;
     long gap = idle ? term.timing.idlePollMillis() : term.timing.pollRetryMillis();
-    if (!unreachable && worker.deferredAcknowledgements.any(term.now.mono())) {
+    // Withheld completions keep a poll from waiting for further ones as well, but for the rest of
+    // the term, so frequent polls are limited to workers that may have news.
+    boolean withholds = worker.deferredAcknowledgements.withheld(worker.lastSeenCompletion) > 0;
+    boolean deferred =
+        worker.deferredAcknowledgements.any(term.now.mono())
+            || (withholds && !worker.placed.isEmpty());
+    if (!unreachable && deferred) {
       gap = DEFERRED_ACKNOWLEDGEMENT_POLL_MILLIS;
     }
     if (!worker.pollInFlight && term.now.mono() - worker.lastPollMillis >= gap) {
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -48,6 +48,21 @@
     }
   }
 
+  /**
+   * Rows of open jobs were found that this leader cannot read, because of damage or another
+   * version. Their runs go on, and no completion of theirs is acknowledged. Comes before any
+   * cancellation.
+   *
+   * @param jobs the jobs
+   */
+  record JobsLeftAlone(Set<JobId> jobs) implements JobEvent {
+
+    /** Keeps the set immutable. */
+    public JobsLeftAlone {
+      jobs = Set.copyOf(jobs);
+    }
+  }
+
   /** A caller cancelled a job. */
   record JobCancelled(JobId job) implements JobEvent {}
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -222,6 +222,8 @@
       progressSaver.restoreLearned(e.learned());
     } else if (event instanceof JobEvent.LeaseEndsRecovered e) {
       term.leaseEnds.recover(e.ends(), term.now);
+    } else if (event instanceof JobEvent.JobsLeftAlone e) {
+      term.leftAlone.addAll(e.jobs());
     } else if (event instanceof JobEvent.JobCancelled e) {
       lifecycle.cancelled(e.job());
     } else if (event instanceof JobEvent.WorkerSeen e) {
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -95,8 +95,12 @@
    * Cancels a job. Jobs and cancellations are reported separately, so a cancellation may arrive
    * before its job. It is kept until the job arrives: otherwise the job would run although its
    * caller was informed that it is cancelled.
+   *
+   * <p>A cancelled job is no longer left alone. Any leader that can read it cancels it before it
+   * places its tasks, so its runs can be stopped and its completions acknowledged.
    */
   void cancelled(JobId id) {
+    term.leftAlone.remove(id);
     Job job = term.jobs.get(id);
     if (job == null) {
       cancelledBeforeArrival.add(id);
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -289,7 +289,8 @@
     // Where runs here soon need a longer lease, this poll grants it and the next one acknowledges.
     boolean ackOnly = acknowledges && worker.incarnation().identifierReusable();
     long leftMillis = worker.clock.lastLeaseEndMillis() - term.now.mono();
-    boolean needed = !worker.placed.isEmpty() && worker.renewsLeases();
+    boolean runsToKeep = !worker.placed.isEmpty() || worker.hasLeftAloneRun();
+    boolean needed = runsToKeep && worker.renewsLeases();
     boolean longer = term.grantEndMillis(worker) > worker.clock.lastLeaseEndMillis();
     boolean leaseFirst = ackOnly && needed && longer && leftMillis < MIN_REMAINING_LEASE_MILLIS;
     long leaseEnd = ackOnly && !leaseFirst ? noLease(worker) : leaseEnd(worker);
--- a/core/src/main/java/org/cottontack/core/job/Resources.java
+++ b/core/src/main/java/org/cottontack/core/job/Resources.java
@@ -24,6 +24,14 @@
         cpuMillis - other.cpuMillis, memMb - other.memMb, accelerators - other.accelerators);
   }
 
+  /** Returns the smaller amount in each component. */
+  public Resources min(Resources other) {
+    return new Resources(
+        Math.min(cpuMillis, other.cpuMillis),
+        Math.min(memMb, other.memMb),
+        Math.min(accelerators, other.accelerators));
+  }
+
   /** Returns whether this amount is at least as large in each component. */
   public boolean holds(Resources other) {
     return cpuMillis >= other.cpuMillis
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,6 +40,12 @@
   /** Jobs with a task whose earlier run was reported as done while a later run of it was placed. */
   final Set<Job> jobsToRecheck = new LinkedHashSet<>();
 
+  /**
+   * Open jobs whose rows this leader cannot read. They are not among {@link #jobs}. Their runs go
+   * on, and their completions are not acknowledged, so that a later leader can store them.
+   */
+  final Set<JobId> leftAlone = new HashSet<>();
+
   /** Jobs whose progress has changed since it was last saved. */
   final Set<Job> dirty = new LinkedHashSet<>();
 
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -40,10 +40,22 @@
    */
   private static final long FAILURES_KEPT_MILLIS = 32_000;
 
+  /**
+   * Number of withheld completions from which a worker gets no new work in this term. A report ends
+   * after {@link WorkerReport#MAX_COMPLETIONS}, and completions after that would not be listed
+   * before the withheld ones are acknowledged. The other half is left for the runs that are still
+   * on the worker.
+   */
+  private static final int MAX_WITHHELD = WorkerReport.MAX_COMPLETIONS / 2;
+
   WorkerInfo info;
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
   final Map<RunKey, Resources> orphans = new HashMap<>();
+
+  /** The orphans that are runs of jobs which are left alone. What they reserve is unknown. */
+  private final Set<RunKey> leftAlone = new HashSet<>();
+
   final Map<RunKey, Long> stopsSent = new HashMap<>();
   final List<ResidualLoad> residualLoads = new ArrayList<>();
   private final Map<StepId, Integer> tasksOfSteps = new HashMap<>();
@@ -165,7 +177,13 @@
 
   /** Returns whether new work may be placed on this worker. */
   boolean usable(long nowMillis) {
-    return registered && everAnswered && !silent && !closed() && nowMillis >= avoidUntilMillis;
+    return registered
+        && everAnswered
+        && !silent
+        && !closed()
+        && leftAlone.isEmpty()
+        && deferredAcknowledgements.withheld(lastSeenCompletion) < MAX_WITHHELD
+        && nowMillis >= avoidUntilMillis;
   }
 
   /**
@@ -201,6 +219,7 @@
   /** Returns whether the runs on this worker are to continue when their leases end. */
   boolean renewsLeases() {
     return suppressedCompletions.none()
+        || !leftAlone.isEmpty()
         || placed.values().stream()
             .anyMatch(task -> !SuppressedCompletions.mustNotRepeat(task.spec));
   }
@@ -238,8 +257,13 @@
     return !free().holds(Resources.NONE);
   }
 
+  /**
+   * Returns the capacity that is left; components are negative where the worker is overcommitted. A
+   * run of a job that is left alone may use all that is not reserved for other runs.
+   */
   Resources free() {
-    return info.capacity().minus(used);
+    Resources unreserved = info.capacity().minus(used);
+    return leftAlone.isEmpty() ? unreserved : unreserved.min(Resources.NONE);
   }
 
   /**
@@ -365,7 +389,22 @@
     return true;
   }
 
+  /**
+   * Records a run of a job that is left alone as an orphan; returns whether it was not recorded
+   * before.
+   */
+  boolean addLeftAlone(RunKey run) {
+    leftAlone.add(run);
+    return addOrphan(run, Resources.NONE);
+  }
+
+  /** Returns whether some run here belongs to a job that is left alone. */
+  boolean hasLeftAloneRun() {
+    return !leftAlone.isEmpty();
+  }
+
   void removeOrphan(RunKey run) {
+    leftAlone.remove(run);
     Resources amount = orphans.remove(run);
     if (amount != null) {
       used = used.minus(amount);
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -201,6 +201,12 @@
   private RunKey handleRunning(Worker worker, WorkerReport.Running running) {
     RunKey key = new RunKey(running.task(), running.run());
     Task task = term.find(running.task());
+    if (isLeftAlone(running.task())) {
+      if (worker.addLeftAlone(key)) {
+        term.logEvent("run.leftAlone", key, worker.info.id() + " listed");
+      }
+      return key;
+    }
     if (task == null || !task.runsAs(worker.incarnation(), running.run())) {
       // A run that is no longer needed still uses the worker, and could complete beside the current
       // run.
@@ -235,6 +241,11 @@
     return key;
   }
 
+  /** Returns whether a task belongs to a job whose rows this leader cannot read. */
+  private boolean isLeftAlone(TaskName task) {
+    return term.leftAlone.contains(task.job());
+  }
+
   private void handleCompletion(Worker worker, WorkerReport.Completion completion) {
     worker.lastSeenCompletion = completion.number();
     worker.suppressedCompletions.listed();
@@ -243,6 +254,12 @@
     worker.removeOrphan(key);
     worker.stopsSent.remove(key);
     Task task = term.find(completion.task());
+    if (isLeftAlone(completion.task())) {
+      worker.deferredAcknowledgements.withhold(completion.number());
+      String detail = "%s number=%d".formatted(worker.info.id(), completion.number());
+      term.logEvent("end.leftAlone", key, detail);
+      return;
+    }
     if (task == null) {
       logIgnored(worker, completion, "job unknown");
       return;
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -260,6 +260,7 @@
                     Collectors.toMap(
                         Map.Entry::getKey, end -> LeaseEndBounds.exactly(end.getValue())))));
     post(new JobEvent.LearnedRecovered(learned));
+    post(new JobEvent.JobsLeftAlone(unreadable));
     registerWorkers();
     specs.values().stream().filter(job -> !unreadable.contains(job.id())).forEach(this::recover);
     tick(leader);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -72,6 +73,7 @@
   private final LoadControl loadControl;
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
   private final Set<JobId> cancelled = new HashSet<>();
+  private final Set<JobId> unreadableRows = new HashSet<>();
   private final List<TableWatcher> watchers = new ArrayList<>();
   private TableWatcher cancellationWatcher;
   private TableWatcher workerWatcher;
@@ -222,6 +224,9 @@
       }
     } catch (WireException e) {
       LOG.error("skipping unreadable job {}", row.key(), e);
+      if (scheduler == null) {
+        unreadableRows.add(new JobId(row.key()));
+      }
     }
   }
 
@@ -303,6 +308,13 @@
     unreadable.forEach(id -> LOG.error("not scheduling job {}: its progress is unreadable", id));
     accepted.keySet().removeAll(unreadable);
     progress.keySet().removeAll(unreadable);
+    // What still runs of a job that has ended is stopped, and its completions change nothing.
+    Set<JobId> leftAlone =
+        unreadableRows.stream()
+            .filter(id -> !terminal(progress.get(id)))
+            .collect(Collectors.toCollection(HashSet::new));
+    leftAlone.addAll(unreadable);
+    post(new JobEvent.JobsLeftAlone(leftAlone));
     accepted.values().stream()
         .filter(job -> !ended(progress.get(job.id())))
         .sorted(Comparator.comparing(JobSpec::id))
@@ -327,13 +339,18 @@
     retention.start();
     accepted.clear();
     cancelled.clear();
+    unreadableRows.clear();
     tick();
     waitingRows.start();
   }
 
   /** Returns whether a job has ended and none of its tasks is on a worker any more. */
   private static boolean ended(String text) {
-    return text != null && ProgressText.phase(text).terminal() && !ProgressText.onWorkers(text);
+    return terminal(text) && !ProgressText.onWorkers(text);
+  }
+
+  private static boolean terminal(String text) {
+    return text != null && ProgressText.phase(text).terminal();
   }
 
   private void recover(JobSpec job, String text) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -11,6 +11,7 @@
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobPhase;
 import org.cottontack.core.job.ProgressText;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of a leader over a store that loses or delays responses, or carries calls out late. */
@@ -139,6 +140,28 @@
       assertTrue(simulation.store.table(JobTables.PROGRESS).containsKey("a"));
     }
 
+    /** Rows of a job, one of which the next leader cannot read. */
+    @DataProvider
+    public Object[][] rows() {
+      JobId id = new JobId("a");
+      return new Object[][] {{JobTables.job(id)}, {JobTables.progress(id)}};
+    }
+
+    /** Guards against a leader that stops the runs of a job because it cannot read its rows. */
+    @Test(dataProvider = "rows")
+    public void keepsRunsOfUnreadableJobs(RowKey row) {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.submit("a");
+      simulation.time.run(1_000);
+      assertEquals(simulation.running.size(), 1);
+      simulation.write(row, "unreadable");
+      simulation.restart();
+      simulation.time.run(30_000);
+      assertEquals(simulation.entry.leadingEpoch(), 2);
+      assertEquals(simulation.running.size(), 1);
+      assertEquals(simulation.starts.size(), 1);
+    }
+
     /**
      * A save of progress gets no response and is carried out three seconds later, after newer
      * saves. It must not restore the old progress, or the next leader would run finished work
