--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -22,8 +22,12 @@
     this.urgency = urgency;
   }
 
+  /**
+   * Takes a new job. One that is left alone is not taken when its row becomes readable: its
+   * progress is not known to this leader, so tasks that run or are done would run again.
+   */
   void arrived(JobSpec spec) {
-    if (term.jobs.containsKey(spec.id())) {
+    if (term.jobs.containsKey(spec.id()) || term.leftAlone.contains(spec.id())) {
       return;
     }
     Job job = new Job(spec, term.now.mono(), term.ignoredStarts);
@@ -95,8 +99,12 @@
    * Cancels a job. Jobs and cancellations are reported separately, so a cancellation may arrive
    * before its job. It is kept until the job arrives: otherwise the job would run although its
    * caller was informed that it is cancelled.
+   *
+   * <p>A cancelled job is no longer left alone. Any leader that can read it cancels it before it
+   * places its tasks, so its runs can be stopped and its completions acknowledged.
    */
   void cancelled(JobId id) {
+    term.stopLeavingAlone(id);
     Job job = term.jobs.get(id);
     if (job == null) {
       cancelledBeforeArrival.add(id);
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -44,6 +44,10 @@
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
   final Map<RunKey, Resources> orphans = new HashMap<>();
+
+  /** The orphans that are runs of jobs which are left alone. What they reserve is unknown. */
+  private final Set<RunKey> leftAlone = new HashSet<>();
+
   final Map<RunKey, Long> stopsSent = new HashMap<>();
   final List<ResidualLoad> residualLoads = new ArrayList<>();
   private final Map<StepId, Integer> tasksOfSteps = new HashMap<>();
@@ -165,7 +169,27 @@
 
   /** Returns whether new work may be placed on this worker. */
   boolean usable(long nowMillis) {
-    return registered && everAnswered && !silent && !closed() && nowMillis >= avoidUntilMillis;
+    return accepts(nowMillis) && reportHolds(placed.size() + 1);
+  }
+
+  /** Returns whether a run that is placed on this worker may be started. */
+  boolean accepts(long nowMillis) {
+    return registered
+        && everAnswered
+        && !silent
+        && !closed()
+        && leftAlone.isEmpty()
+        && reportHolds(placed.size())
+        && nowMillis >= avoidUntilMillis;
+  }
+
+  /**
+   * Returns whether the completions of a number of runs fit into a report behind the withheld ones.
+   * Those that do not fit are not listed in this term.
+   */
+  private boolean reportHolds(int runs) {
+    long withheld = deferredAcknowledgements.withheld(lastSeenCompletion);
+    return withheld == 0 || withheld + runs <= WorkerReport.MAX_COMPLETIONS;
   }
 
   /**
@@ -238,8 +262,13 @@
     return !free().holds(Resources.NONE);
   }
 
+  /**
+   * Returns the capacity that is left; components are negative where the worker is overcommitted. A
+   * run of a job that is left alone may use all that is not reserved for other runs.
+   */
   Resources free() {
-    return info.capacity().minus(used);
+    Resources unreserved = info.capacity().minus(used);
+    return leftAlone.isEmpty() ? unreserved : unreserved.min(Resources.NONE);
   }
 
   /**
@@ -365,7 +394,22 @@
     return true;
   }
 
+  /**
+   * Records a run of a job that is left alone as an orphan; returns whether it was not recorded
+   * before.
+   */
+  boolean addLeftAlone(RunKey run) {
+    leftAlone.add(run);
+    return addOrphan(run, Resources.NONE);
+  }
+
+  /** Returns whether some run here belongs to a job that is left alone. */
+  boolean hasLeftAloneRun() {
+    return !leftAlone.isEmpty();
+  }
+
   void removeOrphan(RunKey run) {
+    leftAlone.remove(run);
     Resources amount = orphans.remove(run);
     if (amount != null) {
       used = used.minus(amount);
