--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -31,7 +31,7 @@
     this.fleet = fleet;
     this.interference = interference;
     this.estimates = estimates;
-    this.pacing = new Pacing(interference);
+    this.pacing = new Pacing(interference, term.loadControl);
   }
 
   void reported(JobEvent.WorkerReported event) {
