Admission, core side: tails, throughput, limits, jobs in progress

Cause: in bursts more work arrives than can be completed on time, and the leader neither limits what begins nor says what cannot be useful.

JobsInProgress places new best-effort jobs after all others while a started, useful job of their image waits. All of it only with LoadPart.ADMISSION in force; tails with any part in force.

Parts off: outcome of one replay equal to that of the version before.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cottontack.core.Moment;
 import org.cottontack.core.admission.AdmissionLimits;
+import org.cottontack.core.admission.DurationTails;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.load.LoadControl;
 
@@ -26,7 +27,7 @@
   private final PlacementPass placementPass;
   private final ProgressSaver progressSaver;
   private long loadLoggedMillis;
-  private final AdmissionLimits admissionLimits = AdmissionLimits.NONE;
+  private final AdmissionDecisions admission;
 
   /**
    * Begins a term.
@@ -76,13 +77,19 @@
     lifecycle = new Lifecycle(term, orders, durationEstimates, urgency);
     WorkerSelector workerSelector = new WorkerSelector(interference);
     lostWorkers = new LostWorkers(term, lifecycle);
+    admission = new AdmissionDecisions(term, urgency);
+    DurationTails durationTails = new DurationTails();
+    RunDurations runDurations = new RunDurations(term, durationEstimates, durationTails);
     fleet = new Fleet(term, orders, lostWorkers, workerSelector);
     workerReports =
         new WorkerReports(
-            term, orders, lifecycle, lostWorkers, fleet, interference, durationEstimates);
+            term, orders, lifecycle, lostWorkers, fleet, interference, runDurations, admission);
     placementPass = new PlacementPass(term, workerSelector, urgency);
     progressSaver =
-        new ProgressSaver(term, orders, new LearnedText(interference, durationEstimates));
+        new ProgressSaver(
+            term,
+            orders,
+            new LearnedText(interference, durationEstimates, runDurations.storedLines()));
   }
 
   /**
@@ -123,7 +130,7 @@
 
   /** Returns the jobs that entry instances are to reject at present. */
   public AdmissionLimits admissionLimits() {
-    return admissionLimits;
+    return admission.limits();
   }
 
   /**
@@ -215,8 +222,10 @@
       term.renewal = e.renewal();
       tick();
     } else if (event instanceof JobEvent.JobArrived e) {
+      admission.arrived(e.job());
       lifecycle.arrived(e.job());
     } else if (event instanceof JobEvent.JobRecovered e) {
+      admission.arrived(e.job());
       lifecycle.recovered(e);
     } else if (event instanceof JobEvent.LearnedRecovered e) {
       progressSaver.restoreLearned(e.learned());
@@ -255,6 +264,7 @@
     Collection<Worker> all = List.copyOf(term.workers.values());
     all.forEach(fleet::tick);
     term.unlistedSuppressions.expire(term.workers::containsKey, term.now.mono());
+    admission.update();
     boolean firstPollsDone = term.now.mono() - term.startMillis > term.timing.firstPollsMillis();
     if (firstPollsDone && PartitionDetector.cutOff(all)) {
       term.effects.add(new JobEffect.HandOver("cut off from most workers"));
--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cottontack.core.load.LoadPart;
 
 /** Places the waiting tasks: the most urgent job first, each task on the best worker. */
 final class PlacementPass {
@@ -36,9 +37,15 @@
             .map(RunKey::task)
             .collect(Collectors.toSet());
     UnplaceableSteps unplaceableSteps = new UnplaceableSteps();
-    urgency
-        .order(term.jobsToPlace, term.now.mono())
-        .forEach(job -> placeJob(job, unplaceableSteps));
+    inOrder().forEach(job -> placeJob(job, unplaceableSteps));
+  }
+
+  private List<Job> inOrder() {
+    long nowMillis = term.now.mono();
+    List<Job> ranked = urgency.order(term.jobsToPlace, nowMillis);
+    return term.loadControl.has(LoadPart.ADMISSION)
+        ? JobsInProgress.order(ranked, job -> urgency.mayBeUseful(job, nowMillis))
+        : ranked;
   }
 
   private void placeJob(Job job, UnplaceableSteps unplaceableSteps) {
--- a/core/src/main/java/org/cottontack/core/job/Urgency.java
+++ b/core/src/main/java/org/cottontack/core/job/Urgency.java
@@ -114,6 +114,21 @@
     return new RankedJob(job, priority, rank, score(job, objectiveMillis, completionMillis));
   }
 
+  /** Returns whether a job can still be complete within the time that is useful to its caller. */
+  boolean mayBeUseful(Job job, long nowMillis) {
+    return timeliness(job, nowMillis) != Timeliness.TOO_LATE;
+  }
+
+  /** Returns whether a job can still be complete within its objective. */
+  boolean mayBeOnTime(Job job, long nowMillis) {
+    return timeliness(job, nowMillis) == Timeliness.IN_TIME;
+  }
+
+  private Timeliness timeliness(Job job, long nowMillis) {
+    long completionMillis = nowMillis - job.arrivedMillis + remainingMillis(job);
+    return Timeliness.of(completionMillis, objectiveMillis(job.spec));
+  }
+
   /** Returns how long after its acceptance a job should be complete, in milliseconds. */
   long objectiveMillis(JobSpec spec) {
     return (long) (spec.queue().stretch() * criticalPathMillis(spec)) + spec.queue().targetMillis();
@@ -139,11 +154,13 @@
         .sum();
   }
 
-  private double taskWork(JobQueue queue, StepSpec step) {
+  /** Returns the expected work of a task of a step, in the same unit. */
+  double taskWork(JobQueue queue, StepSpec step) {
     return (double) step.need().cpuMillis() * estimates.millis(queue, step);
   }
 
-  private double remainingWork(Job job) {
+  /** Returns the work of a job that is not done, in thousandths of a core times milliseconds. */
+  double remainingWork(Job job) {
     return job.occurrences.stream()
         .flatMap(occurrence -> occurrence.steps.stream())
         .mapToDouble(step -> remainingWork(job.spec.queue(), step))
@@ -166,7 +183,8 @@
     return 1 - Math.min(task.progress, Task.FULL_PROGRESS) / (double) Task.FULL_PROGRESS;
   }
 
-  private long criticalPathMillis(JobSpec spec) {
+  /** Returns the expected duration of a job to which no task has to wait, in milliseconds. */
+  long criticalPathMillis(JobSpec spec) {
     return criticalPath(spec, step -> estimates.millis(spec.queue(), spec.steps().get(step)));
   }
 
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -13,7 +13,8 @@
   private final LostWorkers lostWorkers;
   private final Fleet fleet;
   private final Interference interference;
-  private final DurationEstimates estimates;
+  private final RunDurations durations;
+  private final AdmissionDecisions admission;
   private final Pacing pacing;
 
   WorkerReports(
@@ -23,14 +24,16 @@
       LostWorkers lostWorkers,
       Fleet fleet,
       Interference interference,
-      DurationEstimates estimates) {
+      RunDurations durations,
+      AdmissionDecisions admission) {
     this.term = term;
     this.orders = orders;
     this.lifecycle = lifecycle;
     this.lostWorkers = lostWorkers;
     this.fleet = fleet;
     this.interference = interference;
-    this.estimates = estimates;
+    this.durations = durations;
+    this.admission = admission;
     this.pacing = new Pacing(interference);
   }
 
@@ -256,7 +259,7 @@
       return;
     }
     if (completion.status() == WorkerReport.CompletionStatus.DONE && task.firstRunAtFullPace()) {
-      estimates.learn(task.job.spec.queue(), task.spec, term.now.mono() - task.placedMillis);
+      durations.learn(task, term.now.mono() - task.placedMillis);
     }
     logCompletion(worker, task, completion);
     if (inForce && task.spec.is(StepSpec.Trait.FILLS)) {
@@ -291,6 +294,7 @@
     }
     if (completion.status() == WorkerReport.CompletionStatus.DONE) {
       worker.succeeded();
+      admission.done(task);
       task.phase = Task.Phase.DONE;
       term.jobsToPlace.add(task.job);
       lifecycle.completeIfFinished(task.job);
@@ -361,7 +365,7 @@
                 completion.number(),
                 task.run == completion.run() && task.placedMillis > 0 ? ran : 0,
                 Math.round(task.slowedMillis(term.now.mono())),
-                estimates.millis(task.job.spec.queue(), task.spec));
+                durations.expectedMillis(task));
     term.logEvent("run.ended", new RunKey(completion.task(), completion.run()), detail);
   }
 
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -16,8 +16,10 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cottontack.core.Moment;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.load.LoadControl;
 
 /**
  * Simulates a leader, a store and workers in virtual time. Orders take 2 ms each way and saves 12
@@ -146,15 +148,33 @@
   /** How long the leader's steady clock stood still because the leader was suspended. */
   private long suspendedMillis;
 
+  private final LoadControl loadControl;
+
   JobSimulation(SimulatedWorker... all) {
+    this(LoadControl.OFF, all);
+  }
+
+  /** Creates a simulation whose leaders have parts of load control in force. */
+  JobSimulation(LoadControl loadControl, SimulatedWorker... all) {
+    this.loadControl = loadControl;
     for (SimulatedWorker worker : all) {
       workers.put(worker.info.id(), worker);
     }
-    leader = new JobScheduler(JobTiming.STANDARD, table, moment(), now - LEADERLESS_MILLIS);
+    leader = newLeader(now - LEADERLESS_MILLIS);
     registerWorkers();
     tick(leader);
   }
 
+  private JobScheduler newLeader(long inheritedLeaseEndMillis) {
+    return new JobScheduler(
+        JobTiming.STANDARD, loadControl, table, moment(), inheritedLeaseEndMillis);
+  }
+
+  /** Returns the jobs that the leader has rejected at present. */
+  AdmissionLimits admissionLimits() {
+    return leader.admissionLimits();
+  }
+
   private Moment moment() {
     return new Moment(now - suspendedMillis, now);
   }
@@ -252,7 +272,7 @@
     waitingSaves.clear();
     suspendedMillis = 0;
     long inherited = renewal.mono() + LeaderLease.GRANT_MILLIS;
-    leader = new JobScheduler(JobTiming.STANDARD, table, moment(), inherited);
+    leader = newLeader(inherited);
     post(
         new JobEvent.LeaseEndsRecovered(
             leaseEnds.entrySet().stream()
--- a/core/src/test/java/org/cottontack/core/job/Replay.java
+++ b/core/src/test/java/org/cottontack/core/job/Replay.java
@@ -17,6 +17,7 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cottontack.core.Moment;
+import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.id.WorkerId;
 
 /**
@@ -52,6 +53,11 @@
   private final Map<WorkerId, ReplayWorker> workers = new HashMap<>();
   private final Map<JobId, ReplayLoad.Arrival> arrived = new HashMap<>();
   private final Map<JobId, Long> ended = new HashMap<>();
+
+  /** Jobs whose last submission was rejected. */
+  private final Set<JobId> rejected = new HashSet<>();
+
+  private long rejections;
   private final PriorityQueue<ScheduledAction> due =
       new PriorityQueue<>(
           Comparator.comparingLong(ScheduledAction::at)
@@ -118,6 +124,9 @@
 
   private void recover(JobSpec job) {
     String progress = stored.get(job.id());
+    if (rejected.contains(job.id())) {
+      return;
+    }
     if (progress == null) {
       post(new JobEvent.JobArrived(job));
     } else if (!ProgressText.phase(progress).terminal()) {
@@ -171,7 +180,38 @@
 
   private void arrive(ReplayLoad.Arrival arrival) {
     arrived.put(arrival.job().id(), arrival);
-    post(new JobEvent.JobArrived(arrival.job()));
+    submit(arrival);
+  }
+
+  /**
+   * Submits a job as an entry instance with the leader's limits does. The caller of a rejected job
+   * returns when it is told to, as long as the job can be useful; its objective counts from the
+   * first submission.
+   */
+  private void submit(ReplayLoad.Arrival arrival) {
+    JobSpec job = arrival.job();
+    Optional<AdmissionLimits.Limit> limit =
+        Optional.ofNullable(leader)
+            .map(JobScheduler::admissionLimits)
+            .flatMap(
+                limits ->
+                    limits.limitFor(job.queue().name(), AdmissionDecisions.declaredWork(job)));
+    if (limit.isEmpty()) {
+      rejected.remove(job.id());
+      post(new JobEvent.JobArrived(job));
+      return;
+    }
+    rejections++;
+    rejected.add(job.id());
+    long next = now + limit.get().retryAfterMillis();
+    if (next - startMillis - arrival.millis() < 3 * arrival.objectiveMillis()) {
+      at(next, () -> submit(arrival));
+    }
+  }
+
+  /** Returns how many submissions were rejected. */
+  long rejections() {
+    return rejections;
   }
 
   private void tick() {
--- a/core/src/test/java/org/cottontack/core/job/ReplayTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayTest.java
@@ -58,6 +58,23 @@
     }
   }
 
+  /** A replay without any part of load control. */
+  public static class PartsOff {
+
+    /**
+     * Guards against load control that changes decisions while it is off. The outcome is that of
+     * the version before load control; a change of decisions that is meant records it anew.
+     */
+    @Test
+    public void givesTheOutcomeOfTheVersionBefore() {
+      ReplayShape shape = ReplayShape.contended().small(16, 14_000).seeded(3);
+      assertEquals(
+          new Replay(shape, ReplayPolicy.STANDING).run().toString(),
+          "serving 0.844 fills 0.667 1.000 shorts 0.936 1.000 unserved 0.0000 over 1.5 moves 12"
+              + " paces 202 wasted 0.000");
+    }
+  }
+
   /** Policies whose order is known. */
   public static class KnownOrder {
 
