--- a/core/src/main/java/org/cottontack/core/admission/AdmissionController.java
+++ b/core/src/main/java/org/cottontack/core/admission/AdmissionController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -85,6 +86,9 @@
   /** Since when useful jobs of a queue have been waiting for places. */
   private Map<PoolQueue, Long> fullSince = Map.of();
 
+  /** Queues of which a size class is rejected. */
+  private Set<String> limitedQueues = Set.of();
+
   private final Map<String, QueueJobs> queues = new LinkedHashMap<>(MAX_QUEUES, 1, true);
 
   /**
@@ -99,10 +103,13 @@
   /** Records a job that arrives. At most 64 queues are known; others are not limited. */
   public void arrived(NewJob job) {
     QueueJobs jobs = queues.computeIfAbsent(job.queue(), any -> new QueueJobs());
-    jobs.meanDeclared =
-        jobs.meanDeclared == 0
-            ? job.declaredWork()
-            : mean(RETENTION, jobs.meanDeclared, job.declaredWork());
+    if (jobs.meanDeclared == 0) {
+      jobs.meanDeclared = job.declaredWork();
+    } else if (!limitedQueues.contains(job.queue())) {
+      // Only what is accepted arrives, so while a class is limited the mean would fall and the
+      // limits of the classes with it.
+      jobs.meanDeclared = mean(RETENTION, jobs.meanDeclared, job.declaredWork());
+    }
     SizeClass size = SizeClass.of(job.declaredWork(), jobs.meanDeclared);
     Typical typical = jobs.typical.get(size);
     if (typical == null) {
@@ -143,9 +150,13 @@
             .filter(entry -> entry.getValue().stream().anyMatch(ObservedJob::waitsUsefully))
             .map(Map.Entry::getKey)
             .collect(Collectors.toMap(key -> key, key -> before.getOrDefault(key, nowMillis)));
-    return byQueue.entrySet().stream()
-        .flatMap(entry -> decide(entry.getKey(), entry.getValue(), nowMillis))
-        .toList();
+    List<Rejection> rejections =
+        byQueue.entrySet().stream()
+            .flatMap(entry -> decide(entry.getKey(), entry.getValue(), nowMillis))
+            .toList();
+    limitedQueues =
+        rejections.stream().map(rejection -> rejection.limit().queue()).collect(Collectors.toSet());
+    return rejections;
   }
 
   private Stream<Rejection> decide(PoolQueue key, List<ObservedJob> open, long nowMillis) {
--- a/core/src/main/java/org/cottontack/core/job/AdmissionDecisions.java
+++ b/core/src/main/java/org/cottontack/core/job/AdmissionDecisions.java
@@ -25,6 +25,7 @@
   private final ThroughputMeter meter = new ThroughputMeter();
   private final AdmissionController controller;
   private List<Rejection> rejections = List.of();
+  private AdmissionLimits limits = AdmissionLimits.NONE;
   private long decidedMillis;
 
   AdmissionDecisions(Term term, Urgency urgency) {
@@ -74,6 +75,7 @@
             .toList();
     List<Rejection> before = rejections;
     rejections = controller.decide(open, term.now.mono());
+    limits = new AdmissionLimits(rejections.stream().map(Rejection::limit).toList());
     rejections.stream()
         .filter(absentFrom(before))
         .forEach(r -> term.logEvent("admission.limited", r.limit().queue(), r.describe()));
@@ -84,9 +86,7 @@
 
   /** Returns the jobs that entry instances are to reject at present. */
   AdmissionLimits limits() {
-    return rejections.isEmpty()
-        ? AdmissionLimits.NONE
-        : new AdmissionLimits(rejections.stream().map(Rejection::limit).toList());
+    return limits;
   }
 
   /** Returns the work of a job as its caller declared it, in thousandths of a core times ms. */
@@ -103,7 +103,7 @@
         job.spec.queue().name(),
         declaredWork(job.spec),
         urgency.remainingWork(job),
-        term.jobsToPlace.contains(job) && job.ready().findAny().isPresent(),
+        job.waitsForPlace && term.jobsToPlace.contains(job),
         urgency.mayBeUseful(job, term.now.mono()),
         urgency.mayBeOnTime(job, term.now.mono()));
   }
--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -46,6 +46,12 @@
   final List<Occurrence> occurrences = new ArrayList<>();
   JobPhase phase = JobPhase.QUEUED;
 
+  /**
+   * Whether the last placement pass found no free place for a task that some worker could hold.
+   * Recorded only while admission control is in force.
+   */
+  boolean waitsForPlace;
+
   /** Whether the job no longer waits for its first start. */
   boolean begun;
 
--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -12,6 +12,7 @@
   private final Term term;
   private final WorkerSelector workerSelector;
   private final Urgency urgency;
+  private final boolean recordsWaits;
   private final ShortTaskReserve shortTaskReserve = new ShortTaskReserve();
 
   /** Tasks with an orphan on some worker. A new run of such a task would run beside the orphan. */
@@ -21,6 +22,7 @@
     this.term = term;
     this.workerSelector = workerSelector;
     this.urgency = urgency;
+    this.recordsWaits = term.loadControl.has(LoadPart.ADMISSION);
   }
 
   void place() {
@@ -43,7 +45,7 @@
   private List<Job> inOrder() {
     long nowMillis = term.now.mono();
     List<Job> ranked = urgency.order(term.jobsToPlace, nowMillis);
-    return term.loadControl.has(LoadPart.ADMISSION)
+    return recordsWaits
         ? JobsInProgress.order(ranked, job -> urgency.mayBeUseful(job, nowMillis))
         : ranked;
   }
@@ -52,6 +54,7 @@
     JobQueue queue = term.table.current(job.spec.queue());
     List<Task> ready = job.ready().toList();
     boolean allPlaced = true;
+    job.waitsForPlace = false;
     Optional<StepId> unplaceableStep = Optional.empty();
     for (Task task : ready) {
       if (unplaceableStep.isPresent() && unplaceableStep.get().equals(task.name.step())) {
@@ -69,6 +72,7 @@
       allPlaced = false;
       if (!blockedOnItsOwn(task)) {
         unplaceableStep = Optional.of(task.name.step());
+        job.waitsForPlace |= recordsWaits && fitsSomewhere(task.spec, queue);
       }
     }
     if (allPlaced) {
@@ -77,6 +81,14 @@
     logPlaced(job, ready);
   }
 
+  /** Returns whether some worker could hold a task of a step if it were empty. */
+  private boolean fitsSomewhere(StepSpec step, JobQueue queue) {
+    return term.workers.values().stream()
+        .filter(worker -> worker.info.pool().equals(queue.pool()))
+        .filter(worker -> worker.info.capacity().holds(step.reserved()))
+        .anyMatch(worker -> step.requiredLabel().stream().allMatch(worker.info.labels()::contains));
+  }
+
   private Optional<Worker> choose(Task task, JobQueue queue, UnplaceableSteps unplaceableSteps) {
     boolean unplaceable =
         unplaceableSteps.covers(task.spec, queue)
--- a/core/src/test/java/org/cottontack/core/job/JobsInProgressTest.java
+++ b/core/src/test/java/org/cottontack/core/job/JobsInProgressTest.java
@@ -16,6 +16,23 @@
     return job;
   }
 
+  private static JobSpec lessUrgent(String id) {
+    JobSpec spec = JobFixtures.job(id, TestStep.tasks(1).of());
+    JobQueue queue = spec.queue();
+    JobQueue lower =
+        new JobQueue(
+            "lower",
+            queue.host(),
+            queue.prefix(),
+            queue.pool(),
+            queue.priority() + 1,
+            queue.maxAttempts(),
+            queue.stretch(),
+            queue.targetMillis(),
+            queue.advised());
+    return new JobSpec(spec.id(), lower, spec.payload(), spec.steps(), spec.schedule());
+  }
+
   private static List<String> order(List<Job> ranked, boolean useful) {
     return JobsInProgress.order(ranked, job -> useful).stream()
         .map(job -> job.spec.id().value())
@@ -43,6 +60,24 @@
       assertEquals(order(RANKED, false), List.of("new", "other", "started"));
     }
 
+    /** Guards against useless jobs, and jobs of a lower priority, that take the places first. */
+    @Test
+    public void waitsForNothingUselessOrLessUrgent() {
+      Job less = new Job(lessUrgent("less"), 0);
+      less.advance(0);
+      List<Job> ranked =
+          List.of(
+              job("new", "a", JobPhase.QUEUED),
+              job("started", "a", JobPhase.RUNNING),
+              job("useless", "b", JobPhase.QUEUED),
+              less);
+      assertEquals(
+          JobsInProgress.order(ranked, job -> !job.spec.id().value().equals("useless")).stream()
+              .map(job -> job.spec.id().value())
+              .toList(),
+          List.of("started", "new", "useless", "less"));
+    }
+
     /** Guards against jobs that wait for one that has all the places it can use. */
     @Test
     public void doesNotWaitForJobWithoutWaitingTasks() {
