Worker scores: rate workers by speed and outcome of runs

Cause: workers that are slow, fail, flap or are cold get as much work as others while their registry entry says ready, and runs stay on them to their end. Change: where WORKER_SCORES is in force, the leader rates each incarnation by the progress of its runs (against siblings on other workers, or the estimate relative to the pool), failures of different jobs, lost connections and cold_left_ms. Short tasks go where their expected end is earliest, suspect workers get one trial run at a time and are polled every 0.25 s, and runs leave slow workers when that ends them sooner. Suspect workers are stored as lines `worker`. With the part off all ratings stay healthy. WorkerScoresTest, WorkerHealthTest, LearnedTextTest and ReplayTest pass (38 tests).

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -25,12 +25,19 @@
   private final Orders orders;
   private final LostWorkers lostWorkers;
   private final WorkerSelector workerSelector;
+  private final WorkerHealth health;
 
-  Fleet(Term term, Orders orders, LostWorkers lostWorkers, WorkerSelector workerSelector) {
+  Fleet(
+      Term term,
+      Orders orders,
+      LostWorkers lostWorkers,
+      WorkerSelector workerSelector,
+      WorkerHealth health) {
     this.term = term;
     this.orders = orders;
     this.lostWorkers = lostWorkers;
     this.workerSelector = workerSelector;
+    this.health = health;
   }
 
   void seen(WorkerInfo info) {
@@ -42,6 +49,11 @@
       orders.poll(present, 0);
       return;
     }
+    if (present != null && onlyColdTimeChanged(present, info)) {
+      present.info = info;
+      health.registered(present);
+      return;
+    }
     othersAtAddress(info)
         .filter(other -> !other.registered)
         .toList()
@@ -58,12 +70,19 @@
     worker.staleEntry = Optional.empty();
     worker.changed();
     worker.registered = true;
+    health.registered(worker);
     term.capacityChanged = true;
     if (!worker.everAnswered && !worker.pollInFlight) {
       orders.poll(worker, 0);
     }
   }
 
+  private static boolean onlyColdTimeChanged(Worker present, WorkerInfo info) {
+    return present.registered
+        && present.info.coldLeftMillis() != info.coldLeftMillis()
+        && present.info.sameButForColdTime(info);
+  }
+
   /** Handles a change of the data centres that the operator evacuates. */
   void evacuated(Set<DataCentreId> dataCentres) {
     long now = term.now.mono();
@@ -171,6 +190,7 @@
     worker.lateLeases.unanswered();
     if (!worker.silent) {
       term.logEvent("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
+      health.unanswered(worker);
     }
     worker.silent = true;
   }
--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -91,6 +91,13 @@
         .get(name.index());
   }
 
+  /** Returns the other tasks of a task's step. */
+  Stream<Task> siblings(Task task) {
+    StepId step = task.name.step();
+    return occurrences.get(step.occurrence()).steps.get(step.step()).stream()
+        .filter(other -> other != task);
+  }
+
   boolean has(TaskName name) {
     int occurrence = name.step().occurrence();
     int step = name.step().step();
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -6,8 +6,11 @@
 import java.util.Optional;
 import org.cottontack.core.Moment;
 import org.cottontack.core.admission.AdmissionLimits;
+import org.cottontack.core.health.WorkerScores;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.load.LoadControl;
+import org.cottontack.core.load.LoadPart;
+import org.cottontack.core.load.StoredLines;
 
 /**
  * Decides, during one leader's term, which task runs on which worker. A placement is stored before
@@ -23,6 +26,7 @@
   private final WorkerReports workerReports;
   private final LostWorkers lostWorkers;
   private final Fleet fleet;
+  private final WorkerHealth health;
   private final PlacementPass placementPass;
   private final ProgressSaver progressSaver;
   private long loadLoggedMillis;
@@ -76,13 +80,21 @@
     lifecycle = new Lifecycle(term, orders, durationEstimates, urgency);
     WorkerSelector workerSelector = new WorkerSelector(interference);
     lostWorkers = new LostWorkers(term, lifecycle);
-    fleet = new Fleet(term, orders, lostWorkers, workerSelector);
+    WorkerScores scores = new WorkerScores();
+    health = new WorkerHealth(term, orders, durationEstimates, workerSelector, scores);
+    fleet = new Fleet(term, orders, lostWorkers, workerSelector, health);
     workerReports =
         new WorkerReports(
-            term, orders, lifecycle, lostWorkers, fleet, interference, durationEstimates);
+            term, orders, lifecycle, lostWorkers, fleet, interference, durationEstimates, health);
     placementPass = new PlacementPass(term, workerSelector, urgency);
     progressSaver =
-        new ProgressSaver(term, orders, new LearnedText(interference, durationEstimates));
+        new ProgressSaver(
+            term, orders, new LearnedText(interference, durationEstimates, parts(scores)));
+  }
+
+  /** Returns the parts of load control in force whose state is stored. */
+  private List<StoredLines> parts(WorkerScores scores) {
+    return term.loadControl.has(LoadPart.WORKER_SCORES) ? List.of(scores) : List.of();
   }
 
   /**
@@ -253,6 +265,7 @@
         .forEach(term.jobsToPlace::add);
     term.capacityChanged = true;
     Collection<Worker> all = List.copyOf(term.workers.values());
+    health.tick();
     all.forEach(fleet::tick);
     term.unlistedSuppressions.expire(term.workers::containsKey, term.now.mono());
     boolean firstPollsDone = term.now.mono() - term.startMillis > term.timing.firstPollsMillis();
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -7,6 +7,12 @@
  */
 final class Orders {
 
+  /**
+   * How long a suspect worker may wait before it answers a poll, in milliseconds: half of the
+   * shortest wait of others, so that the progress of a trial run is known soon.
+   */
+  private static final long SUSPECT_POLL_WAIT_MILLIS = 250;
+
   /**
    * Minimum lease of a run that starts, in milliseconds. It covers the longest wait for the next
    * poll of its worker, 2 s, and a leader takeover after that.
@@ -335,7 +341,11 @@
     return 0;
   }
 
+  /** Returns how long a worker may wait before it answers a poll, in milliseconds. */
   long pollWaitMillis(Worker worker) {
+    if (worker.rating.suspect()) {
+      return SUSPECT_POLL_WAIT_MILLIS;
+    }
     return worker.contended()
         ? term.timing.contendedPollWaitMillis()
         : term.timing.pollWaitMillis();
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -164,6 +164,18 @@
   /** Value of {@link #slowedMillis} when the pace last became low. */
   private double slowedBeforeMillis;
 
+  /** When the speed of the present run was last measured; 0 if it was not. */
+  long measuredMillis;
+
+  /** Progress at {@link #measuredMillis}, in percent. */
+  int measuredProgress;
+
+  /** Last measured speed relative to the expected duration; 0 if there is none. */
+  double measuredSpeed;
+
+  /** The worker on which the speed was measured. */
+  Optional<WorkerId> measuredOn = Optional.empty();
+
   private double processedLoad;
   private long processedMillis;
   private long savedMillis;
@@ -395,6 +407,8 @@
     observedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
+    measuredMillis = 0;
+    measuredSpeed = 0;
     progressMillis = nowMillis;
     pace = FULL_PACE;
     pacedMillis = nowMillis;
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.cottontack.core.health.WorkerRating;
 import org.cottontack.core.id.DataCentreId;
 
 /** The leader's state of one worker; confined to {@link JobScheduler}. */
@@ -79,6 +80,10 @@
   long firstListedCompletion;
 
   long avoidUntilMillis;
+
+  /** What is expected of it; healthy unless worker scores are in force. */
+  WorkerRating rating = WorkerRating.HEALTHY;
+
   private final Evacuations evacuations;
   private final StoredLeaseEnds leaseEnds;
   private final int restarts;
@@ -392,6 +397,11 @@
     return placed.values().stream().filter(task -> task.spec.is(StepSpec.Trait.FILLS));
   }
 
+  /** Returns whether a run that ends by itself is here: the trial run of a suspect worker. */
+  boolean hasTrial() {
+    return placed.values().stream().anyMatch(task -> !task.spec.is(StepSpec.Trait.LASTS));
+  }
+
   /** Returns whether best-effort tasks run beside serving tasks. */
   boolean contended() {
     return !services.isEmpty() && bestEffort().findAny().isPresent();
--- a/core/src/main/java/org/cottontack/core/job/WorkerInfo.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerInfo.java
@@ -14,6 +14,7 @@
  * @param capacity its total resources
  * @param labels its kind and its rack
  * @param draining whether it is about to leave and accepts no new runs
+ * @param coldLeftMillis how long it will still be cold, in milliseconds; 0 if it is warm
  */
 public record WorkerInfo(
     WorkerIncarnation incarnation,
@@ -22,10 +23,38 @@
     DataCentreId dataCentre,
     Resources capacity,
     List<String> labels,
-    boolean draining) {
+    boolean draining,
+    long coldLeftMillis) {
 
   private static final String NO_ADDRESS = "";
 
+  /** Keeps the list immutable. */
+  public WorkerInfo {
+    labels = List.copyOf(labels);
+  }
+
+  /** Creates the entry of a warm worker. */
+  public WorkerInfo(
+      WorkerIncarnation incarnation,
+      String pool,
+      String address,
+      DataCentreId dataCentre,
+      Resources capacity,
+      List<String> labels,
+      boolean draining) {
+    this(incarnation, pool, address, dataCentre, capacity, labels, draining, 0);
+  }
+
+  /** Returns whether an entry differs from this one in nothing but the cold time. */
+  public boolean sameButForColdTime(WorkerInfo other) {
+    return other.withColdTime(coldLeftMillis).equals(this);
+  }
+
+  private WorkerInfo withColdTime(long millis) {
+    return new WorkerInfo(
+        incarnation, pool, address, dataCentre, capacity, labels, draining, millis);
+  }
+
   /** Returns an entry for a worker that is known only because work was once placed on it. */
   static WorkerInfo unlisted(WorkerIncarnation incarnation) {
     return new WorkerInfo(
@@ -49,9 +78,4 @@
   boolean reachable() {
     return !address.equals(NO_ADDRESS);
   }
-
-  /** Keeps the list immutable. */
-  public WorkerInfo {
-    labels = List.copyOf(labels);
-  }
 }
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -14,6 +14,7 @@
   private final Fleet fleet;
   private final Interference interference;
   private final DurationEstimates estimates;
+  private final WorkerHealth health;
   private final Pacing pacing;
 
   WorkerReports(
@@ -23,7 +24,8 @@
       LostWorkers lostWorkers,
       Fleet fleet,
       Interference interference,
-      DurationEstimates estimates) {
+      DurationEstimates estimates,
+      WorkerHealth health) {
     this.term = term;
     this.orders = orders;
     this.lifecycle = lifecycle;
@@ -31,6 +33,7 @@
     this.fleet = fleet;
     this.interference = interference;
     this.estimates = estimates;
+    this.health = health;
     this.pacing = new Pacing(interference);
   }
 
@@ -229,6 +232,7 @@
     }
     task.progress = running.progress();
     task.load = running.load();
+    health.measure(worker, task);
     if (task.obsolete() || worker.suppressedCompletions.appliesTo(task.spec)) {
       orders.stop(worker, key);
     }
@@ -259,6 +263,9 @@
       estimates.learn(task.job.spec.queue(), task.spec, term.now.mono() - task.placedMillis);
     }
     logCompletion(worker, task, completion);
+    if (inForce) {
+      health.ended(worker, task, completion.status());
+    }
     if (inForce && task.spec.is(StepSpec.Trait.FILLS)) {
       worker.residualLoads.add(
           new Worker.ResidualLoad(task.spec.image(), task.load, term.now.mono()));
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -40,6 +40,7 @@
       Comparator.comparing(Candidate::reportsAllCompletions)
           .thenComparing(Candidate::dataLocal)
           .thenComparing(Candidate::notFailedHere)
+          .thenComparingLong(Candidate::health)
           .thenComparingLong(Candidate::affinity)
           .thenComparingLong(Candidate::tieBreak)
           .thenComparing(candidate -> candidate.worker().info.id());
@@ -49,6 +50,9 @@
    */
   private static final double LIGHT_RESERVATION_SHARE = 0.6;
 
+  /** Steps per multiple of the normal time that are distinguished in expected ends. */
+  private static final double SLOWDOWN_STEPS = 4;
+
   private static final int NO_SERVING_TASKS = 1;
   private static final int OTHER_IMAGES = 0;
   private final Interference interference;
@@ -66,6 +70,7 @@
    *     ends there
    * @param dataLocal whether the worker is in the rack that holds the data
    * @param notFailedHere whether no run of the task has failed there
+   * @param health what the worker's rating counts for this task; higher is better, 0 is normal
    * @param affinity how well the task goes with the tasks there; higher is better
    * @param tieBreak decides among otherwise equal workers; higher is better
    */
@@ -74,6 +79,7 @@
       boolean reportsAllCompletions,
       boolean dataLocal,
       boolean notFailedHere,
+      long health,
       long affinity,
       long tieBreak) {}
 
@@ -126,11 +132,36 @@
         && worker.free().holds(spec.reserved())
         && task.mayStartOn(worker.incarnation(), nowMillis)
         && worker.admits(spec, nowMillis)
+        && mayTry(task, worker, nowMillis)
         && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains)
         && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker())
         && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
   }
 
+  /**
+   * Returns whether a worker's rating admits a run. A suspect worker gets one run that ends by
+   * itself at a time. A pinned task has no other worker.
+   */
+  private static boolean mayTry(Task task, Worker worker, long nowMillis) {
+    if (!worker.rating.suspect() || task.pinned(nowMillis)) {
+      return true;
+    }
+    boolean lasts = task.spec.is(StepSpec.Trait.LASTS);
+    return !worker.rating.barred() && (lasts || !worker.hasTrial());
+  }
+
+  /**
+   * Returns how a worker's rating ranks it. A short task goes where its expected end is earliest;
+   * the other tasks only avoid suspect workers, because interference matters more to them than
+   * speed.
+   */
+  private static long health(Task task, Worker worker) {
+    if (task.spec.is(StepSpec.Trait.FILLS) || task.spec.is(StepSpec.Trait.LASTS)) {
+      return worker.rating.suspect() ? -1 : 0;
+    }
+    return -Math.round(SLOWDOWN_STEPS * (worker.rating.slowdown() - 1));
+  }
+
   private Optional<Candidate> candidate(Task task, JobQueue queue, Worker worker, long nowMillis) {
     boolean dataLocal = task.spec.rack().stream().allMatch(worker.info.labels()::contains);
     boolean notFailedHere = !task.failedOn.contains(worker.incarnation());
@@ -151,6 +182,7 @@
               reportsAllCompletions(worker),
               dataLocal,
               notFailedHere,
+              health(task, worker),
               imageAffinity(task, worker),
               tieBreak));
     }
@@ -160,6 +192,7 @@
             reportsAllCompletions(worker),
             dataLocal,
             notFailedHere,
+            health(task, worker),
             0,
             worker.leftoverCpu()));
   }
@@ -193,6 +226,7 @@
             reportsAllCompletions(worker),
             dataLocal,
             notFailedHere,
+            health(task, worker),
             affinity,
             contention.leftoverCpu()));
   }
