Worker scores: estimates need a median, failures always count

Cause: with fewer than three workers that have evidence against estimates there is no median, so wrong estimates excluded workers. After 64 failed jobs, or with the same jobs again, failures no longer counted. A stored line replaced failures already seen. Change: without a median, only runs compared with siblings count. The oldest failed job is evicted at the limit, and a job counts again after a half-life. Restoring keeps the larger number of failures.

--- a/core/src/main/java/org/cottontack/core/health/WorkerScore.java
+++ b/core/src/main/java/org/cottontack/core/health/WorkerScore.java
@@ -1,11 +1,10 @@
 package org.cottontack.core.health;
 
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.OptionalDouble;
 import java.util.stream.Stream;
 
 /**
@@ -25,7 +24,7 @@
    */
   private static final double ESTIMATED_WEIGHT = 0.5;
 
-  /** Runs kept; a worker of 96 cores runs fewer than this within the half-life. */
+  /** Runs and failed jobs kept; a worker of 96 cores runs fewer than this within the half-life. */
   private static final int MAX_RUNS = 64;
 
   /** Successful runs assumed before there is evidence. */
@@ -55,7 +54,10 @@
   private final long startTimeMillis;
   private final String pool;
   private final Map<Object, Evidence> runs = new LinkedHashMap<>();
-  private final Set<Object> failedJobs = new HashSet<>();
+
+  /** Jobs whose runs failed since the last success, and when each was last counted. */
+  private final Map<Object, Long> failedJobs = new LinkedHashMap<>();
+
   private double successes;
   private double failures;
   private long countedMillis;
@@ -107,14 +109,21 @@
     failedJobs.clear();
   }
 
-  /** Records that a run failed. Several failures of one job in a row count once. */
+  /** Records that a run failed. Failures of one job within a half-life count once. */
   public void failed(Object job, long nowMillis) {
     count(nowMillis);
-    if (failedJobs.size() < MAX_RUNS && failedJobs.add(job)) {
-      failures++;
-      if (failedJobs.size() >= BARRING_JOBS) {
-        successes = 0;
-      }
+    Long countedBefore = failedJobs.get(job);
+    if (countedBefore != null && nowMillis - countedBefore <= HALF_LIFE_MILLIS) {
+      return;
+    }
+    failedJobs.remove(job);
+    failedJobs.put(job, nowMillis);
+    if (failedJobs.size() > MAX_RUNS) {
+      failedJobs.remove(failedJobs.keySet().iterator().next());
+    }
+    failures++;
+    if (failedJobs.size() >= BARRING_JOBS) {
+      successes = 0;
     }
   }
 
@@ -148,7 +157,7 @@
       ran("restored too", speed, true, nowMillis);
     }
     count(nowMillis);
-    failures = ASSUMED_SUCCESSES / success - ASSUMED_SUCCESSES;
+    failures = Math.max(failures, ASSUMED_SUCCESSES / success - ASSUMED_SUCCESSES);
   }
 
   /** Returns the logarithms of speeds relative to expected durations, for the pool's median. */
@@ -165,12 +174,13 @@
    * Returns the rating.
    *
    * @param typical logarithm of the pool's median of speeds relative to expected durations, which
-   *     is not 0 where the expected durations are wrong for all workers
+   *     is not 0 where the expected durations are wrong for all workers; empty where too few
+   *     workers have such speeds, which then do not count
    * @param usualSuccess the pool's median of probabilities of success, which is low where the
    *     leader itself loses its connections
    * @param nowMillis the present time
    */
-  WorkerRating rating(double typical, double usualSuccess, long nowMillis) {
+  WorkerRating rating(OptionalDouble typical, double usualSuccess, long nowMillis) {
     runs.values().removeIf(run -> nowMillis - run.millis() > 4 * HALF_LIFE_MILLIS);
     double success = Math.min(1, success(nowMillis) / usualSuccess);
     boolean barred = failedJobs.size() >= BARRING_JOBS && success < WorkerRating.SUSPECT_BELOW;
@@ -183,20 +193,24 @@
     return (ASSUMED_SUCCESSES + successes) / (ASSUMED_SUCCESSES + successes + failures);
   }
 
-  private double speed(double typical, long nowMillis) {
-    long latest = runs.values().stream().mapToLong(Evidence::millis).max().orElse(nowMillis);
-    // All weights shrink alike without evidence, so the decay is applied to the median instead.
-    if (runs.isEmpty()) {
+  private double speed(OptionalDouble typical, long nowMillis) {
+    List<Evidence> counted =
+        runs.values().stream().filter(run -> run.compared() || typical.isPresent()).toList();
+    if (counted.isEmpty()) {
       return 1;
     }
+    // All weights shrink alike without evidence, so the decay is applied to the median instead.
+    long latest = counted.stream().mapToLong(Evidence::millis).max().orElse(nowMillis);
     List<Weighted> entries =
         Stream.concat(
                 Stream.of(new Weighted(0, 1)),
-                runs.values().stream()
+                counted.stream()
                     .map(
                         run ->
                             new Weighted(
-                                run.compared() ? run.logSpeed() : run.logSpeed() - typical,
+                                run.compared()
+                                    ? run.logSpeed()
+                                    : run.logSpeed() - typical.orElse(0),
                                 run.weight(latest))))
             .toList();
     return Math.exp(Math.min(0, median(entries)) * retained(nowMillis - latest));
--- a/core/src/main/java/org/cottontack/core/health/WorkerScores.java
+++ b/core/src/main/java/org/cottontack/core/health/WorkerScores.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -18,8 +19,8 @@
 
 /**
  * The scores of all workers. Speeds that were measured against expected durations are relative to
- * the median of the pool, so wrong expectations make no worker suspect. Ratings change only in
- * {@link #refresh}.
+ * the median of the pool, and do not count without one, so wrong expectations make no worker
+ * suspect. Ratings change only in {@link #refresh}.
  */
 public final class WorkerScores implements StoredLines {
 
@@ -88,14 +89,14 @@
     }
     scores.keySet().retainAll(known);
     ratings.keySet().retainAll(known);
-    Map<String, Double> typical = typical(nowMillis);
+    Map<String, OptionalDouble> typical = typical(nowMillis);
     Map<String, Double> success = usualSuccess(nowMillis);
     List<Change> changes = new ArrayList<>();
     scores.forEach(
         (worker, score) -> {
           WorkerRating next =
               score.rating(
-                  typical.getOrDefault(score.pool(), 0.0),
+                  typical.getOrDefault(score.pool(), OptionalDouble.empty()),
                   success.getOrDefault(score.pool(), 1.0),
                   nowMillis);
           if (next.suspect() != rating(worker).suspect()) {
@@ -106,7 +107,7 @@
     return changes;
   }
 
-  private Map<String, Double> typical(long nowMillis) {
+  private Map<String, OptionalDouble> typical(long nowMillis) {
     Map<String, List<Double>> pools = new HashMap<>();
     scores
         .values()
@@ -121,7 +122,9 @@
                                 .add(speed)));
     return pools.entrySet().stream()
         .filter(pool -> pool.getValue().size() >= MIN_WORKERS)
-        .collect(Collectors.toMap(Map.Entry::getKey, pool -> median(pool.getValue())));
+        .collect(
+            Collectors.toMap(
+                Map.Entry::getKey, pool -> OptionalDouble.of(median(pool.getValue()))));
   }
 
   private Map<String, Double> usualSuccess(long nowMillis) {
--- a/core/src/test/java/org/cottontack/core/health/WorkerScoresTest.java
+++ b/core/src/test/java/org/cottontack/core/health/WorkerScoresTest.java
@@ -80,6 +80,15 @@
       assertFalse(pool.scores.rating(new WorkerId("w 1")).suspect());
     }
 
+    /** Guards against wrong estimates that exclude the only two workers with runs. */
+    @Test
+    public void ignoresEstimatesOfTwoWorkers() {
+      Pool pool = new Pool();
+      pool.runs(0, 6, 0.2, false, 1_000);
+      pool.runs(1, 6, 0.2, false, 1_000);
+      assertEquals(pool.rating(1_000).speed(), 1.0);
+    }
+
     /** Guards against a worker that stays without work for good after a slow phase. */
     @Test
     public void recoversWithoutEvidence() {
@@ -130,6 +139,22 @@
       assertFalse(failing("a", "a", "a", "a").rating(0).suspect());
     }
 
+    /** Guards against a worker that is trusted although it has failed all of many runs. */
+    @Test
+    public void countsFailuresOfAnyNumberOfJobs() {
+      Pool pool = new Pool();
+      IntStream.range(0, 200).forEach(i -> pool.bad(i * 500L).failed("job" + i, i * 500L));
+      assertTrue(pool.rating(100_000).barred());
+    }
+
+    /** Guards against a worker that is trusted because it always fails the same jobs. */
+    @Test
+    public void countsKnownJobsAgainAfterHalfLife() {
+      Pool pool = new Pool();
+      IntStream.range(0, 40).forEach(i -> pool.bad(i * 2_000L).failed(i % 4, i * 2_000L));
+      assertTrue(pool.rating(80_000).barred());
+    }
+
     /** Guards against work on a worker whose connection comes and goes. */
     @Test
     public void fallsWithRepeatedSilence() {
@@ -192,6 +217,16 @@
       assertFalse(same.rating(0).suspect());
     }
 
+    /** Guards against a stored line that replaces the failures this leader has seen. */
+    @Test
+    public void keepsFailuresSeenBeforeRestoring() {
+      Pool pool = new Pool();
+      List.of("a", "b", "c", "d").forEach(job -> pool.bad(0).failed(job, 0));
+      pool.scores.restore("worker w+0 7 1.000 0.900".split(" "));
+      pool.bad(0);
+      assertTrue(pool.rating(0).barred());
+    }
+
     /** Guards against a damaged line that makes ratings meaningless. */
     @Test
     public void rejectsDamagedLines() {
