Placement: search for a worker for each pinned task

Cause: a suspect worker with its trial run refuses a step's other tasks, and the shortcuts for unplaceable steps then skipped pinned tasks, which it would take. Change: the shortcuts do not apply to pinned tasks. There is no test of its own yet.

--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -47,7 +47,9 @@
     boolean allPlaced = true;
     Optional<StepId> unplaceableStep = Optional.empty();
     for (Task task : ready) {
-      if (unplaceableStep.isPresent() && unplaceableStep.get().equals(task.name.step())) {
+      boolean stepUnplaceable =
+          unplaceableStep.filter(step -> step.equals(task.name.step())).isPresent();
+      if (stepUnplaceable && !task.pinned(term.now.mono())) {
         continue;
       }
       Optional<Worker> worker =
@@ -71,8 +73,10 @@
   }
 
   private Optional<Worker> choose(Task task, JobQueue queue, UnplaceableSteps unplaceableSteps) {
+    // A pinned task may go to a suspect worker that has its trial run; the others may not.
     boolean unplaceable =
         unplaceableSteps.covers(task.spec, queue)
+            && !task.pinned(term.now.mono())
             && !workerSelector.mayIgnoreContention(task.job, queue);
     if (unplaceable || !shortTaskReserve.admits(task, queue.pool())) {
       return Optional.empty();
