Fleet: handle entries fully while a stale entry is kept

Cause: an entry that differs only in its cold time left the stale entry of another incarnation in place. Change: the short path requires that there is none. There is no test of its own yet.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -79,6 +79,7 @@
 
   private static boolean onlyColdTimeChanged(Worker present, WorkerInfo info) {
     return present.registered
+        && present.staleEntry.isEmpty()
         && present.info.coldLeftMillis() != info.coldLeftMillis()
         && present.info.sameButForColdTime(info);
   }
