Worker scores: measure runs from their start, bound moves

Cause: every listing reset the time from which a run was measured, so speeds were several times too high and ordinary workers looked slow; whole percents made long runs look stopped. Slow workers could stop several runs for one free place, and move a task repeatedly. Change: Task.beganMillis is set once per run. A window closes after ten points of full-speed progress and opens at the first progress or 0.6 s after the start. One move per task, one pending per pool and worker, none to a place that a waiting task would take; a lost stop is sent again. Medians use at most 32 siblings. The Javadoc says what a stop saves.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -218,6 +218,7 @@
     }
     task.order = Task.Order.CONFIRMED;
     task.confirmedMillis = term.now.mono();
+    task.beganMillis = task.beganMillis == 0 ? term.now.mono() : task.beganMillis;
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -106,6 +106,10 @@
   String checkpoint = "";
   Order order = Order.UNSAVED;
   long confirmedMillis;
+
+  /** When the worker confirmed the start of the present run or first listed it; 0 before. */
+  long beganMillis;
+
   long placedMillis;
 
   /** Since when this leader observes the present run, which an earlier one may have placed. */
@@ -176,6 +180,9 @@
   /** The worker on which the speed was measured. */
   Optional<WorkerId> measuredOn = Optional.empty();
 
+  /** Whether a run of this task was already moved off a slow worker. */
+  boolean movedOffSlowWorker;
+
   private double processedLoad;
   private long processedMillis;
   private long savedMillis;
@@ -402,6 +409,7 @@
     sentByUs = false;
     absentMillis = nowMillis;
     began = false;
+    beganMillis = 0;
     shortLease = false;
     placedMillis = nowMillis;
     observedMillis = nowMillis;
@@ -440,6 +448,8 @@
     order = Order.CONFIRMED;
     confirmedMillis = sinceMillis - 1;
     began = false;
+    beganMillis = 0;
+    measuredMillis = 0;
     shortLease = false;
     listedMillis = 0;
     cancelLogged = false;
--- a/core/src/main/java/org/cottontack/core/job/WorkerHealth.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerHealth.java
@@ -1,7 +1,9 @@
 package org.cottontack.core.job;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.cottontack.core.health.WorkerScore;
@@ -23,18 +25,30 @@
   /** Time between two ratings, in milliseconds: half of the period of reports. */
   private static final long RATE_MILLIS = 250;
 
-  /** Shortest time over which progress is measured: reports are in whole percent. */
+  /** Shortest time over which progress is measured. */
   private static final long MIN_WINDOW_MILLIS = 400;
 
+  /**
+   * Progress that a run at full speed makes in the shortest window, in percent. Reports are in
+   * whole percent, so the error of a window is at most a tenth.
+   */
+  private static final int MIN_WINDOW_PROGRESS = 10;
+
+  /** Longest time that a run takes to start, in milliseconds, before it makes progress. */
+  private static final long START_MILLIS = 600;
+
   /** Share of its processor time below which the progress of a best-effort run is mostly noise. */
   private static final double MIN_USED_SHARE = 0.2;
 
   /** Lowest speed that is distinguished. */
   private static final double MIN_SPEED = 0.02;
 
-  /** Siblings on other workers from which a median is taken. */
+  /** Fewest siblings on other workers from which a median is taken. */
   private static final int MIN_SIBLINGS = 3;
 
+  /** Most siblings from which a median is taken; steps may have thousands of tasks. */
+  private static final int MAX_SIBLINGS = 32;
+
   /** A run whose speed is at least this share of its siblings' is not slowed by its worker. */
   private static final double SLOW_BELOW = 0.5;
 
@@ -47,8 +61,20 @@
   private final WorkerSelector workerSelector;
   private final WorkerScores scores;
   private final boolean inForce;
+
+  /** The last move of each pool, until its task is placed again. */
+  private final Map<String, Move> pendingMoves = new HashMap<>();
+
   private long ratedMillis = Long.MIN_VALUE / 2;
 
+  /** A run that was stopped on a slow worker. */
+  private record Move(Task task, int run) {
+
+    boolean pending() {
+      return task.run == run && task.phase != Task.Phase.DONE && !task.job.phase.terminal();
+    }
+  }
+
   WorkerHealth(
       Term term,
       Orders orders,
@@ -91,13 +117,18 @@
       return;
     }
     long now = term.now.mono();
+    if (task.progress == 0 && now - task.beganMillis < START_MILLIS) {
+      return;
+    }
     if (task.measuredMillis == 0) {
-      boolean fromStart = task.sentByUs() && task.checkpoint.isEmpty();
-      task.measuredMillis = fromStart ? task.confirmedMillis : now;
-      task.measuredProgress = fromStart ? 0 : task.progress;
+      task.measuredMillis = now;
+      task.measuredProgress = task.progress;
     }
     long elapsed = now - task.measuredMillis;
-    if (elapsed < MIN_WINDOW_MILLIS) {
+    long fullSpeedProgress = elapsed * Task.FULL_PROGRESS / expectedMillis(task);
+    if (elapsed < MIN_WINDOW_MILLIS
+        || fullSpeedProgress < MIN_WINDOW_PROGRESS
+        || task.measuredProgress >= Task.FULL_PROGRESS) {
       return;
     }
     double share = (task.progress - task.measuredProgress) / (double) Task.FULL_PROGRESS;
@@ -133,10 +164,11 @@
       boolean measuredWhole =
           task.measuredSpeed == 0
               && task.firstRunAtFullPace()
+              && !task.startInDoubt
               && !task.spec.is(StepSpec.Trait.FILLS)
-              && task.confirmedMillis > task.placedMillis;
+              && task.beganMillis > task.placedMillis;
       if (measuredWhole && measurable(task)) {
-        double ran = Math.max(1, now - task.confirmedMillis);
+        double ran = Math.max(1, now - task.beganMillis);
         record(worker, task, expectedMillis(task) / ran);
       }
     }
@@ -160,7 +192,8 @@
         task.job
             .siblings(task)
             .filter(other -> other.measuredSpeed > 0)
-            .filter(other -> !other.measuredOn.equals(Optional.of(worker.info.id())))
+            .filter(other -> !other.measuredOn.orElseThrow().equals(worker.info.id()))
+            .limit(MAX_SIBLINGS)
             .map(other -> other.measuredSpeed)
             .sorted()
             .toList();
@@ -184,16 +217,30 @@
                     change.worker(),
                     change.reason()));
     term.workers.values().forEach(worker -> worker.rating = scores.rating(worker.info.id()));
+    pendingMoves.values().removeIf(move -> !move.pending());
+    pendingMoves.values().stream()
+        .map(Move::task)
+        .filter(task -> task.phase == Task.Phase.PLACED)
+        .forEach(task -> orders.stop(term.workerOf(task), task.key()));
     term.workers.values().stream()
         .filter(worker -> worker.rating.slow() && !worker.silent)
-        .forEach(this::moveRuns);
+        .forEach(this::moveRun);
   }
 
-  private void moveRuns(Worker worker) {
+  /**
+   * Stops a run that is to continue on a faster worker. Moves are made one at a time, each task is
+   * moved at most once, and a worker with a stop under way is left alone: a free place attracts
+   * only one run.
+   */
+  private void moveRun(Worker worker) {
+    if (worker.placed.keySet().stream().anyMatch(worker.stopsSent::containsKey)) {
+      return;
+    }
     worker.placed.values().stream()
+        .filter(task -> !task.movedOffSlowWorker)
+        .filter(task -> !pendingMoves.containsKey(queue(task).pool()))
         .filter(task -> task.order == Task.Order.CONFIRMED && task.began && !task.obsolete())
         .filter(task -> measurable(task) && !task.pinned(term.now.mono()))
-        .filter(task -> !worker.stopsSent.containsKey(task.key()))
         .filter(task -> endsSoonerElsewhere(worker, task))
         .sorted(Comparator.comparing(task -> task.key().toString()))
         .filter(this::fitsElsewhere)
@@ -203,9 +250,15 @@
               String detail = "%s slow progress=%d".formatted(worker.info.id(), task.progress);
               term.logEvent("run.moved", task.key(), detail);
               orders.stop(worker, task.key());
+              task.movedOffSlowWorker = true;
+              pendingMoves.put(queue(task).pool(), new Move(task, task.run));
             });
   }
 
+  /**
+   * Returns whether a run ends sooner if it is moved. A stop writes a checkpoint where the step has
+   * them, so no progress is lost then; a run of another step starts anew.
+   */
   private boolean endsSoonerElsewhere(Worker worker, Task task) {
     boolean checkpoints = task.spec.is(StepSpec.Trait.CHECKPOINTS);
     if (!checkpoints && task.progress >= MAX_PROGRESS_TO_DISCARD) {
@@ -221,10 +274,24 @@
   }
 
   private boolean fitsElsewhere(Task task) {
-    JobQueue queue = term.table.current(task.job.spec.queue());
     return workerSelector
-        .choose(task, queue, term.workers.values(), term.now.mono())
+        .choose(task, queue(task), term.workers.values(), term.now.mono())
         .filter(other -> !other.rating.suspect())
+        .filter(other -> !wanted(other))
         .isPresent();
   }
+
+  /** Returns whether a waiting task would take the free place on a worker. */
+  private boolean wanted(Worker worker) {
+    List<Worker> only = List.of(worker);
+    return term.jobsToPlace.stream()
+        .filter(job -> term.table.current(job.spec.queue()).pool().equals(worker.info.pool()))
+        .flatMap(Job::ready)
+        .anyMatch(
+            task -> workerSelector.choose(task, queue(task), only, term.now.mono()).isPresent());
+  }
+
+  private JobQueue queue(Task task) {
+    return term.table.current(task.job.spec.queue());
+  }
 }
