--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -7,8 +7,11 @@
 import org.cottontack.core.Moment;
 import org.cottontack.core.admission.AdmissionLimits;
 import org.cottontack.core.admission.DurationTails;
+import org.cottontack.core.health.WorkerScores;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.load.LoadControl;
+import org.cottontack.core.load.LoadPart;
+import org.cottontack.core.load.StoredLines;
 
 /**
  * Decides, during one leader's term, which task runs on which worker. A placement is stored before
@@ -24,6 +27,7 @@
   private final WorkerReports workerReports;
   private final LostWorkers lostWorkers;
   private final Fleet fleet;
+  private final WorkerHealth health;
   private final PlacementPass placementPass;
   private final ProgressSaver progressSaver;
   private long loadLoggedMillis;
@@ -78,18 +82,36 @@
     WorkerSelector workerSelector = new WorkerSelector(interference);
     lostWorkers = new LostWorkers(term, lifecycle);
     admission = new AdmissionDecisions(term, urgency);
-    DurationTails durationTails = new DurationTails();
-    RunDurations runDurations = new RunDurations(term, durationEstimates, durationTails);
-    fleet = new Fleet(term, orders, lostWorkers, workerSelector);
+    RunDurations runDurations = new RunDurations(term, durationEstimates, new DurationTails());
+    WorkerScores scores = new WorkerScores();
+    health = new WorkerHealth(term, orders, durationEstimates, workerSelector, scores);
+    fleet = new Fleet(term, orders, lostWorkers, workerSelector, health);
     workerReports =
         new WorkerReports(
-            term, orders, lifecycle, lostWorkers, fleet, interference, runDurations, admission);
+            term,
+            orders,
+            lifecycle,
+            lostWorkers,
+            fleet,
+            interference,
+            runDurations,
+            admission,
+            health);
     placementPass = new PlacementPass(term, workerSelector, urgency);
     progressSaver =
         new ProgressSaver(
             term,
             orders,
-            new LearnedText(interference, durationEstimates, runDurations.storedLines()));
+            new LearnedText(interference, durationEstimates, storedParts(runDurations, scores)));
+  }
+
+  /** Returns the parts of load control in force whose state is stored. */
+  private List<StoredLines> storedParts(RunDurations durations, WorkerScores scores) {
+    List<StoredLines> parts = new ArrayList<>(durations.storedLines());
+    if (term.loadControl.has(LoadPart.WORKER_SCORES)) {
+      parts.add(scores);
+    }
+    return parts;
   }
 
   /**
@@ -264,6 +286,7 @@
         .forEach(term.jobsToPlace::add);
     term.capacityChanged = true;
     Collection<Worker> all = List.copyOf(term.workers.values());
+    health.tick();
     all.forEach(fleet::tick);
     term.unlistedSuppressions.expire(term.workers::containsKey, term.now.mono());
     admission.update();
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -106,6 +106,10 @@
   String checkpoint = "";
   Order order = Order.UNSAVED;
   long confirmedMillis;
+
+  /** When the worker confirmed the start of the present run or first listed it; 0 before. */
+  long beganMillis;
+
   long placedMillis;
 
   /** Since when this leader observes the present run, which an earlier one may have placed. */
@@ -164,6 +168,21 @@
   /** Value of {@link #slowedMillis} when the pace last became low. */
   private double slowedBeforeMillis;
 
+  /** When the speed of the present run was last measured; 0 if it was not. */
+  long measuredMillis;
+
+  /** Progress at {@link #measuredMillis}, in percent. */
+  int measuredProgress;
+
+  /** Last measured speed relative to the expected duration; 0 if there is none. */
+  double measuredSpeed;
+
+  /** The worker on which the speed was measured. */
+  Optional<WorkerId> measuredOn = Optional.empty();
+
+  /** Whether a run of this task was already moved off a slow worker. */
+  boolean movedOffSlowWorker;
+
   private double processedLoad;
   private long processedMillis;
   private long savedMillis;
@@ -390,11 +409,14 @@
     sentByUs = false;
     absentMillis = nowMillis;
     began = false;
+    beganMillis = 0;
     shortLease = false;
     placedMillis = nowMillis;
     observedMillis = nowMillis;
     listedMillis = 0;
     progress = 0;
+    measuredMillis = 0;
+    measuredSpeed = 0;
     progressMillis = nowMillis;
     pace = FULL_PACE;
     pacedMillis = nowMillis;
@@ -426,6 +448,8 @@
     order = Order.CONFIRMED;
     confirmedMillis = sinceMillis - 1;
     began = false;
+    beganMillis = 0;
+    measuredMillis = 0;
     shortLease = false;
     listedMillis = 0;
     cancelLogged = false;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -15,6 +15,7 @@
   private final Interference interference;
   private final RunDurations durations;
   private final AdmissionDecisions admission;
+  private final WorkerHealth health;
   private final Pacing pacing;
 
   WorkerReports(
@@ -25,7 +26,8 @@
       Fleet fleet,
       Interference interference,
       RunDurations durations,
-      AdmissionDecisions admission) {
+      AdmissionDecisions admission,
+      WorkerHealth health) {
     this.term = term;
     this.orders = orders;
     this.lifecycle = lifecycle;
@@ -34,6 +36,7 @@
     this.interference = interference;
     this.durations = durations;
     this.admission = admission;
+    this.health = health;
     this.pacing = new Pacing(interference, term.loadControl);
   }
 
@@ -238,6 +241,7 @@
     }
     task.progress = running.progress();
     task.load = running.load();
+    health.measure(worker, task);
     if (task.obsolete() || worker.suppressedCompletions.appliesTo(task.spec)) {
       orders.stop(worker, key);
     }
@@ -279,6 +283,9 @@
       durations.learn(task, term.now.mono() - task.placedMillis);
     }
     logCompletion(worker, task, completion);
+    if (inForce) {
+      health.ended(worker, task, completion.status());
+    }
     if (inForce && task.spec.is(StepSpec.Trait.FILLS)) {
       worker.residualLoads.add(
           new Worker.ResidualLoad(task.spec.image(), task.load, term.now.mono()));
