Moves cost as before; no part for forecasts

Cause: of the part for forecasts only the cost of moves was ready. Change: reverts it, and removes the setting loadControl.forecast and its part.

--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.cottontack.core.load.LoadControl;
-import org.cottontack.core.load.LoadPart;
 
 /**
  * Paces best-effort tasks where a serving task would exceed its bound. The pace is the share of
@@ -56,9 +54,6 @@
    */
   private static final long MOVE_MILLIS = 300;
 
-  /** Expected duration of a stop as a share of the longest, since stops take any time up to it. */
-  private static final double EXPECTED_STOP_SHARE = 0.5;
-
   /**
    * Progress, in percent, below which a run without checkpoints may be stopped and lose its work.
    */
@@ -76,11 +71,9 @@
   private static final int MIN_INCREASE = 20;
 
   private final Interference interference;
-  private final LoadControl loadControl;
 
-  Pacing(Interference interference, LoadControl loadControl) {
+  Pacing(Interference interference) {
     this.interference = interference;
-    this.loadControl = loadControl;
   }
 
   /** Returns the orders that set the best-effort tasks of a worker to the right pace. */
@@ -212,22 +205,10 @@
         .filter(task -> task.order == Task.Order.CONFIRMED && task.pace < Task.LOW_PACE)
         .filter(task -> !task.pinned(nowMillis))
         .filter(Pacing::losesLittle)
-        .filter(task -> task.missedMillis(nowMillis) > moveMillis(task, nowMillis))
+        .filter(task -> task.missedMillis(nowMillis) > MOVE_MILLIS + task.unsavedMillis(nowMillis))
         .max(Comparator.comparingDouble(task -> headroomPerCore(worker, task)));
   }
 
-  /**
-   * Returns the work that a move of a task costs, in milliseconds. A stop writes a checkpoint, so
-   * where the step has checkpoints the work since the last one is not lost, but the stop itself
-   * takes time.
-   */
-  private double moveMillis(Task task, long nowMillis) {
-    if (!loadControl.has(LoadPart.FORECAST) || !task.spec.is(StepSpec.Trait.CHECKPOINTS)) {
-      return MOVE_MILLIS + task.unsavedMillis(nowMillis);
-    }
-    return loadControl.stopMillis() * EXPECTED_STOP_SHARE + loadControl.restoreMillis();
-  }
-
   private static boolean losesLittle(Task task) {
     return task.spec.is(StepSpec.Trait.CHECKPOINTS) || task.progress < MAX_PROGRESS_TO_DISCARD;
   }
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -37,7 +37,7 @@
     this.durations = durations;
     this.admission = admission;
     this.health = health;
-    this.pacing = new Pacing(interference, term.loadControl);
+    this.pacing = new Pacing(interference);
   }
 
   void reported(JobEvent.WorkerReported event) {
--- a/core/src/main/java/org/cottontack/core/load/LoadPart.java
+++ b/core/src/main/java/org/cottontack/core/load/LoadPart.java
@@ -4,8 +4,6 @@
 public enum LoadPart {
   /** Limits the jobs in progress and rejects jobs that could only be complete too late. */
   ADMISSION,
-  /** Predicts the load of services and the arrival of short jobs. */
-  FORECAST,
   /** Rates workers by the outcome and the speed of their runs. */
   WORKER_SCORES;
 
--- a/core/src/test/java/org/cottontack/core/job/ReplayPolicy.java
+++ b/core/src/test/java/org/cottontack/core/job/ReplayPolicy.java
@@ -41,14 +41,6 @@
     }
   },
 
-  /** Predicts the load of services and the arrival of short jobs. */
-  FORECAST {
-    @Override
-    LoadControl loadControl() {
-      return with(LoadPart.FORECAST);
-    }
-  },
-
   /** Limits the jobs in progress. */
   ADMISSION {
     @Override
--- a/core/src/test/java/org/cottontack/core/load/LoadControlTest.java
+++ b/core/src/test/java/org/cottontack/core/load/LoadControlTest.java
@@ -17,15 +17,15 @@
     static Object[][] modes() {
       return new Object[][] {
         {LoadPart.Mode.AUTO, 499, Set.of()},
-        {LoadPart.Mode.AUTO, 500, Set.of(LoadPart.FORECAST)},
-        {LoadPart.Mode.ENABLED, 0, Set.of(LoadPart.FORECAST)},
+        {LoadPart.Mode.AUTO, 500, Set.of(LoadPart.ADMISSION)},
+        {LoadPart.Mode.ENABLED, 0, Set.of(LoadPart.ADMISSION)},
         {LoadPart.Mode.DISABLED, 900, Set.of()},
       };
     }
 
     @Test(dataProvider = "modes")
     public void decideWhichPartsAreInForce(LoadPart.Mode mode, long stop, Set<LoadPart> expected) {
-      LoadControl control = LoadControl.of(Map.of(LoadPart.FORECAST, mode), stop, 100);
+      LoadControl control = LoadControl.of(Map.of(LoadPart.ADMISSION, mode), stop, 100);
       assertEquals(control.parts(), expected);
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
@@ -52,7 +52,6 @@
             MAX_WORKER_MILLIS,
             "milliseconds")),
     ADMISSION(SettingRule.choice("loadControl.admission", LoadPart.Mode.AUTO)),
-    FORECAST(SettingRule.choice("loadControl.forecast", LoadPart.Mode.AUTO)),
     WORKER_SCORES(SettingRule.choice("loadControl.workerScores", LoadPart.Mode.AUTO));
 
     private final SettingRule rule;
@@ -147,7 +146,6 @@
     return LoadControl.of(
         Map.of(
             LoadPart.ADMISSION, mode(Key.ADMISSION),
-            LoadPart.FORECAST, mode(Key.FORECAST),
             LoadPart.WORKER_SCORES, mode(Key.WORKER_SCORES)),
         number(Key.STOP).longValue(),
         number(Key.RESTORE).longValue());
--- a/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -122,8 +122,8 @@
         {"workers:\n  stopMillis: 400\n", Set.of()},
         {"workers:\n  stopMillis: 900\n", Set.of(LoadPart.values())},
         {
-          "workers:\n  stopMillis: 900\nloadControl:\n  forecast: disabled\n",
-          Set.of(LoadPart.ADMISSION, LoadPart.WORKER_SCORES)
+          "workers:\n  stopMillis: 900\nloadControl:\n  admission: disabled\n",
+          Set.of(LoadPart.WORKER_SCORES)
         },
         {"loadControl:\n  admission: enabled\n", Set.of(LoadPart.ADMISSION)},
       };
