--- a/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
@@ -38,14 +38,14 @@
     CORES(SettingRule.decimal("capacity.cores", "1", 0, 1_000, "cores")),
     LINK(SettingRule.decimal("capacity.linkMbps", "1000", 0, 1_000_000, "Mbit/s")),
     STOP(
-        SettingRule.number(
+        SettingRule.decimal(
             "workers.stopMillis",
             Long.toString(LoadControl.DEFAULT_STOP_MILLIS),
             0,
             MAX_WORKER_MILLIS,
             "milliseconds")),
     RESTORE(
-        SettingRule.number(
+        SettingRule.decimal(
             "workers.restoreMillis",
             Long.toString(LoadControl.DEFAULT_RESTORE_MILLIS),
             0,
--- a/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -121,6 +121,8 @@
         {"", Set.of()},
         {"workers:\n  stopMillis: 400\n", Set.of()},
         {"workers:\n  stopMillis: 900\n", Set.of(LoadPart.values())},
+        {"workers:\n  stopMillis: 900.5\n", Set.of(LoadPart.values())},
+        {"workers:\n  stopMillis:\n  restoreMillis:\n", Set.of()},
         {
           "workers:\n  stopMillis: 900\nloadControl:\n  admission: disabled\n",
           Set.of(LoadPart.WORKER_SCORES)
