Review case 1: a large submission stops all saving of progress

Tried: small submissions all the time and one submission of 5 steps of 36 tasks, 8 times, with 7 processes, 32 runners and a store that refuses rows above row_bytes.

--- /dev/null
+++ b/review/common/Runner.java
@@ -0,0 +1,322 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Stand-in for one runner at one address: it starts, stops, ends and lists tasks as PROTOCOL.md
+ * says, under leases and fence numbers. After a crash it comes back at the same address under a new
+ * identifier. How long a task works is part of the submission's spec, {@code ms=N}.
+ */
+final class Runner {
+
+  /** What all runners of a deployment share. */
+  record Setting(
+      String service, int cpu, int memMb, long checkpointMillis, long restoreMillis, String tail) {}
+
+  private static final long HOLD_MAX_MILLIS = 10_000;
+  private static final long PING_MILLIS = 1_100;
+  private static final int LISTED_ENDS = 500;
+
+  private record End(long number, String task, int run, String how, String saved) {}
+
+  private static final class Run {
+    final String task;
+    final int run;
+    final long workMillis;
+    final long doneBeforeMillis;
+    final long startedMillis;
+
+    Run(String task, int run, long workMillis, long doneBeforeMillis, long startedMillis) {
+      this.task = task;
+      this.run = run;
+      this.workMillis = workMillis;
+      this.doneBeforeMillis = doneBeforeMillis;
+      this.startedMillis = startedMillis;
+    }
+
+    long doneMillis(long now) {
+      return Math.min(workMillis, doneBeforeMillis + Math.max(0, now - startedMillis));
+    }
+  }
+
+  final int index;
+  private final Setting setting;
+  private final Store store;
+  private final Ledger ledger;
+  private final String zone;
+  private HttpServer server;
+  private int port;
+
+  private String id = "";
+  private int lives;
+  private boolean up;
+  private long bornNanos;
+  private long leaseEnd;
+  private long highestToken;
+  private long ends;
+  private final Map<String, Run> running = new LinkedHashMap<>();
+  private final Map<String, Integer> closed = new HashMap<>();
+  private final List<End> listed = new ArrayList<>();
+
+  Runner(int index, Setting setting, Store store, Ledger ledger, String zone) {
+    this.index = index;
+    this.setting = setting;
+    this.store = store;
+    this.ledger = ledger;
+    this.zone = zone;
+  }
+
+  /** Begins the first life of this runner. */
+  void begin(int freePort) {
+    port = freePort;
+    begin();
+  }
+
+  /** Begins a life of this runner under a new identifier, at its address. */
+  synchronized void begin() {
+    lives++;
+    id = "i-%04x%04x".formatted(0x7f3a + index, 0x91c2 + lives);
+    bornNanos = System.nanoTime();
+    leaseEnd = 0;
+    highestToken = 0;
+    ends = 0;
+    running.clear();
+    closed.clear();
+    listed.clear();
+    up = true;
+    server = Http.serve(port, this::handle);
+    store.put("servers", id, entry());
+    ledger.runnerBegan(id);
+  }
+
+  private Map<String, Object> entry() {
+    Map<String, Object> entry = new LinkedHashMap<>();
+    entry.put("service", setting.service());
+    entry.put("address", Http.HOST + ":" + port);
+    entry.put("zone", zone);
+    entry.put("version", "v1");
+    entry.put("slots", 8);
+    entry.put("state", "ready");
+    entry.put("cold_left_ms", 0);
+    entry.put("capacity", Map.of("cpu", setting.cpu(), "mem_mb", setting.memMb(), "gpu", 0));
+    entry.put("labels", List.of("a", "r" + index / 6 + "-1"));
+    entry.put("seq", 1);
+    return entry;
+  }
+
+  String id() {
+    return id;
+  }
+
+  synchronized boolean isUp() {
+    return up;
+  }
+
+  synchronized int runs() {
+    return running.size();
+  }
+
+  synchronized Optional<String> anyTask(String job) {
+    return running.keySet().stream().filter(task -> task.startsWith(job)).findFirst();
+  }
+
+  /** Ends this life without a word: all that runs here is gone. The entry stays until it expires. */
+  void crash() {
+    HttpServer ended;
+    String endedId;
+    synchronized (this) {
+      if (!up) {
+        return;
+      }
+      up = false;
+      ledger.crashed(id, List.copyOf(running.keySet()));
+      running.clear();
+      ended = server;
+      endedId = id;
+      notifyAll();
+    }
+    ended.stop(0);
+    Thread expiry =
+        new Thread(
+            () -> {
+              Http.sleep(3 * PING_MILLIS);
+              store.remove("servers", endedId);
+            });
+    expiry.setDaemon(true);
+    expiry.start();
+  }
+
+  private long clock() {
+    return (System.nanoTime() - bornNanos) / 1_000_000;
+  }
+
+  /** Ends what is due; called every few milliseconds. */
+  synchronized void tick() {
+    if (!up) {
+      return;
+    }
+    long now = clock();
+    for (Run run : List.copyOf(running.values())) {
+      if (run.doneMillis(now) >= run.workMillis) {
+        end(run, "done");
+      } else if (now > leaseEnd) {
+        end(run, "lapsed");
+      }
+    }
+  }
+
+  private void end(Run run, String how) {
+    running.remove(run.task);
+    closed.merge(run.task, run.run, Math::max);
+    ends++;
+    listed.add(new End(ends, run.task, run.run, how, checkpoint(run, how.equals("stopped"))));
+    ledger.ended(id, run.task, run.run, how);
+    notifyAll();
+  }
+
+  private String checkpoint(Run run, boolean now) {
+    if (setting.checkpointMillis() == 0) {
+      return "";
+    }
+    long done = run.doneMillis(clock());
+    long saved =
+        now ? done : Math.max(run.doneBeforeMillis, done - done % setting.checkpointMillis());
+    return saved == 0 ? "" : "%016x".formatted(saved) + setting.tail();
+  }
+
+  private static long savedMillis(String checkpoint) {
+    return checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint.substring(0, 16), 16);
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    Map<String, Object> order = Json.object(Http.body(exchange));
+    String expected = exchange.getRequestHeaders().getFirst("Expected-Instance");
+    Map<String, Object> answer = new LinkedHashMap<>();
+    int status;
+    synchronized (this) {
+      if (!up) {
+        exchange.close();
+        return;
+      }
+      if (expected != null && !expected.equals(id)) {
+        status = 421;
+      } else {
+        status = carryOut(exchange.getRequestURI().getPath(), order, answer);
+      }
+      answer.put("clock_ms", clock());
+      if (!up) {
+        exchange.close();
+        return;
+      }
+    }
+    Http.answer(exchange, status, answer);
+  }
+
+  private int carryOut(String path, Map<String, Object> order, Map<String, Object> answer) {
+    long token = Json.number(order, "fencing_token");
+    if (token < highestToken) {
+      return refuse(answer, "fence");
+    }
+    highestToken = token;
+    return switch (path) {
+      case "/-/run-start" -> start(order, answer);
+      case "/-/run-stop" -> stop(order);
+      case "/-/pace" -> 200;
+      case "/-/hold" -> hold(order, answer);
+      default -> 404;
+    };
+  }
+
+  private static int refuse(Map<String, Object> answer, String reason) {
+    answer.put("reason", reason);
+    return 409;
+  }
+
+  private int start(Map<String, Object> order, Map<String, Object> answer) {
+    String task = Json.string(order, "task");
+    int run = (int) Json.number(order, "run");
+    Run present = running.get(task);
+    if (present != null && present.run == run) {
+      extendLease(order);
+      return 200;
+    }
+    if (run <= closed.getOrDefault(task, 0)) {
+      extendLease(order);
+      return refuse(answer, "old");
+    }
+    if (Json.number(order, "deadline_ms") <= clock()) {
+      return refuse(answer, "late");
+    }
+    extendLease(order);
+    String spec = Json.string(order, "spec");
+    long before = savedMillis(Json.string(order, "last_checkpoint"));
+    long wait = before > 0 ? setting.restoreMillis() : 0;
+    running.put(task, new Run(task, run, workMillis(spec), before, clock() + wait));
+    ledger.started(id, task, run, spec);
+    return 200;
+  }
+
+  static long workMillis(String spec) {
+    for (String word : spec.split(" ")) {
+      if (word.startsWith("ms=")) {
+        return Long.parseLong(word.substring(3));
+      }
+    }
+    throw new IllegalArgumentException("a spec that no client sent: " + spec);
+  }
+
+  private int stop(Map<String, Object> order) {
+    String task = Json.string(order, "task");
+    int number = (int) Json.number(order, "run");
+    closed.merge(task, number, Math::max);
+    Run run = running.get(task);
+    if (run != null && run.run <= number) {
+      end(run, "stopped");
+    }
+    return 200;
+  }
+
+  private void extendLease(Map<String, Object> order) {
+    long asked = Math.min(Json.number(order, "deadline_ms"), clock() + HOLD_MAX_MILLIS);
+    leaseEnd = Math.max(leaseEnd, asked);
+  }
+
+  private int hold(Map<String, Object> order, Map<String, Object> answer) {
+    extendLease(order);
+    long cursor = Json.number(order, "ack_cursor");
+    for (End end : listed) {
+      if (end.number() <= cursor) {
+        ledger.acknowledged(id, end.task(), end.run(), end.how());
+      }
+    }
+    listed.removeIf(end -> end.number() <= cursor);
+    long until = clock() + Math.min(2_000, Json.number(order, "wait_ms"));
+    while (up && listed.isEmpty() && clock() < until) {
+      try {
+        wait(Math.max(1, until - clock()));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    List<Object> runs = new ArrayList<>();
+    long now = clock();
+    for (Run run : running.values()) {
+      long percent = 100 * run.doneMillis(now) / Math.max(1, run.workMillis);
+      runs.add(List.of(run.task, run.run, checkpoint(run, false), percent, 500));
+    }
+    List<Object> all = new ArrayList<>();
+    listed.stream()
+        .limit(LISTED_ENDS)
+        .forEach(e -> all.add(List.of(e.number(), e.task(), e.run(), e.how(), e.saved())));
+    answer.put("running", runs);
+    answer.put("ended", all);
+    return 200;
+  }
+}
