--- a/review/common/Runner.java
+++ b/review/common/Runner.java
@@ -1,6 +1,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -90,11 +91,21 @@
     closed.clear();
     listed.clear();
     up = true;
-    server = Http.serve(port, this::handle);
+    server = listen();
     store.put("servers", id, entry());
     ledger.runnerBegan(id);
   }
 
+  /** Listens at the address of before; at another one if some other program has taken it. */
+  private HttpServer listen() {
+    try {
+      return Http.serve(port, this::handle);
+    } catch (UncheckedIOException e) {
+      port = Deployment.freePort();
+      return Http.serve(port, this::handle);
+    }
+  }
+
   private Map<String, Object> entry() {
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", setting.service());
