--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -45,6 +45,9 @@
       deployment.config(List.of(Deployment.route("r-73d3zji", PREFIX, 2, 3)));
       exit = deployment.awaitReady() ? play(record, deployment, trouble) : 2;
       record.line("exit " + exit);
+    } catch (RuntimeException e) {
+      e.printStackTrace();
+      exit = 2;
     }
     System.exit(exit);
   }
--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -28,6 +29,10 @@
   static final String SERVICE = "huvo11a";
 
   private static final Random RANDOM = new Random();
+  private static final long RESTART_MILLIS = 500;
+  private static final int BLOCK_PORTS = 100;
+  private static ServerSocket block;
+  private static int nextPort;
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.]+)}}");
 
   final Record record;
@@ -36,7 +41,7 @@
   final List<Runner> runners = new ArrayList<>();
   final List<String> fronts = new ArrayList<>();
   private final List<String> ready = new ArrayList<>();
-  private final List<Process> processes = new ArrayList<>();
+  private final List<Process> processes = new CopyOnWriteArrayList<>();
   private final Path folder;
   private final HttpClient client =
       HttpClient.newBuilder()
@@ -75,17 +80,37 @@
     return "zone-" + (char) ('a' + index % 4);
   }
 
-  /** Returns a free port below the range from which the system takes ports of connections. */
-  static int freePort() {
+  /**
+   * Returns a free port. Each driver takes its ports from a block of its own, whose first port it
+   * keeps, so that two drivers at once don't take each other's; the blocks lie below the range from
+   * which the system takes the ports of connections.
+   */
+  static synchronized int freePort() {
     while (true) {
-      int port = 20_000 + RANDOM.nextInt(10_000);
-      try (ServerSocket socket = new ServerSocket()) {
-        socket.bind(new InetSocketAddress(Http.HOST, port));
-        return port;
-      } catch (IOException e) {
-        // In use; another one is tried.
+      if (block == null || nextPort >= BLOCK_PORTS) {
+        block = bind(20_000 + BLOCK_PORTS * RANDOM.nextInt(100));
+        nextPort = 1;
         continue;
       }
+      int port = block.getLocalPort() + nextPort++;
+      try (ServerSocket socket = bind(port)) {
+        if (socket != null) {
+          return port;
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** Returns a socket that listens on a port; null if some program has taken it. */
+  private static ServerSocket bind(int port) {
+    try {
+      ServerSocket socket = new ServerSocket();
+      socket.bind(new InetSocketAddress(Http.HOST, port));
+      return socket;
+    } catch (IOException e) {
+      return null;
     }
   }
 
@@ -122,6 +147,74 @@
   }
 
   private void startEntry(int index) {
+    prepareEntry(index);
+    processes.add(startProcess(index));
+  }
+
+  /** Starts the process of a node with the command of the deploy file. */
+  private Process startProcess(int index) {
+    try {
+      ProcessBuilder builder = new ProcessBuilder(command());
+      builder.environment().put("COTTONTACK_CONFIG", settings(index).toString());
+      builder.redirectErrorStream(true);
+      builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(index).toFile()));
+      return builder.start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private Path settings(int index) {
+    return folder.resolve("settings-" + index + ".yaml");
+  }
+
+  private Path log(int index) {
+    return folder.resolve("entry-" + index + ".log");
+  }
+
+  /** Kills the process that was elected last; the platform starts it again after a short delay. */
+  void killLeader() {
+    int leader = 0;
+    String elected = "";
+    for (int i = 0; i < processes.size(); i++) {
+      String last = lastElection(i);
+      if (last.compareTo(elected) > 0) {
+        elected = last;
+        leader = i;
+      }
+    }
+    record.line("SIGKILL of the leading process, node " + leader);
+    processes.get(leader).destroyForcibly();
+    int node = leader;
+    Thread restart =
+        new Thread(
+            () -> {
+              Http.sleep(RESTART_MILLIS);
+              if (!closing) {
+                processes.set(node, startProcess(node));
+              }
+            });
+    restart.setDaemon(true);
+    restart.start();
+  }
+
+  /** Returns when a process logged last that it was elected; empty if it never did. */
+  private String lastElection(int index) {
+    try {
+      String last = "";
+      for (String line : Files.readAllLines(log(index))) {
+        int time = line.indexOf("\"time\":\"");
+        if (time >= 0 && line.contains("\"leader.won\"")) {
+          last = line.substring(time + 8, line.indexOf('"', time + 8));
+        }
+      }
+      return last;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void prepareEntry(int index) {
     String front = Http.HOST + ":" + freePort();
     String readiness = Http.HOST + ":" + freePort();
     Map<String, String> values = new LinkedHashMap<>();
@@ -139,15 +232,9 @@
     values.put("limits.cores", "1");
     values.put("limits.link_mbps", "1000.0");
     try {
-      Path settings = folder.resolve("settings-" + index + ".yaml");
       String text = render(Files.readString(Path.of("deploy/settings.yaml")), values);
       // Several nodes share this machine's address, so the fixed port of the template is replaced.
-      Files.writeString(settings, text.replace(":9464", ":" + freePort()));
-      ProcessBuilder builder = new ProcessBuilder(command());
-      builder.environment().put("COTTONTACK_CONFIG", settings.toString());
-      builder.redirectErrorStream(true);
-      builder.redirectOutput(folder.resolve("entry-" + index + ".log").toFile());
-      processes.add(builder.start());
+      Files.writeString(settings(index), text.replace(":9464", ":" + freePort()));
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/review/common/Ledger.java
+++ b/review/common/Ledger.java
@@ -16,8 +16,6 @@
     int starts;
     int crashes;
     final Map<String, Integer> ends = new TreeMap<>();
-    boolean done;
-    long lastChangeMillis;
 
     Task(String name) {
       this.name = name;
@@ -29,7 +27,24 @@
     }
   }
 
+  /** An end "done", with what followed it. */
+  private static final class Done {
+    final String runner;
+    final int run;
+    boolean lapsed;
+    boolean acknowledged;
+    int startsAfter;
+    boolean reported;
+
+    Done(String runner, int run) {
+      this.runner = runner;
+      this.run = run;
+    }
+  }
+
   private final Record record;
+  private final Map<String, List<Done>> dones = new HashMap<>();
+  private final List<String> twice = new ArrayList<>();
   private final Map<String, Task> tasks = new TreeMap<>();
   private final Map<String, Integer> acknowledged = new HashMap<>();
 
@@ -41,6 +56,38 @@
     return tasks.computeIfAbsent(name, Task::new);
   }
 
+  synchronized void note(String text) {
+    record.line(text);
+  }
+
+  /** Returns where TWICE was broken. */
+  synchronized List<String> twice() {
+    return List.copyOf(twice);
+  }
+
+  private void reportTwice(String text) {
+    twice.add(text);
+    record.line("TWICE " + text);
+  }
+
+  /** An end counts as taken note of when it is acknowledged, unless the lease lapsed before. */
+  private void checkTwice(String name, Done done) {
+    if (done.acknowledged && !done.lapsed && done.startsAfter > 0 && !done.reported) {
+      done.reported = true;
+      reportTwice(
+          "%s started again after run %d on %s had ended done, which was acknowledged"
+              .formatted(name, done.run, done.runner));
+    }
+  }
+
+  /** Records that no lease is in force on a runner. */
+  synchronized void lapsed(String runner) {
+    dones.values().stream()
+        .flatMap(List::stream)
+        .filter(done -> done.runner.equals(runner) && !done.acknowledged)
+        .forEach(done -> done.lapsed = true);
+  }
+
   synchronized void runnerBegan(String runner) {
     record.line("runner " + runner + " begins");
   }
@@ -51,7 +98,6 @@
       Task task = task(name);
       task.crashes++;
       task.on.remove(runner);
-      task.lastChangeMillis = Record.millis();
     }
   }
 
@@ -59,8 +105,14 @@
     record.line("start " + name + " run " + run + " on " + runner);
     Task task = task(name);
     task.starts++;
+    if (!task.on.isEmpty()) {
+      reportTwice("%s runs on %s and on %s".formatted(name, runner, task.on));
+    }
+    for (Done done : dones.getOrDefault(name, List.of())) {
+      done.startsAfter++;
+      checkTwice(name, done);
+    }
     task.on.add(runner);
-    task.lastChangeMillis = Record.millis();
   }
 
   synchronized void ended(String runner, String name, int run, String how) {
@@ -68,13 +120,20 @@
     Task task = task(name);
     task.on.remove(runner);
     task.ends.merge(how, 1, Integer::sum);
-    task.done |= how.equals("done");
-    task.lastChangeMillis = Record.millis();
+    if (how.equals("done")) {
+      dones.computeIfAbsent(name, any -> new ArrayList<>()).add(new Done(runner, run));
+    }
   }
 
   synchronized void acknowledged(String runner, String name, int run, String how) {
     record.line("ack of the end of " + name + " run " + run + " on " + runner + ": " + how);
     acknowledged.merge(how, 1, Integer::sum);
+    for (Done done : dones.getOrDefault(name, List.of())) {
+      if (done.runner.equals(runner) && done.run == run) {
+        done.acknowledged = true;
+        checkTwice(name, done);
+      }
+    }
   }
 
   /** Returns the tasks of a submission that any runner has seen. */
--- a/review/common/Runner.java
+++ b/review/common/Runner.java
@@ -7,7 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Random;
 
 /**
  * Stand-in for one runner at one address: it starts, stops, ends and lists tasks as PROTOCOL.md
@@ -20,6 +20,18 @@
   record Setting(
       String service, int cpu, int memMb, long checkpointMillis, long restoreMillis, String tail) {}
 
+  /** Whether runners start again under the identifier that they had; they say then when they began. */
+  static boolean keepsId;
+
+  static int rackSize = 6;
+
+  /** Share of the orders that get no answer now and are carried out seconds later. */
+  static volatile double lateShare;
+
+  private static final Random LATE = new Random();
+  private static final long MIN_LATE_MILLIS = 2_000;
+  private static final int LATE_SPREAD_MILLIS = 10_000;
+
   private static final long HOLD_MAX_MILLIS = 10_000;
   private static final long PING_MILLIS = 1_100;
   private static final int LISTED_ENDS = 500;
@@ -58,6 +70,7 @@
   private int lives;
   private boolean up;
   private long bornNanos;
+  private long bornMillis;
   private long leaseEnd;
   private long highestToken;
   private long ends;
@@ -82,8 +95,9 @@
   /** Begins a life of this runner under a new identifier, at its address. */
   synchronized void begin() {
     lives++;
-    id = "i-%04x%04x".formatted(0x7f3a + index, 0x91c2 + lives);
+    id = "i-%04x%04x".formatted(0x7f3a + index, 0x91c2 + (keepsId ? 0 : lives));
     bornNanos = System.nanoTime();
+    bornMillis = System.currentTimeMillis();
     leaseEnd = 0;
     highestToken = 0;
     ends = 0;
@@ -93,7 +107,7 @@
     up = true;
     server = listen();
     store.put("servers", id, entry());
-    ledger.runnerBegan(id);
+    ledger.runnerBegan(life());
   }
 
   /** Listens at the address of before; at another one if some other program has taken it. */
@@ -116,25 +130,25 @@
     entry.put("state", "ready");
     entry.put("cold_left_ms", 0);
     entry.put("capacity", Map.of("cpu", setting.cpu(), "mem_mb", setting.memMb(), "gpu", 0));
-    entry.put("labels", List.of("a", "r" + index / 6 + "-1"));
+    entry.put("labels", List.of("a", rack(index)));
     entry.put("seq", 1);
+    if (keepsId) {
+      entry.put("born", bornMillis);
+    }
     return entry;
   }
 
-  String id() {
-    return id;
+  static String rack(int index) {
+    return "r" + index / rackSize + "-1";
   }
 
-  synchronized boolean isUp() {
-    return up;
+  /** Returns the name of this life, for the record. */
+  private String life() {
+    return keepsId ? id + "/" + bornMillis : id;
   }
 
-  synchronized int runs() {
-    return running.size();
-  }
-
-  synchronized Optional<String> anyTask(String job) {
-    return running.keySet().stream().filter(task -> task.startsWith(job)).findFirst();
+  synchronized boolean isUp() {
+    return up;
   }
 
   /** Ends this life without a word: all that runs here is gone. The entry stays until it expires. */
@@ -146,7 +160,7 @@
         return;
       }
       up = false;
-      ledger.crashed(id, List.copyOf(running.keySet()));
+      ledger.crashed(life(), List.copyOf(running.keySet()));
       running.clear();
       ended = server;
       endedId = id;
@@ -157,7 +171,9 @@
         new Thread(
             () -> {
               Http.sleep(3 * PING_MILLIS);
-              store.remove("servers", endedId);
+              if (!isUp() || !keepsId) {
+                store.remove("servers", endedId);
+              }
             });
     expiry.setDaemon(true);
     expiry.start();
@@ -180,6 +196,9 @@
         end(run, "lapsed");
       }
     }
+    if (now > leaseEnd) {
+      ledger.lapsed(life());
+    }
   }
 
   private void end(Run run, String how) {
@@ -187,7 +206,7 @@
     closed.merge(run.task, run.run, Math::max);
     ends++;
     listed.add(new End(ends, run.task, run.run, how, checkpoint(run, how.equals("stopped"))));
-    ledger.ended(id, run.task, run.run, how);
+    ledger.ended(life(), run.task, run.run, how);
     notifyAll();
   }
 
@@ -207,6 +226,11 @@
 
   private void handle(HttpExchange exchange) throws IOException {
     Map<String, Object> order = Json.object(Http.body(exchange));
+    if (LATE.nextDouble() < lateShare) {
+      carryOutLate(exchange.getRequestURI().getPath(), order);
+      exchange.close();
+      return;
+    }
     String expected = exchange.getRequestHeaders().getFirst("Expected-Instance");
     Map<String, Object> answer = new LinkedHashMap<>();
     int status;
@@ -221,6 +245,9 @@
         status = carryOut(exchange.getRequestURI().getPath(), order, answer);
       }
       answer.put("clock_ms", clock());
+      if (keepsId) {
+        answer.put("born", bornMillis);
+      }
       if (!up) {
         exchange.close();
         return;
@@ -229,6 +256,21 @@
     Http.answer(exchange, status, answer);
   }
 
+  /** Carries out an order 2 to 12 s later, by the life of that time, and answers nothing. */
+  private void carryOutLate(String path, Map<String, Object> order) {
+    order.remove("wait_ms");
+    long wait = MIN_LATE_MILLIS + LATE.nextInt(LATE_SPREAD_MILLIS);
+    String text = path + " " + Json.write(order);
+    ledger.note("no answer to " + text + " for " + life() + ", due in " + wait + " ms");
+    Http.sleep(wait);
+    synchronized (this) {
+      if (up) {
+        int status = carryOut(path, order, new LinkedHashMap<>());
+        ledger.note("carried out late by " + life() + ": " + text + " -> " + status);
+      }
+    }
+  }
+
   private int carryOut(String path, Map<String, Object> order, Map<String, Object> answer) {
     long token = Json.number(order, "fencing_token");
     if (token < highestToken) {
@@ -269,7 +311,7 @@
     long before = savedMillis(Json.string(order, "last_checkpoint"));
     long wait = before > 0 ? setting.restoreMillis() : 0;
     running.put(task, new Run(task, run, workMillis(spec), before, clock() + wait));
-    ledger.started(id, task, run, spec);
+    ledger.started(life(), task, run, spec);
     return 200;
   }
 
@@ -303,7 +345,7 @@
     long cursor = Json.number(order, "ack_cursor");
     for (End end : listed) {
       if (end.number() <= cursor) {
-        ledger.acknowledged(id, end.task(), end.run(), end.how());
+        ledger.acknowledged(life(), end.task(), end.run(), end.how());
       }
     }
     listed.removeIf(end -> end.number() <= cursor);
