--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -190,8 +190,10 @@
         new Thread(
             () -> {
               Http.sleep(RESTART_MILLIS);
-              if (!closing) {
-                processes.set(node, startProcess(node));
+              synchronized (processes) {
+                if (!closing) {
+                  processes.set(node, startProcess(node));
+                }
               }
             });
     restart.setDaemon(true);
@@ -355,7 +357,9 @@
 
   @Override
   public void close() {
-    closing = true;
+    synchronized (processes) {
+      closing = true;
+    }
     endProcesses();
   }
 }
