--- a/review/common/Deployment.java
+++ b/review/common/Deployment.java
@@ -28,6 +28,11 @@
   static final String HOST = "nony24.example";
   static final String SERVICE = "huvo11a";
 
+  /** Bounds that the settings of a process hold; of rilatek-switch unless a case sets others. */
+  static String stopGraceMillis = "200";
+
+  static String restoreMillis = "100";
+
   private static final Random RANDOM = new Random();
   private static final long RESTART_MILLIS = 500;
   private static final int BLOCK_PORTS = 100;
@@ -55,7 +60,7 @@
     this.folder = folder;
     ledger = new Ledger(record);
     store = new Store(record);
-    Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     for (int i = 0; i < runnerCount; i++) {
       Runner runner = new Runner(i, setting, store, ledger, zone(i));
       runners.add(runner);
@@ -228,8 +233,8 @@
     values.put("platform.address", store.address());
     values.put("bounds.grace_s", "6");
     values.put("bounds.status_s", "120");
-    values.put("bounds.stop_grace_ms", "200");
-    values.put("bounds.restore_ms", "100");
+    values.put("bounds.stop_grace_ms", stopGraceMillis);
+    values.put("bounds.restore_ms", restoreMillis);
     values.put("limits.cpu_share", "0.3");
     values.put("limits.cores", "1");
     values.put("limits.link_mbps", "1000.0");
