Saves: one job that the store refuses no longer stops all others

Callers saw: from some moment on no task of any job started, ends were not acknowledged and accepted jobs stayed queued, while the leader lived and renewed its lease. Cause: PlatformStore took each status that it does not know, such as 400 for a row that is too large, for "perhaps stored". ProgressStore repeats that at once and for ever, and one save is in flight for all jobs, so starts and acknowledgements of all jobs waited for a transaction that can never be stored. Completions are held back only from the first one on that changed a job which is not saved yet, no longer for all jobs. Why it holds: starts still follow the save of their placement, and an acknowledgement still covers only completions whose jobs are saved; a refused job keeps its marks until a save of it is stored. Test before the fix: LeaderTest$Saving.continuesWhenRowOfOneJobIsRefused on, where the refusal is UNKNOWN: "lists don't have the same size expected [2] but found [0]".

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -52,6 +52,9 @@
    */
   boolean waitsForPlace;
 
+  /** The completions that are not to be acknowledged before this job is saved. */
+  final UnsavedCompletions unsavedCompletions = new UnsavedCompletions();
+
   /** Whether the job no longer waits for its first start. */
   boolean begun;
 
--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -7,8 +7,8 @@
 public sealed interface JobEffect {
 
   /**
-   * Writes the progress of jobs in one transaction, and answers with {@link
-   * JobEvent.ProgressSaved}. At most one such write is in flight.
+   * Writes the progress of jobs in one transaction, and answers with {@link JobEvent.ProgressSaved}
+   * or {@link JobEvent.ProgressRefused}. At most one such write is in flight.
    *
    * @param progress the stored form of each job's progress
    * @param learned estimates for images and queues, stored for the next leader; empty when they
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -103,6 +103,12 @@
   /** The last {@link JobEffect.SaveProgress} is in the store. */
   record ProgressSaved() implements JobEvent {}
 
+  /**
+   * The store has refused the last {@link JobEffect.SaveProgress} for its content. Nothing of it is
+   * in the store, and it would be refused again.
+   */
+  record ProgressRefused() implements JobEvent {}
+
   /**
    * The leader's information is fresh, so runs may be started for a limited time.
    *
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -238,6 +238,8 @@
       orders.paceLost(e);
     } else if (event instanceof JobEvent.ProgressSaved) {
       progressSaver.saved();
+    } else if (event instanceof JobEvent.ProgressRefused) {
+      progressSaver.refused();
     } else if (event instanceof JobEvent.StartsBounded e) {
       term.startDeadlineMillis = e.untilMillis();
     } else if (event instanceof JobEvent.Tick e) {
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -25,6 +25,9 @@
   private final LearnedText learned;
   private final Map<WorkerIncarnation, Long> savingCompletions = new LinkedHashMap<>();
   private final List<RunKey> savingStarts = new ArrayList<>();
+  private final Set<Job> savingJobs = new LinkedHashSet<>();
+  private final RefusedSaves refusedSaves = new RefusedSaves();
+  private boolean savingSharedRows;
   private boolean saving;
   private long learnedMillis;
   private Set<WorkerIncarnation> savedSuppressing = Set.of();
@@ -49,18 +52,8 @@
     if (saving) {
       return;
     }
-    final long now = term.now.mono();
     final Map<JobId, String> rows = takeDirtyRows();
-    if (term.dirty.isEmpty()) {
-      term.workers.values().stream()
-          .filter(
-              worker ->
-                  worker.lastAcknowledgeableCompletion(now) > worker.lastAcknowledgedCompletion)
-          .forEach(
-              worker ->
-                  savingCompletions.put(
-                      worker.incarnation(), worker.lastAcknowledgeableCompletion(now)));
-    }
+    collectCompletions();
     savingCompletions.keySet().forEach(term::acknowledging);
     // An incarnation that did not fit into the text is tried again only when a text is due.
     Set<WorkerIncarnation> written = learnedDue() ? storedIncarnations : incarnationsToStore;
@@ -68,24 +61,72 @@
         savingCompletions.keySet().stream()
             .anyMatch(
                 incarnation -> incarnation.identifierReusable() && !written.contains(incarnation));
-    Optional<Map<WorkerIncarnation, Long>> leaseEnds = term.leaseEnds.beginSave(term);
-    if (!rows.isEmpty() || term.incarnationsUnsaved || leaseEnds.isPresent()) {
-      saving = true;
-      term.effects.add(new JobEffect.SaveProgress(rows, learnedIfDue(), leaseEnds));
+    boolean withSharedRows = admitsSharedRows();
+    Optional<Map<WorkerIncarnation, Long>> leaseEnds =
+        withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
+    boolean incarnationsDue = withSharedRows && term.incarnationsUnsaved;
+    if (!rows.isEmpty() || incarnationsDue || leaseEnds.isPresent()) {
+      send(rows, withSharedRows ? learnedIfDue() : "", leaseEnds);
     } else if (!savingCompletions.isEmpty()) {
       saved();
     }
   }
 
+  private void send(
+      Map<JobId, String> rows, String text, Optional<Map<WorkerIncarnation, Long>> leaseEnds) {
+    saving = true;
+    savingSharedRows = !text.isEmpty() || leaseEnds.isPresent();
+    term.effects.add(new JobEffect.SaveProgress(rows, text, leaseEnds));
+  }
+
+  /** Returns whether the next transaction may write rows that belong to no job. */
+  private boolean admitsSharedRows() {
+    return savingJobs.stream().noneMatch(refusedSaves::isApart)
+        && refusedSaves.admitsSharedRows(term.now.mono());
+  }
+
+  /**
+   * Collects the completions that may be acknowledged once the next transaction is stored: those
+   * before the first one that changed a job which this transaction does not save.
+   */
+  private void collectCompletions() {
+    Map<WorkerIncarnation, Long> unsaved = new HashMap<>();
+    term.dirty.stream()
+        .flatMap(job -> job.unsavedCompletions.waiting())
+        .forEach(entry -> unsaved.merge(entry.getKey(), entry.getValue(), Math::min));
+    for (Worker worker : term.workers.values()) {
+      long limit = unsaved.getOrDefault(worker.incarnation(), Long.MAX_VALUE) - 1;
+      long number = Math.min(limit, worker.lastAcknowledgeableCompletion(term.now.mono()));
+      if (number > worker.lastAcknowledgedCompletion) {
+        savingCompletions.put(worker.incarnation(), number);
+      }
+    }
+  }
+
+  /** Returns the jobs that the next transaction saves. */
+  private List<Job> nextJobs() {
+    return refusedSaves
+        .due(term.dirty, term.now.mono())
+        .map(List::of)
+        .orElseGet(
+            () ->
+                term.dirty.stream()
+                    .filter(job -> !refusedSaves.isApart(job))
+                    .limit(term.timing.jobsPerSave())
+                    .toList());
+  }
+
   /**
    * Returns the progress of the jobs that the next transaction saves, and notes the starts that
    * wait for it.
    */
   private Map<JobId, String> takeDirtyRows() {
     Map<JobId, String> rows = new HashMap<>();
-    List<Job> batch = term.dirty.stream().limit(term.timing.jobsPerSave()).toList();
+    List<Job> batch = nextJobs();
     batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
     batch.forEach(term.dirty::remove);
+    batch.forEach(job -> job.unsavedCompletions.beginSave());
+    savingJobs.addAll(batch);
     batch.stream()
         .flatMap(Job::tasks)
         .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
@@ -103,11 +144,11 @@
       return;
     }
     Map<JobId, String> rows = takeDirtyRows();
-    Optional<Map<WorkerIncarnation, Long>> ends = term.leaseEnds.beginSave(term);
+    boolean withSharedRows = admitsSharedRows();
+    Optional<Map<WorkerIncarnation, Long>> ends =
+        withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
     if (!rows.isEmpty() || ends.isPresent()) {
-      saving = true;
-      String text = rows.isEmpty() ? "" : learnedIfDue();
-      term.effects.add(new JobEffect.SaveProgress(rows, text, ends));
+      send(rows, rows.isEmpty() || !withSharedRows ? "" : learnedIfDue(), ends);
     }
   }
 
@@ -174,8 +215,49 @@
     }
   }
 
+  /** Handles that the store refused the last save for its content: nothing of it is stored. */
+  void refused() {
+    saving = false;
+    long now = term.now.mono();
+    Set<Job> jobs = Set.copyOf(savingJobs);
+    if (savingSharedRows) {
+      forgetSharedRows();
+      refusedSaves.refusedSharedRows(now);
+      term.logEvent("save.refused", "shared rows", "jobs=" + jobs.size());
+    }
+    if (savingSharedRows || jobs.size() > 1) {
+      refusedSaves.refusedTogether(jobs, now);
+    } else {
+      jobs.forEach(this::refusedAlone);
+    }
+    jobs.forEach(job -> job.unsavedCompletions.refused());
+    term.dirty.addAll(jobs);
+    savingJobs.clear();
+    savingStarts.clear();
+    savingCompletions.clear();
+  }
+
+  private void refusedAlone(Job job) {
+    long pause = refusedSaves.refusedAlone(job, term.now.mono());
+    String detail = "bytes=%d retryMillis=%d".formatted(ProgressText.write(job).length(), pause);
+    term.logEvent("save.refused", job.spec.id(), detail);
+  }
+
+  /** Records that what was written last of the rows that belong to no job is not stored. */
+  private void forgetSharedRows() {
+    term.leaseEnds.refused();
+    learnedMillis = term.now.mono() - term.timing.learnedMillis();
+    savedSuppressing = Set.of();
+    savedDeferred = Map.of();
+    storedIncarnations = Set.of();
+    term.incarnationsUnsaved = true;
+  }
+
   void saved() {
     saving = false;
+    savingJobs.forEach(refusedSaves::saved);
+    savingJobs.forEach(job -> job.unsavedCompletions.saved());
+    savingJobs.clear();
     term.leaseEnds.saved().stream()
         .flatMap(id -> Stream.ofNullable(term.workers.get(id)))
         .filter(worker -> !worker.placed.isEmpty() || !worker.orphans.isEmpty())
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -151,6 +151,11 @@
     return before;
   }
 
+  /** Records that the store has refused the save. */
+  void refused() {
+    saving = Optional.empty();
+  }
+
   private static Set<WorkerId> workers(Map<WorkerIncarnation, End> ends) {
     return ends.keySet().stream()
         .map(WorkerIncarnation::worker)
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -263,6 +263,7 @@
         .of(completion.on())
         .or(() -> worker(completion.on()).map(on -> on.deferredAcknowledgements))
         .ifPresent(deferred -> deferred.defer(completion.number(), now.mono(), millis));
+    task.job.unsavedCompletions.add(completion.on(), completion.number());
     jobsToRecheck.add(task.job);
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /** Handles worker reports: what runs, what has ended, and how tasks that share a worker perform. */
@@ -72,7 +73,7 @@
     worker.clock.observe(event.report().clockMillis(), term.now.mono());
     event.report().completions().stream()
         .filter(completion -> completion.number() > worker.lastSeenCompletion)
-        .forEach(completion -> handleCompletion(worker, completion));
+        .forEach(completion -> handle(worker, completion));
     Set<RunKey> listed = new HashSet<>();
     event.report().running().forEach(running -> listed.add(handleRunning(worker, running)));
     if (!event.report().mayOmitCompletions()) {
@@ -253,6 +254,13 @@
     return term.leftAlone.contains(task.job());
   }
 
+  private void handle(Worker worker, WorkerReport.Completion completion) {
+    handleCompletion(worker, completion);
+    Optional.ofNullable(term.jobs.get(completion.task().job()))
+        .filter(term.dirty::contains)
+        .ifPresent(job -> job.unsavedCompletions.add(worker.incarnation(), completion.number()));
+  }
+
   private void handleCompletion(Worker worker, WorkerReport.Completion completion) {
     worker.lastSeenCompletion = completion.number();
     worker.suppressedCompletions.listed();
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -68,6 +68,9 @@
 
   final List<JobEffect> effects = new ArrayList<>();
 
+  /** Saves that the store refuses for their content. */
+  Predicate<JobEffect.SaveProgress> refusedSaves = save -> false;
+
   /** Starts whose answer is lost, and stops that are lost. */
   Predicate<JobEffect> lost = effect -> false;
 
@@ -415,6 +418,10 @@
       waitingSaves.add(save);
       return;
     }
+    if (refusedSaves.test(save)) {
+      after(SAVE_MILLIS, () -> post(from, new JobEvent.ProgressRefused()));
+      return;
+    }
     final long inEpoch = epoch;
     after(
         SAVE_MILLIS,
--- a/daemon/src/main/java/org/cottontack/daemon/job/CommitResult.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/CommitResult.java
@@ -22,6 +22,11 @@
     CONFLICT,
     /** The transaction was refused; nothing was written. */
     REFUSED,
+    /**
+     * The transaction was refused for its content, such as a row that is too large; nothing was
+     * written, and a repetition would be refused as well.
+     */
+    INVALID,
     /**
      * There was no response: the transaction may have been carried out, or may still be carried out
      * seconds later.
@@ -39,7 +44,7 @@
    * come from a component in front of the store.
    */
   public boolean served() {
-    return outcome == Outcome.DONE || outcome == Outcome.CONFLICT;
+    return outcome == Outcome.DONE || outcome == Outcome.CONFLICT || outcome == Outcome.INVALID;
   }
 
   /** Returns a result without rows. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -487,6 +487,7 @@
       inFlight--;
       switch (result.outcome()) {
         case DONE, CONFLICT -> finish(() -> onResolved.accept(result));
+        case INVALID -> finish(() -> done.accept(Answer.REJECTED));
         case UNKNOWN -> {
           inDoubt = true;
           scheduleResend();
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -397,7 +397,7 @@
 
   /** Handles the answer to a save; nothing else is decided any more. */
   private void handleWhileEnding(JobEvent event) {
-    if (event instanceof JobEvent.ProgressSaved) {
+    if (event instanceof JobEvent.ProgressSaved || event instanceof JobEvent.ProgressRefused) {
       scheduler.handle(timers.now(), event);
       prepareEnd();
     }
@@ -518,12 +518,20 @@
     progressStore.save(
         save,
         save.leaseEnds().map(ends -> leaseEnds.toStore(ends, timers.now())),
-        () -> {
-          metrics.saved(timers.now().mono() - began);
-          save.progress().entrySet().stream()
-              .filter(entry -> ended(entry.getValue()))
-              .forEach(entry -> retention.ended(entry.getKey()));
-          post(new JobEvent.ProgressSaved());
+        new ProgressStore.Listener() {
+          @Override
+          public void saved() {
+            metrics.saved(timers.now().mono() - began);
+            save.progress().entrySet().stream()
+                .filter(entry -> ended(entry.getValue()))
+                .forEach(entry -> retention.ended(entry.getKey()));
+            post(new JobEvent.ProgressSaved());
+          }
+
+          @Override
+          public void refused() {
+            post(new JobEvent.ProgressRefused());
+          }
         });
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -141,6 +141,16 @@
     return epoch + " " + saves;
   }
 
+  /** Receives the end of a save; exactly one of the methods is called, once. */
+  interface Listener {
+
+    /** Called when the save is in the store. */
+    void saved();
+
+    /** Called when the store refused the save for its content; nothing was written. */
+    void refused();
+  }
+
   /**
    * Writes progress; the caller has at most one save in flight.
    *
@@ -149,7 +159,7 @@
   void save(
       JobEffect.SaveProgress save,
       Optional<Map<WorkerIncarnation, Long>> leaseEnds,
-      Runnable onSaved) {
+      Listener listener) {
     saves++;
     Map<RowKey, Payload> writes = new HashMap<>();
     save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
@@ -160,47 +170,67 @@
     leaseEnds.ifPresent(ends -> writes.put(JobTables.LEASE_ENDS, leaseEnds(ends)));
     Transaction transaction =
         new Transaction(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
-    commit(transaction, store.retryTimeoutMillis(), onSaved);
+    commit(transaction, store.retryTimeoutMillis(), listener);
   }
 
   /**
-   * Sends the same transaction until it is certainly stored. Without the version of the fence row a
-   * duplicate of an unanswered transaction could be carried out after newer writes and restore an
-   * old state.
+   * Sends the same transaction until it is certainly stored or refused for its content. Without the
+   * version of the fence row a duplicate of an unanswered transaction could be carried out after
+   * newer writes and restore an old state.
    */
-  private void commit(Transaction transaction, long timeoutMillis, Runnable onSaved) {
+  private void commit(Transaction transaction, long timeoutMillis, Listener listener) {
     if (!stopped) {
+      long sentMillis = timers.now().mono();
       store.commit(
           transaction,
           timeoutMillis,
-          result -> committed(transaction, timeoutMillis, onSaved, result));
+          result -> committed(transaction, timeoutMillis, sentMillis, listener, result));
     }
   }
 
   private void committed(
-      Transaction transaction, long timeoutMillis, Runnable onSaved, CommitResult result) {
+      Transaction transaction,
+      long timeoutMillis,
+      long sentMillis,
+      Listener listener,
+      CommitResult result) {
     switch (result.outcome()) {
-      case DONE -> saved(result.version(), onSaved);
-      case REFUSED -> timers.after(PAUSE_MILLIS, () -> commit(transaction, timeoutMillis, onSaved));
-      case UNKNOWN -> commit(transaction, Math.min(2 * timeoutMillis, MAX_TIMEOUT_MILLIS), onSaved);
-      case CONFLICT -> conflict(result, onSaved);
+      case DONE -> saved(result.version(), listener);
+      case INVALID -> refused(listener);
+      case REFUSED ->
+          timers.after(PAUSE_MILLIS, () -> commit(transaction, timeoutMillis, listener));
+      case UNKNOWN -> {
+        long nextTimeoutMillis = Math.min(2 * timeoutMillis, MAX_TIMEOUT_MILLIS);
+        long elapsedMillis = timers.now().mono() - sentMillis;
+        // An error status or a reset comes at once, so its repetition needs a pause of its own.
+        timers.after(
+            Math.max(0, PAUSE_MILLIS - elapsedMillis),
+            () -> commit(transaction, nextTimeoutMillis, listener));
+      }
+      case CONFLICT -> conflict(result, listener);
       default -> throw new IllegalStateException("no such outcome: " + result.outcome());
     }
   }
 
-  private void conflict(CommitResult result, Runnable onSaved) {
+  private void refused(Listener listener) {
+    if (!stopped) {
+      listener.refused();
+    }
+  }
+
+  private void conflict(CommitResult result, Listener listener) {
     Row fence = result.current(JobTables.FENCE).orElse(null);
     if (fence != null && fence.text().equals(fence())) {
-      saved(fence.version(), onSaved);
+      saved(fence.version(), listener);
     } else {
       onDeposed.accept("another leader writes progress");
     }
   }
 
-  private void saved(long version, Runnable onSaved) {
+  private void saved(long version, Listener listener) {
     fenceVersion = version;
     if (!stopped) {
-      onSaved.run();
+      listener.saved();
     }
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -31,6 +31,8 @@
     GOOD,
     /** The store refuses it and does nothing. */
     REFUSED,
+    /** The store refuses it for its content and does nothing. */
+    INVALID,
     /** It is carried out, and the response is lost. */
     ANSWER_LOST,
     /**
@@ -40,6 +42,14 @@
     LATE
   }
 
+  /** The behaviours that depend on the moment, not on the content of a transaction. */
+  static final List<CommitBehaviour> TRANSIENT =
+      List.of(
+          CommitBehaviour.GOOD,
+          CommitBehaviour.REFUSED,
+          CommitBehaviour.ANSWER_LOST,
+          CommitBehaviour.LATE);
+
   private record PendingWatch(String table, long after, Consumer<TableStore.Changes> done) {}
 
   private final VirtualTimers.View self;
@@ -126,6 +136,8 @@
         }
         case REFUSED ->
             process.after(RESPONSE_MILLIS, () -> done.accept(result(CommitResult.Outcome.REFUSED)));
+        case INVALID ->
+            process.after(RESPONSE_MILLIS, () -> done.accept(result(CommitResult.Outcome.INVALID)));
         case ANSWER_LOST -> {
           self.after(RESPONSE_MILLIS, () -> apply(transaction));
           process.after(timeoutMillis, () -> done.accept(result(CommitResult.Outcome.UNKNOWN)));
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -190,6 +190,27 @@
       assertEquals(simulation.store.table(JobTables.PROGRESS).toString(), before);
     }
 
+    /** Guards against one row that the store refuses and that stops the saves of all jobs. */
+    @Test
+    public void continuesWhenRowOfOneJobIsRefused() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      RowKey refused = JobTables.progress(new JobId("a"));
+      simulation.store.commitBehaviour =
+          change ->
+              change.writes().containsKey(refused)
+                  ? FakeTableStore.CommitBehaviour.INVALID
+                  : FakeTableStore.CommitBehaviour.GOOD;
+      simulation.submit("a");
+      simulation.submit("b");
+      simulation.time.run(3_000);
+      simulation.submit("c");
+      simulation.time.run(1_000);
+      assertEquals(
+          simulation.starts.stream().map(run -> run.task().job()).toList(),
+          List.of(new JobId("b"), new JobId("c")));
+      assertEquals(simulation.entry.leadingEpoch(), 1);
+    }
+
     /**
      * The response to a save is lost although the save is done: the leader goes on, and starts the
      * task once.
