Progress: a job's rows stay within the limits of the store

Cause: the progress of a job was one row with a line for each task ever placed (46 to 53 bytes, done ones with their checkpoint), written again at each change, without regard to the size of a row or of a transaction. Change: tasks that are done keep neither worker nor checkpoint, and of a job that has ended only tasks on workers are stored. Where the tasks no longer fit into 8,192 bytes of the main row they are in rows of a table of their own, each with a range of the tasks and about 4,096 bytes; done tasks are ranges there. Only changed rows are written; rows split and join as they grow and shrink. The main row lists the rows in force. A save whose changed rows do not fit into one transaction writes new rows over several, which other jobs share, and the main row last, so a takeover in between reads the last whole save. Starts and acknowledgements wait for that last transaction.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -52,6 +53,9 @@
    */
   boolean waitsForPlace;
 
+  /** The rows of its progress. */
+  final ProgressRows rows;
+
   /** The completions that are not to be acknowledged before this job is saved. */
   final UnsavedCompletions unsavedCompletions = new UnsavedCompletions();
 
@@ -65,6 +69,7 @@
   /** Creates a job that shares the record of ignored starts with other jobs. */
   Job(JobSpec spec, long arrivedMillis, IgnoredStarts ignoredStarts) {
     this.spec = spec;
+    this.rows = new ProgressRows(spec.id());
     this.arrivedMillis = arrivedMillis;
     this.ignoredStarts = ignoredStarts;
   }
@@ -100,6 +105,24 @@
         .get(name.index());
   }
 
+  /** Records which tasks are done, counted over all steps and occurrences. */
+  void done(BitSet tasks) {
+    int each = spec.steps().stream().mapToInt(StepSpec::count).sum();
+    int last = Math.min((tasks.length() - 1) / each, spec.schedule().occurrences() - 1);
+    while (!tasks.isEmpty() && occurrences.size() <= last) {
+      occurrences.add(new Occurrence(this, occurrences.size()));
+    }
+    int[] number = {0};
+    tasks()
+        .forEach(
+            task -> {
+              if (tasks.get(number[0])) {
+                task.recordDone();
+              }
+              number[0]++;
+            });
+  }
+
   /** Returns the other tasks of a task's step. */
   Stream<Task> siblings(Task task) {
     StepId step = task.name.step();
--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Something to be carried out by the process around {@link JobScheduler}: an output, as data. */
 public sealed interface JobEffect {
@@ -10,19 +11,24 @@
    * Writes the progress of jobs in one transaction, and answers with {@link JobEvent.ProgressSaved}
    * or {@link JobEvent.ProgressRefused}. At most one such write is in flight.
    *
-   * @param progress the stored form of each job's progress
+   * @param progress rows of the progress of jobs
+   * @param removals rows of progress to remove
    * @param learned estimates for images and queues, stored for the next leader; empty when they
    *     were written a short while ago
    * @param leaseEnds when the leases of unreachable workers end, on this leader's steady clock;
    *     they replace the stored ones. Empty to leave those unchanged.
    */
   record SaveProgress(
-      Map<JobId, String> progress, String learned, Optional<Map<WorkerIncarnation, Long>> leaseEnds)
+      Map<ProgressRowId, String> progress,
+      Set<ProgressRowId> removals,
+      String learned,
+      Optional<Map<WorkerIncarnation, Long>> leaseEnds)
       implements JobEffect {
 
     /** Keeps the maps immutable. */
     public SaveProgress {
       progress = Map.copyOf(progress);
+      removals = Set.copyOf(removals);
       leaseEnds = leaseEnds.map(Map::copyOf);
     }
   }
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -29,7 +29,20 @@
   record JobArrived(JobSpec job) implements JobEvent {}
 
   /** A job was read from the store after a change of leader, with its stored progress. */
-  record JobRecovered(JobSpec job, String progress) implements JobEvent {}
+  record JobRecovered(JobSpec job, StoredProgress progress) implements JobEvent {}
+
+  /**
+   * Rows of progress were found that no longer belong to an open job.
+   *
+   * @param rows the rows, which are to be removed
+   */
+  record RowsLeftOver(Set<ProgressRowId> rows) implements JobEvent {
+
+    /** Keeps the set immutable. */
+    public RowsLeftOver {
+      rows = Set.copyOf(rows);
+    }
+  }
 
   /** The stored estimates of an earlier leader were read. */
   record LearnedRecovered(String learned) implements JobEvent {}
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -102,7 +102,11 @@
         new ProgressSaver(
             term,
             orders,
-            new LearnedText(interference, durationEstimates, storedParts(runDurations, scores)));
+            new LearnedText(
+                interference,
+                durationEstimates,
+                storedParts(runDurations, scores),
+                timing.storeLimits().sharedRowBytes()));
   }
 
   /** Returns the parts of load control in force whose state is stored. */
@@ -251,6 +255,8 @@
     } else if (event instanceof JobEvent.JobRecovered e) {
       admission.arrived(e.job());
       lifecycle.recovered(e);
+    } else if (event instanceof JobEvent.RowsLeftOver e) {
+      progressSaver.removeLeftOver(e.rows());
     } else if (event instanceof JobEvent.LearnedRecovered e) {
       progressSaver.restoreLearned(e.learned());
     } else if (event instanceof JobEvent.LeaseEndsRecovered e) {
--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -16,6 +16,7 @@
  * @param logLoadMillis time between two log lines about the load of all workers
  * @param cancelsKept maximum number of cancellations kept for jobs that have not arrived yet
  * @param jobsPerSave maximum number of jobs in one transaction
+ * @param storeLimits limits of the store for one transaction
  */
 public record JobTiming(
     long pollWaitMillis,
@@ -29,12 +30,57 @@
     long learnedMillis,
     long logLoadMillis,
     int cancelsKept,
-    int jobsPerSave) {
+    int jobsPerSave,
+    StoreLimits storeLimits) {
+
+  /**
+   * Entries of a save beside the rows of jobs: two rows that belong to no job, and the fence, which
+   * is expected and written.
+   */
+  private static final int SHARED_ENTRIES = 4;
 
   /**
    * The values in use. One percent of a usual task takes 20 ms and the slowest starts take 0.6 s,
    * so a run without progress for 2.5 s is stalled rather than slow.
    */
   public static final JobTiming STANDARD =
-      new JobTiming(1_000, 500, 400, 5_000, 400, 500, 2_500, 3_000, 2_000, 2_000, 10_000, 80);
+      new JobTiming(
+          1_000,
+          500,
+          400,
+          5_000,
+          400,
+          500,
+          2_500,
+          3_000,
+          2_000,
+          2_000,
+          10_000,
+          80,
+          StoreLimits.STANDARD);
+
+  /** Returns the same values for a store with other limits. */
+  public JobTiming withStoreLimits(StoreLimits limits) {
+    return new JobTiming(
+        pollWaitMillis,
+        contendedPollWaitMillis,
+        pollRetryMillis,
+        idlePollMillis,
+        stopRetryMillis,
+        avoidMillis,
+        stalledMillis,
+        firstPollsMillis,
+        learnedMillis,
+        logLoadMillis,
+        cancelsKept,
+        jobsPerSave,
+        limits);
+  }
+
+  /** Returns what the rows of jobs may take in one save. */
+  StoreLimits saveLimits() {
+    long sharedBytes =
+        2 * StoreLimits.sentBytes(storeLimits.sharedRowBytes()) + 2 * StoreLimits.sentBytes(0);
+    return storeLimits.without((int) sharedBytes, SHARED_ENTRIES);
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/LearnedText.java
+++ b/core/src/main/java/org/cottontack/core/job/LearnedText.java
@@ -22,9 +22,6 @@
  */
 final class LearnedText {
 
-  /** Size limit of the text, in bytes: half of the smallest row that the store accepts. */
-  static final int MAX_BYTES = 32_000;
-
   /**
    * Lines of weights of headroom. Lines that begin with "pair" hold other weights, which have no
    * meaning here.
@@ -51,8 +48,8 @@
 
   private static final int DEFERRED_FIELDS = INCARNATION_FIELDS + 1;
 
-  /** Size that the lines of incarnations leave free for those of queues and pairs, in bytes. */
-  private static final int LEARNED_BYTES = 8_000;
+  /** Share of the text that the lines of incarnations leave free for those of queues and pairs. */
+  private static final int LEARNED_SHARE = 4;
 
   /**
    * A text that was written.
@@ -65,16 +62,26 @@
   private final Interference interference;
   private final DurationEstimates estimates;
   private final List<StoredLines> parts;
+  private final int maxBytes;
 
   LearnedText(Interference interference, DurationEstimates estimates) {
-    this(interference, estimates, List.of());
+    this(interference, estimates, List.of(), StoreLimits.STANDARD.sharedRowBytes());
   }
 
-  /** Creates the text of a leader with parts of load control. */
-  LearnedText(Interference interference, DurationEstimates estimates, List<StoredLines> parts) {
+  /**
+   * Creates the text of a leader with parts of load control.
+   *
+   * @param maxBytes size limit of the text, in bytes
+   */
+  LearnedText(
+      Interference interference,
+      DurationEstimates estimates,
+      List<StoredLines> parts,
+      int maxBytes) {
     this.interference = interference;
     this.estimates = estimates;
     this.parts = List.copyOf(parts);
+    this.maxBytes = maxBytes;
   }
 
   /**
@@ -105,8 +112,8 @@
             .flatMap(lines -> lines)
             .toList();
     List<String> keptIncarnations =
-        first(incarnations, MAX_BYTES - Math.min(bytes(learned), LEARNED_BYTES));
-    List<String> keptLearned = first(learned, MAX_BYTES - bytes(keptIncarnations));
+        first(incarnations, maxBytes - Math.min(bytes(learned), maxBytes / LEARNED_SHARE));
+    List<String> keptLearned = first(learned, maxBytes - bytes(keptIncarnations));
     String text =
         Stream.concat(keptIncarnations.stream(), keptLearned.stream())
             .collect(Collectors.joining("\n"));
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -1,6 +1,5 @@
 package org.cottontack.core.job;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -24,9 +23,7 @@
   private final Orders orders;
   private final LearnedText learned;
   private final Map<WorkerIncarnation, Long> savingCompletions = new LinkedHashMap<>();
-  private final List<RunKey> savingStarts = new ArrayList<>();
-  private final Set<Job> savingJobs = new LinkedHashSet<>();
-  private final RefusedSaves refusedSaves = new RefusedSaves();
+  private final JobSaves jobSaves;
   private boolean savingSharedRows;
   private boolean saving;
   private long learnedMillis;
@@ -46,13 +43,14 @@
     this.term = term;
     this.orders = orders;
     this.learned = learned;
+    this.jobSaves = new JobSaves(term);
   }
 
   void save() {
     if (saving) {
       return;
     }
-    final Map<JobId, String> rows = takeDirtyRows();
+    final SaveBatch rows = jobSaves.begin();
     collectCompletions();
     savingCompletions.keySet().forEach(term::acknowledging);
     // An incarnation that did not fit into the text is tried again only when a text is due.
@@ -61,7 +59,7 @@
         savingCompletions.keySet().stream()
             .anyMatch(
                 incarnation -> incarnation.identifierReusable() && !written.contains(incarnation));
-    boolean withSharedRows = admitsSharedRows();
+    boolean withSharedRows = jobSaves.admitsSharedRows();
     Optional<Map<WorkerIncarnation, Long>> leaseEnds =
         withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
     boolean incarnationsDue = withSharedRows && term.incarnationsUnsaved;
@@ -72,17 +70,10 @@
     }
   }
 
-  private void send(
-      Map<JobId, String> rows, String text, Optional<Map<WorkerIncarnation, Long>> leaseEnds) {
+  private void send(SaveBatch rows, String text, Optional<Map<WorkerIncarnation, Long>> leaseEnds) {
     saving = true;
     savingSharedRows = !text.isEmpty() || leaseEnds.isPresent();
-    term.effects.add(new JobEffect.SaveProgress(rows, text, leaseEnds));
-  }
-
-  /** Returns whether the next transaction may write rows that belong to no job. */
-  private boolean admitsSharedRows() {
-    return savingJobs.stream().noneMatch(refusedSaves::isApart)
-        && refusedSaves.admitsSharedRows(term.now.mono());
+    term.effects.add(new JobEffect.SaveProgress(rows.writes(), rows.removals(), text, leaseEnds));
   }
 
   /**
@@ -91,8 +82,8 @@
    */
   private void collectCompletions() {
     Map<WorkerIncarnation, Long> unsaved = new HashMap<>();
-    term.dirty.stream()
-        .flatMap(job -> job.unsavedCompletions.waiting())
+    jobSaves
+        .unsavedCompletions()
         .forEach(entry -> unsaved.merge(entry.getKey(), entry.getValue(), Math::min));
     for (Worker worker : term.workers.values()) {
       long limit = unsaved.getOrDefault(worker.incarnation(), Long.MAX_VALUE) - 1;
@@ -103,38 +94,6 @@
     }
   }
 
-  /** Returns the jobs that the next transaction saves. */
-  private List<Job> nextJobs() {
-    return refusedSaves
-        .due(term.dirty, term.now.mono())
-        .map(List::of)
-        .orElseGet(
-            () ->
-                term.dirty.stream()
-                    .filter(job -> !refusedSaves.isApart(job))
-                    .limit(term.timing.jobsPerSave())
-                    .toList());
-  }
-
-  /**
-   * Returns the progress of the jobs that the next transaction saves, and notes the starts that
-   * wait for it.
-   */
-  private Map<JobId, String> takeDirtyRows() {
-    Map<JobId, String> rows = new HashMap<>();
-    List<Job> batch = nextJobs();
-    batch.forEach(job -> rows.put(job.spec.id(), ProgressText.write(job)));
-    batch.forEach(term.dirty::remove);
-    batch.forEach(job -> job.unsavedCompletions.beginSave());
-    savingJobs.addAll(batch);
-    batch.stream()
-        .flatMap(Job::tasks)
-        .filter(t -> t.phase == Task.Phase.PLACED && t.order == Task.Order.UNSAVED)
-        .map(Task::key)
-        .forEach(savingStarts::add);
-    return rows;
-  }
-
   /**
    * Saves what the next leader cannot learn from a worker that leaves meanwhile: the progress that
    * is not saved yet, and the ends of leases of unreachable workers.
@@ -143,8 +102,8 @@
     if (saving) {
       return;
     }
-    Map<JobId, String> rows = takeDirtyRows();
-    boolean withSharedRows = admitsSharedRows();
+    SaveBatch rows = jobSaves.begin();
+    boolean withSharedRows = jobSaves.admitsSharedRows();
     Optional<Map<WorkerIncarnation, Long>> ends =
         withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
     if (!rows.isEmpty() || ends.isPresent()) {
@@ -154,7 +113,12 @@
 
   /** Returns whether all progress is saved. */
   boolean allSaved() {
-    return !saving && term.dirty.isEmpty();
+    return !saving && jobSaves.allSaved();
+  }
+
+  /** Removes rows of progress that an earlier leader left over. */
+  void removeLeftOver(Set<ProgressRowId> rows) {
+    jobSaves.addLeftOver(rows);
   }
 
   void restoreLearned(String text) {
@@ -218,31 +182,13 @@
   /** Handles that the store refused the last save for its content: nothing of it is stored. */
   void refused() {
     saving = false;
-    long now = term.now.mono();
-    Set<Job> jobs = Set.copyOf(savingJobs);
     if (savingSharedRows) {
       forgetSharedRows();
-      refusedSaves.refusedSharedRows(now);
-      term.logEvent("save.refused", "shared rows", "jobs=" + jobs.size());
     }
-    if (savingSharedRows || jobs.size() > 1) {
-      refusedSaves.refusedTogether(jobs, now);
-    } else {
-      jobs.forEach(this::refusedAlone);
-    }
-    jobs.forEach(job -> job.unsavedCompletions.refused());
-    term.dirty.addAll(jobs);
-    savingJobs.clear();
-    savingStarts.clear();
+    jobSaves.refused(savingSharedRows);
     savingCompletions.clear();
   }
 
-  private void refusedAlone(Job job) {
-    long pause = refusedSaves.refusedAlone(job, term.now.mono());
-    String detail = "bytes=%d retryMillis=%d".formatted(ProgressText.write(job).length(), pause);
-    term.logEvent("save.refused", job.spec.id(), detail);
-  }
-
   /** Records that what was written last of the rows that belong to no job is not stored. */
   private void forgetSharedRows() {
     term.leaseEnds.refused();
@@ -255,16 +201,14 @@
 
   void saved() {
     saving = false;
-    savingJobs.forEach(refusedSaves::saved);
-    savingJobs.forEach(job -> job.unsavedCompletions.saved());
-    savingJobs.clear();
+    // What a job that is saved alone adds to the rows that belong to no job is saved next.
+    term.incarnationsUnsaved |= jobSaves.apart();
     term.leaseEnds.saved().stream()
         .flatMap(id -> Stream.ofNullable(term.workers.get(id)))
         .filter(worker -> !worker.placed.isEmpty() || !worker.orphans.isEmpty())
         .forEach(worker -> orders.poll(worker, 0));
-    List<RunKey> starts = List.copyOf(savingStarts);
+    final List<RunKey> starts = jobSaves.saved();
     final Map<WorkerIncarnation, Long> completions = new LinkedHashMap<>(savingCompletions);
-    savingStarts.clear();
     savingCompletions.clear();
     starts.forEach(this::startIfPlaced);
     completions.keySet().removeIf(incarnation -> !mayAcknowledge(incarnation));
@@ -273,7 +217,12 @@
             term.worker(incarnation).ifPresent(worker -> acknowledge(worker, number)));
     term.jobs
         .values()
-        .removeIf(job -> job.phase.terminal() && !term.dirty.contains(job) && !job.onWorkers());
+        .removeIf(
+            job ->
+                job.phase.terminal()
+                    && !term.dirty.contains(job)
+                    && !jobSaves.isLarge(job)
+                    && !job.onWorkers());
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -3,18 +3,28 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cottontack.core.id.WorkerId;
 
 /**
- * The stored form of a job's progress: a letter for the job's phase, then one line for each task
- * that has been placed at least once.
+ * The stored form of a job's progress. The main row has a letter for the job's phase, then one line
+ * for each task that has been placed at least once. The tasks of a large job are in further rows,
+ * which the main row lists in place of the lines. Such a row has the first task of its range, then
+ * the lines of its tasks; tasks that are done are ranges there. Tasks are counted over all steps
+ * and occurrences. Once a job has ended, only the tasks that are still on workers are stored.
  */
 public final class ProgressText {
 
   private static final String NO_WORKER = "-";
+  private static final String PARTS = "parts ";
+  private static final String FIRST = "from ";
+  private static final String DONE = "d ";
   private static final int FIELDS = 8;
   private static final int CRASH_FIELDS = 2;
   private static final int MAX_FIELDS = FIELDS + CRASH_FIELDS + 1;
@@ -56,7 +66,7 @@
           task.crashes,
           task.blamed,
           worker(task),
-          task.checkpoint,
+          task.phase == Task.Phase.DONE ? "" : task.checkpoint,
           task.duplicateStartPossible);
     }
 
@@ -127,51 +137,210 @@
   }
 
   /**
-   * Returns the phase of a stored progress.
+   * Tasks that are done.
+   *
+   * @param first the first of them
+   * @param last the last of them
+   */
+  private record DoneTasks(long first, long last) {
+
+    static DoneTasks parse(String text) {
+      String[] fields = text.substring(DONE.length()).split(" ", -1);
+      if (fields.length != 2) {
+        throw new IllegalArgumentException("not a range of tasks: " + text);
+      }
+      return new DoneTasks(Long.parseLong(fields[0]), Long.parseLong(fields[1]));
+    }
+
+    @Override
+    public String toString() {
+      return DONE + first + " " + last;
+    }
+  }
+
+  /** Builds a row of tasks. Tasks are added in their order. */
+  static final class PartBuilder {
+
+    /** Size of a range of done tasks at most, in bytes. */
+    private static final int RANGE_BYTES = 40;
+
+    private final long first;
+    private final StringBuilder text;
+    private long doneFrom = -1;
+    private long doneTo = -1;
+
+    PartBuilder(long first) {
+      this.first = first;
+      this.text = new StringBuilder(FIRST).append(first);
+    }
+
+    /** Returns the first task of the range. */
+    long first() {
+      return first;
+    }
+
+    /** Adds a task that is done. */
+    void addDone(long number) {
+      if (doneFrom < 0 || doneTo != number - 1) {
+        endRange();
+        doneFrom = number;
+      }
+      doneTo = number;
+    }
+
+    /** Adds the line of a task. */
+    void add(String line) {
+      endRange();
+      text.append('\n').append(line);
+    }
+
+    private void endRange() {
+      if (doneFrom >= 0) {
+        text.append('\n').append(new DoneTasks(doneFrom, doneTo));
+      }
+      doneFrom = -1;
+      doneTo = -1;
+    }
+
+    /** Returns at most how many bytes the row has; lines consist of ASCII but for worker names. */
+    int length() {
+      return text.length() + RANGE_BYTES;
+    }
+
+    /** Returns the row. */
+    String text() {
+      endRange();
+      return text.toString();
+    }
+  }
+
+  /**
+   * Returns the phase of a main row.
    *
    * @throws IllegalArgumentException if there is none
    */
-  public static JobPhase phase(String text) {
-    if (text.isEmpty()) {
+  public static JobPhase phase(String main) {
+    if (main.isEmpty()) {
       throw new IllegalArgumentException("the stored progress is empty");
     }
-    return JobPhase.of(text.charAt(0));
+    return JobPhase.of(main.charAt(0));
+  }
+
+  /** Returns whether a job has ended and none of its tasks is on a worker, by its main row. */
+  public static boolean ended(String main) {
+    return phase(main).terminal()
+        && listedParts(main).findAny().isEmpty()
+        && taskLines(main).map(Line::parse).noneMatch(line -> line.phase() == Task.Phase.PLACED);
+  }
+
+  /** Returns the numbers of the rows of tasks that a main row lists. */
+  static Stream<Integer> listedParts(String main) {
+    return main.lines()
+        .skip(1)
+        .filter(line -> line.startsWith(PARTS))
+        .flatMap(ProgressText::ranges);
+  }
+
+  private static Stream<Integer> ranges(String line) {
+    return Stream.of(line.substring(PARTS.length()).split(",", -1))
+        .map(range -> range.split("-", 2))
+        .flatMap(
+            ends ->
+                IntStream.rangeClosed(
+                        Integer.parseInt(ends[0]), Integer.parseInt(ends[ends.length - 1]))
+                    .boxed());
+  }
+
+  /** Returns the main row of a job whose tasks are in other rows, with their numbers ascending. */
+  static String main(JobPhase phase, List<Integer> numbers) {
+    List<String> ranges = new ArrayList<>();
+    int from = 0;
+    for (int i = 1; i <= numbers.size(); i++) {
+      boolean ends = i == numbers.size() || numbers.get(i) != numbers.get(i - 1) + 1;
+      if (ends) {
+        int first = numbers.get(from);
+        int last = numbers.get(i - 1);
+        ranges.add(first == last ? Integer.toString(first) : first + "-" + last);
+        from = i;
+      }
+    }
+    return phase.code() + "\n" + PARTS + String.join(",", ranges);
   }
 
   /**
-   * Returns whether a stored progress can be read. An unreadable one, damaged or written by another
-   * version, must not be treated as no progress, because its tasks may run or be done.
+   * Returns the first task of the range of a row of tasks.
+   *
+   * @throws IllegalArgumentException if the text is no such row
    */
-  public static boolean readable(String text) {
-    try {
-      phase(text);
-      lines(text).forEach(line -> {});
-      return true;
-    } catch (IllegalArgumentException e) {
-      // The caller logs which job it is.
-      return false;
+  static long firstTask(String part) {
+    String line = part.lines().findFirst().orElse("");
+    if (!line.startsWith(FIRST)) {
+      throw new IllegalArgumentException("not a row of tasks: " + line);
     }
+    return Long.parseLong(line.substring(FIRST.length()));
+  }
+
+  /** Returns the size of a text in the store, in bytes. */
+  static int bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  /**
+   * Checks all rows in force.
+   *
+   * @throws IllegalArgumentException if one is missing or cannot be read
+   */
+  static void check(StoredProgress progress) {
+    phase(progress.main());
+    listedParts(progress.main()).map(progress::part).forEach(ProgressText::firstTask);
+    lines(progress).forEach(line -> {});
+    doneTasks(progress).forEach(range -> {});
+  }
+
+  private static Stream<String> taskLines(String row) {
+    return row.lines().skip(1).filter(line -> !line.startsWith(PARTS) && !line.startsWith(DONE));
+  }
+
+  private static Stream<String> rows(StoredProgress progress) {
+    return Stream.concat(
+        Stream.of(progress.main()), listedParts(progress.main()).map(progress::part));
+  }
+
+  private static Stream<Line> lines(StoredProgress progress) {
+    return rows(progress).flatMap(ProgressText::taskLines).map(Line::parse);
+  }
+
+  private static Stream<DoneTasks> doneTasks(StoredProgress progress) {
+    return rows(progress)
+        .flatMap(String::lines)
+        .filter(line -> line.startsWith(DONE))
+        .map(DoneTasks::parse);
   }
 
-  /** Returns whether some run may still be on a worker. */
-  public static boolean onWorkers(String text) {
-    return lines(text).anyMatch(line -> line.phase() == Task.Phase.PLACED);
+  /** Returns whether a task has a line of its own, or is done. */
+  static boolean isStored(Task task) {
+    return task.phase == Task.Phase.PLACED || (task.run > 0 && !task.job.phase.terminal());
   }
 
-  private static Stream<Line> lines(String text) {
-    return text.lines().skip(1).map(Line::parse);
+  /** Returns the line of a task. */
+  static String line(Task task) {
+    return Line.of(task).toString();
   }
 
+  /** Returns the main row with the lines of all tasks. */
   static String write(Job job) {
-    Stream<String> tasks =
-        job.tasks().filter(task -> task.run > 0).map(task -> Line.of(task).toString());
+    Stream<String> tasks = job.tasks().filter(ProgressText::isStored).map(ProgressText::line);
     return Stream.concat(Stream.of(String.valueOf(job.phase.code())), tasks)
         .collect(Collectors.joining("\n"));
   }
 
-  static void restore(Job job, String text) {
-    job.phase = phase(text);
-    lines(text).forEach(line -> restore(job, line));
+  static void restore(Job job, StoredProgress progress) {
+    job.phase = phase(progress.main());
+    BitSet done = new BitSet();
+    doneTasks(progress).forEach(range -> done.set((int) range.first(), (int) range.last() + 1));
+    job.done(done);
+    lines(progress).forEach(line -> restore(job, line));
+    job.rows.restore(progress);
   }
 
   private static void restore(Job job, Line line) {
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -382,6 +382,13 @@
     return job.phase.terminal() || !earlierCompletions.isEmpty();
   }
 
+  /** Records that an earlier leader has seen it done. Its run and its worker are not known. */
+  void recordDone() {
+    phase = Phase.DONE;
+    run = 1;
+    order = Order.CONFIRMED;
+  }
+
   /** Records that a run did not crash its worker. */
   void forgetCrashes() {
     crashes = 0;
--- a/core/src/main/java/org/cottontack/core/job/UnsavedCompletions.java
+++ b/core/src/main/java/org/cottontack/core/job/UnsavedCompletions.java
@@ -37,6 +37,11 @@
     saving = Map.of();
   }
 
+  /** Returns the lowest numbers of the completions that the save in flight stores. */
+  Stream<Map.Entry<WorkerIncarnation, Long>> saving() {
+    return saving.entrySet().stream();
+  }
+
   /** Returns the lowest numbers of the completions that no save so far has stored or stores. */
   Stream<Map.Entry<WorkerIncarnation, Long>> waiting() {
     return waiting.entrySet().stream();
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -54,7 +54,8 @@
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     timers = new LoopTimers(group.next());
     HttpClient http = new HttpClient(group);
-    WatchedStore store = new WatchedStore(adapter.store(http, settings.store()), timers);
+    WatchedStore store =
+        new WatchedStore(adapter.store(http, settings.store(), settings.rowBytes()), timers);
     entry =
         new JobEntry(
             new Instance(
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.ProgressRowId;
 
 /** The tables, partitions and row keys of persistent data in the platform's store. */
 final class JobTables {
@@ -22,6 +23,11 @@
   /** Progress of jobs, written by the leader. */
   static final String PROGRESS = "progress";
 
+  /**
+   * Tasks of jobs that are too many for the job's row of {@link #PROGRESS}, in the same partition.
+   */
+  static final String PROGRESS_TASKS = "progressTasks";
+
   /** Election, lease and handover of leadership. */
   static final String LEADER = "leader";
 
@@ -71,7 +77,11 @@
   }
 
   static RowKey progress(JobId id) {
-    return new RowKey(PROGRESS, PROGRESS_PART, id.value());
+    return progress(ProgressRowId.main(id));
+  }
+
+  static RowKey progress(ProgressRowId id) {
+    return new RowKey(id.isMain() ? PROGRESS : PROGRESS_TASKS, PROGRESS_PART, id.key());
   }
 
   private static String part(JobId id) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -23,7 +24,9 @@
 import org.cottontack.core.job.JobSpec;
 import org.cottontack.core.job.JobTable;
 import org.cottontack.core.job.JobTiming;
+import org.cottontack.core.job.ProgressRowId;
 import org.cottontack.core.job.ProgressText;
+import org.cottontack.core.job.StoredProgress;
 import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.load.LoadControl;
 import org.cottontack.wire.JobCodec;
@@ -292,11 +295,11 @@
 
   private void begin(ProgressStore.Found found) {
     leadership.begin();
-    final Map<JobId, String> progress = found.jobs();
+    final Map<JobId, StoredProgress> progress = found.jobs();
     accepted.keySet().stream().filter(retention::matchCancellation).forEach(cancelled::add);
     JobScheduler created =
         new JobScheduler(
-            JobTiming.STANDARD,
+            JobTiming.STANDARD.withStoreLimits(store.limits()),
             loadControl,
             table,
             timers.now(),
@@ -310,7 +313,7 @@
     post(new JobEvent.DataCentresEvacuated(evacuated));
     registry.replay(this::post);
     List<JobId> unreadable =
-        progress.keySet().stream().filter(id -> !ProgressText.readable(progress.get(id))).toList();
+        progress.keySet().stream().filter(id -> !progress.get(id).readable()).toList();
     unreadable.forEach(id -> LOG.error("not scheduling job {}: its progress is unreadable", id));
     accepted.keySet().removeAll(unreadable);
     progress.keySet().removeAll(unreadable);
@@ -326,7 +329,7 @@
     accepted.values().stream()
         .filter(job -> !ended(progress.get(job.id())))
         .sorted(Comparator.comparing(JobSpec::id))
-        .forEach(job -> recover(job, progress.get(job.id())));
+        .forEach(job -> recover(job, found));
     cancelled.stream()
         .filter(id -> !ended(progress.get(id)))
         .forEach(
@@ -344,6 +347,7 @@
     // finish. Open progress without a job stays, because this version may be unable to read its
     // job.
     progress.keySet().stream().filter(id -> ended(progress.get(id))).forEach(retention::ended);
+    post(new JobEvent.RowsLeftOver(leftOver(found)));
     retention.start();
     accepted.clear();
     cancelled.clear();
@@ -352,17 +356,38 @@
     waitingRows.start();
   }
 
-  /** Returns whether a job has ended and none of its tasks is on a worker any more. */
-  private static boolean ended(String text) {
-    return terminal(text) && !ProgressText.onWorkers(text);
+  /** Returns the rows of tasks of jobs that have ended or that this leader does not know. */
+  private Set<ProgressRowId> leftOver(ProgressStore.Found found) {
+    Stream<ProgressRowId> ended =
+        found.jobs().entrySet().stream()
+            .filter(job -> ended(job.getValue()))
+            .flatMap(job -> job.getValue().rows(job.getKey()));
+    Stream<ProgressRowId> stray =
+        found.stray().entrySet().stream()
+            .filter(job -> !accepted.containsKey(job.getKey()))
+            .flatMap(job -> StoredProgress.notStarted(job.getValue()).rows(job.getKey()));
+    return Stream.concat(ended, stray).collect(Collectors.toSet());
   }
 
-  private static boolean terminal(String text) {
-    return text != null && ProgressText.phase(text).terminal();
+  private static boolean ended(StoredProgress progress) {
+    return progress != null && progress.ended();
   }
 
-  private void recover(JobSpec job, String text) {
-    post(text == null ? new JobEvent.JobArrived(job) : new JobEvent.JobRecovered(job, text));
+  private static boolean terminal(StoredProgress progress) {
+    return progress != null && progress.phase().terminal();
+  }
+
+  private void recover(JobSpec job, ProgressStore.Found found) {
+    Optional<StoredProgress> progress =
+        Optional.ofNullable(found.jobs().get(job.id()))
+            .or(
+                () ->
+                    Optional.ofNullable(found.stray().get(job.id()))
+                        .map(StoredProgress::notStarted));
+    post(
+        progress
+            .<JobEvent>map(stored -> new JobEvent.JobRecovered(job, stored))
+            .orElseGet(() -> new JobEvent.JobArrived(job)));
   }
 
   private void tick() {
@@ -523,8 +548,8 @@
           public void saved() {
             metrics.saved(timers.now().mono() - began);
             save.progress().entrySet().stream()
-                .filter(entry -> ended(entry.getValue()))
-                .forEach(entry -> retention.ended(entry.getKey()));
+                .filter(row -> row.getKey().isMain() && ProgressText.ended(row.getValue()))
+                .forEach(row -> retention.ended(row.getKey().job()));
             post(new JobEvent.ProgressSaved());
           }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseEndsText.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseEndsText.java
@@ -22,9 +22,6 @@
  */
 record LeaseEndsText(long epoch, Map<WorkerIncarnation, Long> ends) {
 
-  /** Size limit of the text, in bytes: half of the smallest row that the store accepts. */
-  static final int MAX_BYTES = 32_000;
-
   private static final Pattern EPOCH = Pattern.compile("(\\d{1,15})");
   private static final Pattern LINE =
       Pattern.compile("((?:[\\w.*+-]|%[0-9A-F]{2})+) (\\d{1,15}) (\\d{1,15})");
@@ -56,13 +53,17 @@
                     Long.parseLong(match.group(3))));
   }
 
-  /** Returns the text of the row. Ends that exceed the size limit are left out. */
-  String text() {
+  /**
+   * Returns the text of the row. Ends that exceed the size limit are left out.
+   *
+   * @param maxBytes size limit of the text, in bytes
+   */
+  String text(int maxBytes) {
     int[] bytes = {0};
     return Stream.concat(
             Stream.of(Long.toString(epoch)),
             ends.entrySet().stream().map(entry -> line(entry.getKey(), entry.getValue())))
-        .takeWhile(line -> (bytes[0] += line.length() + 1) <= MAX_BYTES)
+        .takeWhile(line -> (bytes[0] += line.length() + 1) <= maxBytes)
         .collect(Collectors.joining("\n"));
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/PlatformAdapter.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/PlatformAdapter.java
@@ -8,8 +8,12 @@
 /** Adapts a platform to the interfaces that an entry instance for jobs uses. */
 public interface PlatformAdapter {
 
-  /** Returns the platform's store. */
-  TableStore store(HttpClient http, Address address);
+  /**
+   * Returns the platform's store.
+   *
+   * @param rowBytes largest content of a row, in bytes
+   */
+  TableStore store(HttpClient http, Address address, int rowBytes);
 
   /** Returns the source of the table of rules. */
   RuleSource rules(TableStore store, Timers timers);
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.ProgressRowId;
+import org.cottontack.core.job.StoredProgress;
 import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
 
@@ -27,10 +29,15 @@
    * The progress that a new leader reads.
    *
    * @param jobs stored progress of each job that has any
+   * @param stray rows of tasks of jobs that have no main row, by their numbers
    * @param learned content of the {@link JobTables#LEARNED} row; empty when there is none
    * @param leaseEnds stored ends of leases of unreachable workers, on the store's clock
    */
-  record Found(Map<JobId, String> jobs, String learned, Map<WorkerIncarnation, Long> leaseEnds) {}
+  record Found(
+      Map<JobId, StoredProgress> jobs,
+      Map<JobId, Map<Integer, String>> stray,
+      String learned,
+      Map<WorkerIncarnation, Long> leaseEnds) {}
 
   private final WatchedStore store;
   private final Timers timers;
@@ -63,13 +70,21 @@
     if (stopped) {
       return;
     }
-    store.scan(
+    read(
         JobTables.PROGRESS,
+        done,
+        rows -> read(JobTables.PROGRESS_TASKS, done, tasks -> claim(rows, tasks, done)));
+  }
+
+  /** Reads a table; if the store does not answer, the takeover begins anew. */
+  private void read(String table, Consumer<Found> done, Consumer<List<Row>> rows) {
+    store.scan(
+        table,
         JobTables.PROGRESS_PART,
         "",
         scan -> {
           if (scan.answered()) {
-            claim(scan.rows(), done);
+            rows.accept(scan.rows());
           } else {
             timers.after(PAUSE_MILLIS, () -> takeOver(done));
           }
@@ -81,14 +96,14 @@
    * unchanged the progress read before is complete, and from now on writes of earlier leaders
    * conflict.
    */
-  private void claim(List<Row> rows, Consumer<Found> done) {
+  private void claim(List<Row> rows, List<Row> tasks, Consumer<Found> done) {
     Optional<Row> fenceRow =
         rows.stream().filter(row -> row.at().equals(JobTables.FENCE)).findFirst();
     if (fenceRow.map(ProgressStore::epochOf).orElse(0L) > epoch) {
       onDeposed.accept("a newer leader has taken over");
       return;
     }
-    Found found = found(rows, fenceRow.map(ProgressStore::epochOf).orElse(0L));
+    Found found = found(rows, tasks, fenceRow.map(ProgressStore::epochOf).orElse(0L));
     Map<RowKey, Payload> writes = new HashMap<>();
     writes.put(JobTables.FENCE, Payload.of(fence()));
     if (!found.leaseEnds().isEmpty()) {
@@ -108,7 +123,7 @@
         });
   }
 
-  private static Found found(List<Row> rows, long lastEpoch) {
+  private static Found found(List<Row> rows, List<Row> tasks, long lastEpoch) {
     Map<JobId, String> jobs = new HashMap<>();
     String learned = "";
     Map<WorkerIncarnation, Long> leaseEnds = Map.of();
@@ -126,11 +141,31 @@
         jobs.put(new JobId(row.key()), row.text());
       }
     }
-    return new Found(jobs, learned, leaseEnds);
+    Map<JobId, Map<Integer, String>> parts = parts(tasks);
+    Map<JobId, StoredProgress> progress = new HashMap<>();
+    jobs.forEach(
+        (id, main) ->
+            progress.put(
+                id,
+                new StoredProgress(main, Optional.ofNullable(parts.remove(id)).orElse(Map.of()))));
+    return new Found(progress, parts, learned, leaseEnds);
+  }
+
+  private static Map<JobId, Map<Integer, String>> parts(List<Row> tasks) {
+    Map<JobId, Map<Integer, String>> parts = new HashMap<>();
+    for (Row row : tasks) {
+      ProgressRowId.parsePart(row.key())
+          .ifPresent(
+              id ->
+                  parts
+                      .computeIfAbsent(id.job(), job -> new HashMap<>())
+                      .put(id.part(), row.text()));
+    }
+    return parts;
   }
 
   private Payload leaseEnds(Map<WorkerIncarnation, Long> ends) {
-    return Payload.of(new LeaseEndsText(epoch, ends).text());
+    return Payload.of(new LeaseEndsText(epoch, ends).text(store.limits().sharedRowBytes()));
   }
 
   private static long epochOf(Row fence) {
@@ -168,8 +203,9 @@
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
     leaseEnds.ifPresent(ends -> writes.put(JobTables.LEASE_ENDS, leaseEnds(ends)));
+    List<RowKey> removals = save.removals().stream().map(JobTables::progress).toList();
     Transaction transaction =
-        new Transaction(Map.of(JobTables.FENCE, fenceVersion), writes, List.of());
+        new Transaction(Map.of(JobTables.FENCE, fenceVersion), writes, removals);
     commit(transaction, store.retryTimeoutMillis(), listener);
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/TableStore.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.cottontack.core.job.StoreLimits;
 
 /**
  * The platform's transactional table service. Calls return at once; each consumer receives exactly
@@ -14,6 +15,11 @@
    */
   void commit(Transaction transaction, long timeoutMillis, Consumer<CommitResult> done);
 
+  /** Returns the limits of a transaction. */
+  default StoreLimits limits() {
+    return StoreLimits.STANDARD;
+  }
+
   /** Reads all rows of a partition whose keys start with a prefix. */
   void scan(String table, String part, String prefix, Consumer<Scan> done);
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/WatchedStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/WatchedStore.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.cottontack.core.job.StoreLimits;
 
 /**
  * Wraps the platform's store and tracks, over all calls of this instance, whether the store answers
@@ -146,6 +147,11 @@
     store.commit(transaction, timeoutMillis, tracked(0, CommitResult::served, done));
   }
 
+  @Override
+  public StoreLimits limits() {
+    return store.limits();
+  }
+
   @Override
   public void scan(String table, String part, String prefix, Consumer<Scan> done) {
     store.scan(table, part, prefix, tracked(0, Scan::answered, done));
--- a/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/JobSettings.java
@@ -4,8 +4,10 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.cottontack.adapters.Address;
 import org.cottontack.core.job.Capacity;
+import org.cottontack.core.job.StoreLimits;
 import org.cottontack.core.load.LoadControl;
 import org.cottontack.core.load.LoadPart;
 
@@ -24,6 +26,14 @@
   /** Longest time that a worker may take to stop or to resume a run, in milliseconds. */
   private static final long MAX_WORKER_MILLIS = 60_000;
 
+  /** Smallest limit of the store for the content of a row, in bytes: a few tasks fit into it. */
+  private static final long MIN_ROW_BYTES = 2_048;
+
+  private static final long MAX_ROW_BYTES = 1_073_741_824;
+
+  /** Environment variable with the limit of the store for the content of a row, in bytes. */
+  private static final String ROW_BYTES_VARIABLE = "COTTONTACK_ROW_BYTES";
+
   /** All settings, each with its path in the file, its unit, its range and its default. */
   private enum Key implements SettingName {
     NAME(SettingRule.text("name", "name of the instance")),
@@ -32,6 +42,13 @@
     LISTEN_READINESS(SettingRule.address("listen.readiness")),
     LISTEN_METRICS(SettingRule.address("listen.metrics")),
     PLATFORM_STORE(SettingRule.address("platform.store")),
+    ROW_BYTES(
+        SettingRule.decimal(
+            "platform.rowBytes",
+            Integer.toString(StoreLimits.STANDARD.rowBytes()),
+            MIN_ROW_BYTES,
+            MAX_ROW_BYTES,
+            "bytes")),
     KEEP(SettingRule.seconds("jobs.keepSeconds", "120", 0, 604_800)),
     GRACE(SettingRule.seconds("stop.graceSeconds", "6", 0, 3_600)),
     PROCESSOR_SHARE(SettingRule.decimal("capacity.processorShare", "1", 0, 1_000, "cores")),
@@ -73,12 +90,12 @@
   }
 
   /**
-   * Loads a settings file.
+   * Loads a settings file. The limit of the store for a row may come from the environment.
    *
    * @throws SettingsException with all faults at once
    */
   public static JobSettings load(Path file) {
-    return parse(SettingsLoader.read(file));
+    return parse(SettingsLoader.read(file), System.getenv());
   }
 
   /**
@@ -87,7 +104,22 @@
    * @throws SettingsException with all faults at once
    */
   public static JobSettings parse(String text) {
-    return new JobSettings(SettingsLoader.values(text, Key.class));
+    return parse(text, Map.of());
+  }
+
+  /**
+   * Parses settings from text and environment variables. The text goes first; an empty variable
+   * counts as none.
+   *
+   * @throws SettingsException with all faults at once
+   */
+  static JobSettings parse(String text, Map<String, String> environment) {
+    Map<String, String> others =
+        Optional.ofNullable(environment.get(ROW_BYTES_VARIABLE))
+            .filter(value -> !value.isBlank())
+            .map(value -> Map.of(Key.ROW_BYTES.rule().path(), value))
+            .orElse(Map.of());
+    return new JobSettings(SettingsLoader.values(text, others, Key.class));
   }
 
   /** Returns the instance's name. */
@@ -120,6 +152,11 @@
     return Address.parse(values.get(Key.PLATFORM_STORE));
   }
 
+  /** Returns the largest content of a row of the platform's store, in bytes. */
+  public int rowBytes() {
+    return number(Key.ROW_BYTES).intValue();
+  }
+
   /**
    * Returns how long the state of an ended job stays readable, in milliseconds; at least two
    * minutes.
--- a/daemon/src/main/java/org/cottontack/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/settings/SettingsLoader.java
@@ -59,7 +59,20 @@
    * @throws SettingsException with all faults at once
    */
   static <K extends Enum<K> & SettingName> Map<K, String> values(String text, Class<K> kind) {
-    Map<String, String> found = flatten(tree(text));
+    return values(text, Map.of(), kind);
+  }
+
+  /**
+   * Returns the value of each setting of one kind of process.
+   *
+   * @param text the content of the file
+   * @param others values of settings that the file leaves out, by path
+   * @throws SettingsException with all faults at once
+   */
+  static <K extends Enum<K> & SettingName> Map<K, String> values(
+      String text, Map<String, String> others, Class<K> kind) {
+    Map<String, String> found = new TreeMap<>(others);
+    found.putAll(flatten(tree(text)));
     List<K> keys = List.of(kind.getEnumConstants());
     List<String> known = keys.stream().map(SettingName::path).toList();
     List<String> faults = new ArrayList<>();
--- a/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/settings/JobSettingsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cottontack.core.job.Capacity;
 import org.cottontack.core.load.LoadPart;
@@ -61,6 +62,30 @@
     }
   }
 
+  /** The limit of the store for a row. */
+  public static class RowLimits {
+
+    /** Texts of the variable, and the limits in bytes. */
+    @DataProvider
+    public Object[][] variables() {
+      return new Object[][] {{"", 65_536}, {"131072", 131_072}, {"32768.0", 32_768}};
+    }
+
+    /** Guards against rows that are larger, or smaller, than the store of the deployment allows. */
+    @Test(dataProvider = "variables")
+    public void comeFromTheEnvironment(String variable, int bytes) {
+      JobSettings settings = JobSettings.parse(GOOD, Map.of("COTTONTACK_ROW_BYTES", variable));
+      assertEquals(settings.rowBytes(), bytes);
+    }
+
+    @Test
+    public void comeFromTheFileFirst() {
+      JobSettings settings =
+          JobSettings.parse(GOOD + "  rowBytes: 16384\n", Map.of("COTTONTACK_ROW_BYTES", "131072"));
+      assertEquals(settings.rowBytes(), 16_384);
+    }
+  }
+
   /** The capacity of an instance as a leader. */
   public static class Capacities {
 
