Intake: large submissions are stored compressed, or refused at once

Callers saw: no answer until their deadline to a submission whose row is larger than the store allows (500 KB: none within 3 s), although it was certainly not stored; since the refusal is definite, an answer that told them to come back in a second. Cause: the spec has a limit, the steps and their lists of earlier steps have none. The row of the job was sent without regard to its size, and each refusal was repeated to the deadline. Why it holds: the check knows the limit of the row from the settings; what is sent fits.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -78,7 +78,9 @@
      * The job could only be complete too late, because more work waits than can be done: it is not
      * stored and will not be stored by this call.
      */
-    OVERLOADED
+    OVERLOADED,
+    /** It is larger than the store allows: it is not stored and can never be. */
+    TOO_LARGE
   }
 
   /** Receives the answer to a submission; exactly one of the methods is called, once. */
@@ -141,13 +143,20 @@
   }
 
   private void store(JobSpec job, long deadlineMillis, Consumer<Answer> done) {
+    int maxBytes = store.limits().contentBytes();
+    byte[] content = JobCodec.write(job, maxBytes);
+    if (content.length > maxBytes) {
+      logTooLarge(job, content.length, maxBytes);
+      done.accept(Answer.TOO_LARGE);
+      return;
+    }
     RowKey row = JobTables.job(job.id());
     Transaction transaction =
         new Transaction(
             Map.of(row, 0L, JobTables.cancel(job.id()), 0L),
             Map.of(
                 row,
-                Payload.of(JobCodec.write(job)),
+                Payload.of(content),
                 JobTables.waiting(job.id()),
                 Payload.of(job.queue().name())),
             List.of());
@@ -159,6 +168,15 @@
         .start();
   }
 
+  private static void logTooLarge(JobSpec job, int bytes, int maxBytes) {
+    LOG.info(
+        new StringMapMessage()
+            .with("event", "job.tooLarge")
+            .with("job", job.id())
+            .with("bytes", bytes)
+            .with("limitBytes", maxBytes));
+  }
+
   private void logRejected(JobSpec job, AdmissionGate.Rejection rejection) {
     metrics.rejected(job.queue().name(), rejection.ageMillis());
     LOG.info(
@@ -487,7 +505,7 @@
       inFlight--;
       switch (result.outcome()) {
         case DONE, CONFLICT -> finish(() -> onResolved.accept(result));
-        case INVALID -> finish(() -> done.accept(Answer.REJECTED));
+        case INVALID -> finish(() -> done.accept(Answer.TOO_LARGE));
         case UNKNOWN -> {
           inDoubt = true;
           scheduleResend();
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -112,6 +112,40 @@
       assertTrue(simulation.store.table(JobTables.JOBS).isEmpty());
     }
 
+    /** Guards against a submission that can never be stored and gets no answer. */
+    @Test
+    public void refusesAtOnceWhatCanNeverBeStored() {
+      Simulation simulation = new Simulation();
+      List<Intake.Answer> answers = new ArrayList<>();
+      JobSpec job = TestJobs.withPayload(new JobId("large"), TestJobs.randomText(100_000));
+      simulation.instance().submit(job, OptionalLong.empty(), answers::add);
+      assertEquals(answers, List.of(Intake.Answer.TOO_LARGE));
+      simulation.time.run(5_000);
+      assertEquals(answers, List.of(Intake.Answer.TOO_LARGE));
+      assertTrue(simulation.store.table(JobTables.JOBS).isEmpty());
+    }
+
+    /** Guards against a refusal of a submission that can be stored. */
+    @Test
+    public void storesLargeSubmissions() {
+      Simulation simulation = new Simulation();
+      List<Intake.Answer> answers = new ArrayList<>();
+      JobSpec job = TestJobs.withPayload(new JobId("large"), "payload ".repeat(50_000));
+      simulation.instance().submit(job, OptionalLong.empty(), answers::add);
+      simulation.time.run(1_000);
+      assertEquals(answers, List.of(Intake.Answer.STORED));
+    }
+
+    /** Guards against a content that the store refuses and that is sent until the deadline. */
+    @Test
+    public void answersOnceTheStoreRefusesTheContent() {
+      Simulation simulation = new Simulation();
+      simulation.store.commitBehaviour = change -> FakeTableStore.CommitBehaviour.INVALID;
+      simulation.submit(simulation.instance());
+      simulation.time.run(50);
+      assertEquals(simulation.answers, List.of(Intake.Answer.TOO_LARGE));
+    }
+
     /**
      * The first write gets no response and is carried out seconds later; all others are refused. A
      * rejection would be wrong, because the job will run: the answer must be "unknown".
--- a/daemon/src/test/java/org/cottontack/daemon/job/TestJobs.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/TestJobs.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Collectors;
 import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobQueue;
@@ -19,6 +21,19 @@
 
   private TestJobs() {}
 
+  /** Returns a text that cannot be compressed to half its length. */
+  static String randomText(int length) {
+    return new Random(3)
+        .ints(length, '0', 'z')
+        .mapToObj(c -> String.valueOf((char) c))
+        .collect(Collectors.joining());
+  }
+
+  static JobSpec withPayload(JobId id, String payload) {
+    JobSpec job = job(id, 1);
+    return new JobSpec(id, QUEUE, payload, job.steps(), job.schedule());
+  }
+
   static JobSpec job(JobId id, int tasks) {
     StepSpec step =
         new StepSpec(
--- a/wire/src/main/java/org/cottontack/wire/JobCodec.java
+++ b/wire/src/main/java/org/cottontack/wire/JobCodec.java
@@ -1,7 +1,12 @@
 package org.cottontack.wire;
 
-import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobQueue;
 import org.cottontack.core.job.JobSpec;
@@ -15,9 +20,15 @@
 /** Encodes and decodes the stored form of a {@link JobSpec}. */
 public final class JobCodec {
 
+  private static final byte GZIP_FIRST = 0x1f;
+  private static final byte GZIP_SECOND = (byte) 0x8b;
+
+  /** Largest job before compression, in bytes: several times the largest request body. */
+  private static final int MAX_PLAIN_BYTES = 8 << 20;
+
   private JobCodec() {}
 
-  /** Encodes a job, except for its identifier, which is the key of the row. */
+  /** Encodes a job without compression. */
   public static byte[] write(JobSpec job) {
     StoredJob.Builder stored =
         StoredJob.newBuilder()
@@ -32,6 +43,45 @@
     return stored.build().toByteArray();
   }
 
+  /**
+   * Encodes a job, except for its identifier, which is the key of the row. A job that would be too
+   * large is compressed; earlier versions leave such a job alone.
+   *
+   * @param maxBytes size limit of the row, in bytes; a job that is still larger cannot be stored
+   */
+  public static byte[] write(JobSpec job, int maxBytes) {
+    byte[] plain = write(job);
+    return plain.length <= maxBytes ? plain : compressed(plain);
+  }
+
+  private static byte[] compressed(byte[] plain) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (GZIPOutputStream gzip = new GZIPOutputStream(bytes)) {
+      gzip.write(plain);
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot compress to memory", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Returns whether bytes are compressed: a stored job begins with the tag of a field. */
+  private static boolean isCompressed(byte[] bytes) {
+    return bytes.length > 1 && bytes[0] == GZIP_FIRST && bytes[1] == GZIP_SECOND;
+  }
+
+  private static byte[] plain(byte[] bytes) throws IOException {
+    if (!isCompressed(bytes)) {
+      return bytes;
+    }
+    try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+      byte[] plain = gzip.readNBytes(MAX_PLAIN_BYTES + 1);
+      if (plain.length > MAX_PLAIN_BYTES) {
+        throw new IOException("more than " + MAX_PLAIN_BYTES + " bytes");
+      }
+      return plain;
+    }
+  }
+
   /**
    * Decodes a stored job.
    *
@@ -39,7 +89,7 @@
    */
   public static JobSpec read(JobId id, byte[] bytes) {
     try {
-      StoredJob stored = StoredJob.parseFrom(bytes);
+      StoredJob stored = StoredJob.parseFrom(plain(bytes));
       if (stored.getStepsCount() == 0) {
         // An empty byte array is a valid protobuf message. If it were accepted as a job without
         // steps, the job would wait forever.
@@ -53,7 +103,7 @@
           stored.getStepsList().stream().map(JobCodec::step).toList(),
           new JobSpec.Schedule(
               schedule.getFirstMillis(), schedule.getIntervalMillis(), schedule.getRepeats()));
-    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       throw new WireException("stored job " + id + " cannot be decoded: " + e.getMessage());
     }
   }
