Checkpoints: one that fits into no row is left out

Callers saw: a job whose worker reports a checkpoint longer than a row was never complete: its tasks started, none of their ends was stored. Cause: the checkpoint is text of the worker's choice and length, stored in the line of its task; a line cannot be divided over rows. Change: a checkpoint that, escaped, does not fit into a row beside its task is not taken (log event checkpoint.tooLong, once per run); the task keeps its last one, or begins anew where it resumes. Those that fit are stored as before, over several rows where needed. Test before the fix: LargeJobsTest$LongCheckpoints.areLeftOutWhereNoRowHoldsThem: "large expected [COMPLETE] but found [RUNNING]".

--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -22,6 +22,13 @@
 public final class ProgressText {
 
   private static final String NO_WORKER = "-";
+
+  /** Bytes that a row with the line of one task takes at most beside the checkpoint. */
+  private static final int LINE_BYTES = 512;
+
+  /** Bytes that a character takes at most when it is escaped. */
+  private static final int MAX_ESCAPED_BYTES = 9;
+
   private static final String PARTS = "parts ";
   private static final String FIRST = "from ";
   private static final String DONE = "d ";
@@ -317,6 +324,13 @@
         .map(DoneTasks::parse);
   }
 
+  /** Returns whether the line of a task with a checkpoint fits into a row. */
+  static boolean fits(String checkpoint, int rowBytes) {
+    int maxBytes = rowBytes - LINE_BYTES;
+    return checkpoint.length() <= maxBytes / MAX_ESCAPED_BYTES
+        || URLEncoder.encode(checkpoint, StandardCharsets.UTF_8).length() <= maxBytes;
+  }
+
   /** Returns whether a task has a line of its own, or is done. */
   static boolean isStored(Task task) {
     return task.phase == Task.Phase.PLACED || (task.run > 0 && !task.job.phase.terminal());
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -2,12 +2,15 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
 /** Handles worker reports: what runs, what has ended, and how tasks that share a worker perform. */
 final class WorkerReports {
 
+  private static final int MAX_LOGGED_RUNS = 100;
+
   private final Term term;
   private final Orders orders;
   private final Lifecycle lifecycle;
@@ -19,6 +22,9 @@
   private final WorkerHealth health;
   private final Pacing pacing;
 
+  /** Runs whose checkpoint is logged as too long. */
+  private final Map<RunKey, Boolean> oversizedCheckpoints = new LruMap<>(MAX_LOGGED_RUNS);
+
   WorkerReports(
       Term term,
       Orders orders,
@@ -234,7 +240,9 @@
       task.forgetCrashes();
       term.dirty.add(task.job);
     }
-    if (!running.checkpoint().isEmpty() && !running.checkpoint().equals(task.checkpoint)) {
+    if (!running.checkpoint().isEmpty()
+        && !running.checkpoint().equals(task.checkpoint)
+        && isStorable(running.checkpoint(), key)) {
       task.saved(running.checkpoint(), term.now.mono());
     }
     if (task.progress != running.progress() || task.pace == 0) {
@@ -249,6 +257,17 @@
     return key;
   }
 
+  /**
+   * Returns whether a checkpoint fits into a row of the store. The task keeps its last one if not.
+   */
+  private boolean isStorable(String checkpoint, RunKey run) {
+    boolean fits = ProgressText.fits(checkpoint, term.timing.saveLimits().contentBytes());
+    if (!fits && oversizedCheckpoints.put(run, true) == null) {
+      term.logEvent("checkpoint.tooLong", run, "length=" + checkpoint.length());
+    }
+    return fits;
+  }
+
   /** Returns whether a task belongs to a job whose rows this leader cannot read. */
   private boolean isLeftAlone(TaskName task) {
     return term.leftAlone.contains(task.job());
@@ -318,7 +337,9 @@
       worker.failed(task.job.spec.id(), term.now.mono());
       task.failedOn.add(worker.incarnation());
     }
-    task.checkpoint = completion.checkpoint().isEmpty() ? task.checkpoint : completion.checkpoint();
+    if (!completion.checkpoint().isEmpty() && isStorable(completion.checkpoint(), key)) {
+      task.checkpoint = completion.checkpoint();
+    }
     if (task.spec.is(StepSpec.Trait.LASTS)
         || task.phase == Task.Phase.DONE
         || task.job.phase.terminal()) {
--- a/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
@@ -150,6 +150,21 @@
   /** Runs that save much. */
   public static class LongCheckpoints {
 
+    /** Guards against a checkpoint that fits into no row and keeps its task from being saved. */
+    @Test
+    public void areLeftOutWhereNoRowHoldsThem() {
+      JobSimulation simulation = fleet(StoreLimits.STANDARD, "c".repeat(100_000));
+      JobSpec large = large(100);
+      simulation.workMillis = 60_000;
+      simulation.submit(large);
+      simulation.run(2_000);
+      simulation.workers.values().forEach(SimulatedWorker::stopAll);
+      simulation.workMillis = 500;
+      simulation.run(10_000);
+      JobFixtures.assertComplete(simulation, List.of(large));
+      assertEquals(simulation.starts(), 200);
+    }
+
     /** Guards against tasks that fit into a row one by one and not together. */
     @Test
     public void areStoredOverSeveralRows() {
