Jobs: one whose tasks no leader can hold is refused at once

Callers saw: after a submission with a step of 400,000 tasks no instance led any more, so nothing of any job ran. Cause: a leader creates all tasks of an occurrence as soon as it is due, about 400 bytes each; the process ends for lack of memory, and the next leader reads the same job. Change: a job whose tasks of one occurrence would take more than half of the heap is answered at once with 413 (125,829 tasks at 96 MB; log event job.tooLarge). Limits of this change: several jobs just below the limit can still exceed the memory together, and tasks of ended occurrences of a job that repeats stay in memory. Tests: IntakeTest.refusesAtOnceWhatNoLeaderCanHold (before: STORED) and LeaderTest$LargeJobs.areLeftAloneWhereNoLeaderCanHoldThem.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -107,8 +107,7 @@
 
   /** Records which tasks are done, counted over all steps and occurrences. */
   void done(BitSet tasks) {
-    int each = spec.steps().stream().mapToInt(StepSpec::count).sum();
-    int last = Math.min((tasks.length() - 1) / each, spec.schedule().occurrences() - 1);
+    long last = Math.min((tasks.length() - 1) / spec.tasks(), spec.schedule().occurrences() - 1);
     while (!tasks.isEmpty() && occurrences.size() <= last) {
       occurrences.add(new Occurrence(this, occurrences.size()));
     }
--- a/core/src/main/java/org/cottontack/core/job/JobSpec.java
+++ b/core/src/main/java/org/cottontack/core/job/JobSpec.java
@@ -49,6 +49,11 @@
     steps = List.copyOf(steps);
   }
 
+  /** Returns the number of tasks of each occurrence. */
+  public long tasks() {
+    return steps.stream().mapToLong(StepSpec::count).sum();
+  }
+
   /** Returns whether some step runs until the job is cancelled. */
   public boolean isLongRunning() {
     return steps.stream().anyMatch(step -> step.is(StepSpec.Trait.LASTS));
--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -79,7 +79,10 @@
      * stored and will not be stored by this call.
      */
     OVERLOADED,
-    /** It is larger than the store allows: it is not stored and can never be. */
+    /**
+     * It is larger than the store, or the memory of a leader, allows: it is not stored and can
+     * never be.
+     */
     TOO_LARGE
   }
 
@@ -104,6 +107,7 @@
   private final Timers timers;
   private final JobMetrics metrics;
   private final AdmissionGate gate;
+  private final TaskLimit taskLimit = TaskLimit.ofProcess();
 
   /** Creates an intake on a store. */
   Intake(WatchedStore store, Timers timers, JobMetrics metrics, AdmissionGate gate) {
@@ -143,10 +147,15 @@
   }
 
   private void store(JobSpec job, long deadlineMillis, Consumer<Answer> done) {
+    if (!taskLimit.admits(job)) {
+      logTooLarge(job, "tasks", job.tasks(), taskLimit.tasks());
+      done.accept(Answer.TOO_LARGE);
+      return;
+    }
     int maxBytes = store.limits().contentBytes();
     byte[] content = JobCodec.write(job, maxBytes);
     if (content.length > maxBytes) {
-      logTooLarge(job, content.length, maxBytes);
+      logTooLarge(job, "bytes", content.length, maxBytes);
       done.accept(Answer.TOO_LARGE);
       return;
     }
@@ -168,13 +177,14 @@
         .start();
   }
 
-  private static void logTooLarge(JobSpec job, int bytes, int maxBytes) {
+  private static void logTooLarge(JobSpec job, String unit, long size, long limit) {
     LOG.info(
         new StringMapMessage()
             .with("event", "job.tooLarge")
             .with("job", job.id())
-            .with("bytes", bytes)
-            .with("limitBytes", maxBytes));
+            .with("unit", unit)
+            .with("size", size)
+            .with("limit", limit));
   }
 
   private void logRejected(JobSpec job, AdmissionGate.Rejection rejection) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -75,6 +75,7 @@
   private final WaitingRows waitingRows;
   private final Retention retention;
   private final LoadControl loadControl;
+  private final TaskLimit taskLimit = TaskLimit.ofProcess();
   private final Map<JobId, JobSpec> accepted = new HashMap<>();
   private final Set<JobId> cancelled = new HashSet<>();
   private final Set<JobId> unreadableRows = new HashSet<>();
@@ -226,6 +227,9 @@
     }
     try {
       JobSpec job = JobCodec.read(new JobId(row.key()), row.value().bytes());
+      if (!taskLimit.admits(job)) {
+        throw new WireException("job " + job.id() + " has too many tasks: " + job.tasks());
+      }
       if (scheduler == null) {
         accepted.put(job.id(), job);
       } else {
--- a/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/IntakeTest.java
@@ -125,6 +125,17 @@
       assertTrue(simulation.store.table(JobTables.JOBS).isEmpty());
     }
 
+    /** Guards against a job that is accepted although no leader can hold all its tasks. */
+    @Test
+    public void refusesAtOnceWhatNoLeaderCanHold() {
+      Simulation simulation = new Simulation();
+      List<Intake.Answer> answers = new ArrayList<>();
+      JobSpec job = TestJobs.job(new JobId("large"), 2_000_000_000);
+      simulation.instance().submit(job, OptionalLong.empty(), answers::add);
+      simulation.time.run(1_000);
+      assertEquals(answers, List.of(Intake.Answer.TOO_LARGE));
+    }
+
     /** Guards against a refusal of a submission that can be stored. */
     @Test
     public void storesLargeSubmissions() {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -11,7 +11,10 @@
 import org.cottontack.core.job.Capacity;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobPhase;
+import org.cottontack.core.job.JobSpec;
 import org.cottontack.core.job.StoredProgress;
+import org.cottontack.core.peer.Payload;
+import org.cottontack.wire.JobCodec;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -267,6 +270,21 @@
       assertEquals(simulation.starts.size(), 1_501);
     }
 
+    /** Guards against a stored job with too many tasks that ends every leader. */
+    @Test
+    public void areLeftAloneWhereNoLeaderCanHoldThem() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      JobSpec job = TestJobs.job(LARGE, 2_000_000_000);
+      simulation.write(Map.of(JobTables.job(LARGE), Payload.of(JobCodec.write(job))));
+      simulation.submit("b");
+      simulation.time.run(1_000);
+      assertEquals(simulation.starts.size(), 1);
+      simulation.restart();
+      simulation.submit("c");
+      simulation.time.run(10_000);
+      assertEquals(simulation.starts.size(), 2);
+    }
+
     /** Guards against a next leader that does not find all rows of a large job. */
     @Test
     public void completeUnderTheNextLeader() {
