Saves: a row fits into half of a transaction, whatever the limit of rows

Cause: found in review of this change: with a store that takes rows of more than half a transaction, a row of a save over several transactions would have been passed over, and the main row would have listed a row that does not exist; a job's row could fit and its transaction not. A task that is done without a placement known here had no line. Change: rows of progress are limited to what fits into half of a save's transaction, and the content of any row leaves room for the short rows beside it; done tasks are always stored.

--- a/core/src/main/java/org/cottontack/core/job/JobTiming.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTiming.java
@@ -77,10 +77,14 @@
         limits);
   }
 
-  /** Returns what the rows of jobs may take in one save. */
+  /**
+   * Returns what the rows of jobs may take in one save. A row fits into half of a transaction, as a
+   * save that takes several ones leaves the other half to other jobs.
+   */
   StoreLimits saveLimits() {
     long sharedBytes =
         2 * StoreLimits.sentBytes(storeLimits.sharedRowBytes()) + 2 * StoreLimits.sentBytes(0);
-    return storeLimits.without((int) sharedBytes, SHARED_ENTRIES);
+    StoreLimits limits = storeLimits.without((int) sharedBytes, SHARED_ENTRIES);
+    return limits.withRowBytes(limits.half().contentBytes());
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -333,7 +333,8 @@
 
   /** Returns whether a task has a line of its own, or is done. */
   static boolean isStored(Task task) {
-    return task.phase == Task.Phase.PLACED || (task.run > 0 && !task.job.phase.terminal());
+    return task.phase == Task.Phase.PLACED
+        || (!task.job.phase.terminal() && (task.run > 0 || task.phase == Task.Phase.DONE));
   }
 
   /** Returns the line of a task. */
--- a/core/src/main/java/org/cottontack/core/job/StoreLimits.java
+++ b/core/src/main/java/org/cottontack/core/job/StoreLimits.java
@@ -21,6 +21,9 @@
    */
   private static final int ROW_OVERHEAD_BYTES = 400;
 
+  /** Short rows, and expected versions, beside a large row. */
+  private static final int SHORT_ROWS = 5;
+
   /** Contents are sent in base64, which takes four bytes for each three. */
   private static final int RAW_BYTES = 3;
 
@@ -31,9 +34,10 @@
     return SENT_BYTES * ((contentBytes + RAW_BYTES - 1) / RAW_BYTES) + ROW_OVERHEAD_BYTES;
   }
 
-  /** Returns the largest content that fits into a row and, alone, into a transaction. */
+  /** Returns the largest content that fits into a row and, with a few short ones, into a call. */
   public int contentBytes() {
-    return Math.min(rowBytes, (callBytes - ROW_OVERHEAD_BYTES) / SENT_BYTES * RAW_BYTES);
+    int freeBytes = callBytes - SHORT_ROWS * ROW_OVERHEAD_BYTES;
+    return Math.min(rowBytes, freeBytes / SENT_BYTES * RAW_BYTES);
   }
 
   /** Returns the largest content of each row that belongs to no job, in bytes. */
@@ -46,6 +50,11 @@
     return new StoreLimits(rowBytes, callBytes - bytes, callEntries - entries);
   }
 
+  /** Returns the same limits with another one for rows. */
+  StoreLimits withRowBytes(int bytes) {
+    return new StoreLimits(bytes, callBytes, callEntries);
+  }
+
   /** Returns limits that let two transactions fit into one. */
   StoreLimits half() {
     return new StoreLimits(rowBytes, callBytes / 2, callEntries / 2);
--- a/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
@@ -62,6 +62,7 @@
   @DataProvider
   public static Object[][] limits() {
     return new Object[][] {
+      {new StoreLimits(10_000_000, 1_000_000, 100)},
       {StoreLimits.STANDARD},
       {new StoreLimits(65_536, 110_000, 100)},
       {new StoreLimits(2_048, 1_000_000, 100)}
