Tests in virtual time no longer depend on the speed of the machine

Trace: the pause after a decision is as long as the decision took, up to 50 ms, and the leader took that from the real clock also in virtual time. So a busy machine lengthens pauses in a simulation whose other times are exact; alone the same code passes. Change: the clock for the time that work takes comes with the timers; in virtual time a decision takes none. Check and bound are unchanged.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -448,9 +448,9 @@
     }
     leadership.renewIfDue();
     updateStartDeadline();
-    long began = System.nanoTime();
+    long began = timers.nanoTime();
     scheduler.decide(timers.now()).forEach(this::run);
-    long took = System.nanoTime() - began;
+    long took = timers.nanoTime() - began;
     metrics.decided(took);
     pauseMillis = Math.min(MAX_PAUSE_MILLIS, PAUSE_FACTOR * TimeUnit.NANOSECONDS.toMillis(took));
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
@@ -15,4 +15,9 @@
   default void soon(Runnable task) {
     after(0, task);
   }
+
+  /** Returns a clock for the time that work takes, in nanoseconds. */
+  default long nanoTime() {
+    return System.nanoTime();
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/VirtualTimers.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
 import org.cottontack.core.Moment;
 
 /** Virtual time, which a test advances. */
@@ -41,6 +42,11 @@
       return new Moment(now - clockStoppedMillis, now + clockOffsetMillis);
     }
 
+    @Override
+    public long nanoTime() {
+      return TimeUnit.MILLISECONDS.toNanos(now);
+    }
+
     @Override
     public void after(long millis, Runnable task) {
       taskCount++;
