--- a/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LargeJobsTest.java
@@ -148,6 +148,28 @@
     }
   }
 
+  /** Jobs that fit into a transaction one by one. */
+  public static class ManyJobs {
+
+    /** Guards against rows that are small enough each and too large together. */
+    @Test
+    public void areSavedOverSeveralTransactions() {
+      JobSimulation simulation = fleet(StoreLimits.STANDARD, "c".repeat(30_000));
+      List<JobSpec> jobs =
+          IntStream.range(0, 60).mapToObj(i -> job("job" + i, step(1, 1, List.of()))).toList();
+      simulation.workMillis = 60_000;
+      jobs.forEach(simulation::submit);
+      simulation.run(2_000);
+      int[] refused = {0};
+      simulation.refusedSaves = save -> !simulation.stored.admits(save) && refused[0]++ >= 0;
+      simulation.workers.values().forEach(SimulatedWorker::stopAll);
+      simulation.workMillis = 500;
+      simulation.run(10_000);
+      JobFixtures.assertComplete(simulation, jobs);
+      assertEquals(refused[0], 0);
+    }
+  }
+
   /** Runs that save much. */
   public static class LongCheckpoints {
 
