Progress: cheaper keys of rows, and less to read of small jobs

Cause: generated equals and hashCode of records are linked when first used, which takes long on a small share of a core; a leader that takes over also looked for ranges of done tasks in jobs that have no rows of tasks. Change: ProgressRowId has its own equals and hashCode, as the other keys do; jobs with one row are restored without the ranges.

--- a/core/src/main/java/org/cottontack/core/job/ProgressRowId.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressRowId.java
@@ -41,4 +41,14 @@
   public String key() {
     return isMain() ? job.value() : job.value() + SEPARATOR + part;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ProgressRowId that && part == that.part && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * part + job.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -351,9 +351,11 @@
 
   static void restore(Job job, StoredProgress progress) {
     job.phase = phase(progress.main());
-    BitSet done = new BitSet();
-    doneTasks(progress).forEach(range -> done.set((int) range.first(), (int) range.last() + 1));
-    job.done(done);
+    if (listedParts(progress.main()).findAny().isPresent()) {
+      BitSet done = new BitSet();
+      doneTasks(progress).forEach(range -> done.set((int) range.first(), (int) range.last() + 1));
+      job.done(done);
+    }
     lines(progress).forEach(line -> restore(job, line));
     job.rows.restore(progress);
   }
