Saves: a save that fails again and again no longer stops all others

Cause: a save whose attempts end in refusals or without a definite answer was repeated for ever, as only a repetition shows whether an earlier attempt was stored; one save is in flight for all jobs. A store that answers 500, or resets, for one row alone had the same effect. Change: after five failed attempts a transaction changes the fence row alone. Once it is stored, or found stored, no earlier attempt of the save can be carried out any more, so the save may begin again; after two of them it counts as refused, and RefusedSaves keeps its jobs apart. While the store serves nothing, these transactions fail as well and nothing changes. ProgressStoreTest$UnreliableStores: 40 seeds of 20 saves over a store that refuses, fails, loses answers and carries out late; what is reported as stored, or refused, is so, also later.

--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.cottontack.core.job.JobEffect;
@@ -23,6 +24,12 @@
   /** Longest timeout of one call, in milliseconds: enough for a store that is 60 times slower. */
   private static final long MAX_TIMEOUT_MILLIS = 2_400;
 
+  /** Failed attempts of a save before a transaction that changes the fence row alone. */
+  private static final int FAILURES_PER_BARRIER = 5;
+
+  /** Number of such transactions beside which a save may fail before it counts as refused. */
+  private static final int MAX_BARRIERS = 2;
+
   /** Pause after a call that failed, in milliseconds. */
   private static final long PAUSE_MILLIS = 100;
 
@@ -195,13 +202,18 @@
     return epoch + " " + saves;
   }
 
+  private String nextFence() {
+    saves++;
+    return fence();
+  }
+
   /** Receives the end of a save; exactly one of the methods is called, once. */
   interface Listener {
 
     /** Called when the save is in the store. */
     void saved();
 
-    /** Called when the store refused the save for its content; nothing was written. */
+    /** Called when the store refuses the save for its content; nothing of it is written, ever. */
     void refused();
   }
 
@@ -214,78 +226,128 @@
       JobEffect.SaveProgress save,
       Optional<Map<WorkerIncarnation, Long>> leaseEnds,
       Listener listener) {
-    saves++;
     Map<RowKey, Payload> writes = new HashMap<>();
     save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
-    writes.put(JobTables.FENCE, Payload.of(fence()));
     if (!save.learned().isEmpty()) {
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
     leaseEnds.ifPresent(ends -> writes.put(JobTables.LEASE_ENDS, leaseEnds(ends)));
     List<RowKey> removals = save.removals().stream().map(JobTables::progress).toList();
-    Transaction transaction =
-        new Transaction(Map.of(JobTables.FENCE, fenceVersion), writes, removals);
-    commit(transaction, store.retryTimeoutMillis(), listener);
+    new Save(writes, removals, listener).start();
   }
 
   /**
-   * Sends the same transaction until it is certainly stored or refused for its content. Without the
-   * version of the fence row a duplicate of an unanswered transaction could be carried out after
-   * newer writes and restore an old state.
+   * One save, sent until it is certainly stored or refused. Without the version of the fence row a
+   * duplicate of an unanswered attempt could be carried out after newer writes and restore an old
+   * state. Where attempts fail repeatedly, a transaction that changes the fence row alone shows
+   * whether the store serves this leader; once it is stored, no earlier attempt can be carried out
+   * any more. A save that goes on failing beside such transactions counts as refused.
    */
-  private void commit(Transaction transaction, long timeoutMillis, Listener listener) {
-    if (!stopped) {
-      long sentMillis = timers.now().mono();
-      store.commit(
-          transaction,
-          timeoutMillis,
-          result -> committed(transaction, timeoutMillis, sentMillis, listener, result));
+  private final class Save {
+
+    private final Map<RowKey, Payload> writes;
+    private final List<RowKey> removals;
+    private final Listener listener;
+    private String mark = "";
+    private long timeoutMillis = store.retryTimeoutMillis();
+    private int failures;
+    private int barriers;
+
+    Save(Map<RowKey, Payload> writes, List<RowKey> removals, Listener listener) {
+      this.writes = writes;
+      this.removals = removals;
+      this.listener = listener;
+    }
+
+    void start() {
+      mark = nextFence();
+      send();
+    }
+
+    private void send() {
+      Map<RowKey, Payload> all = new HashMap<>(writes);
+      all.put(JobTables.FENCE, Payload.of(mark));
+      commit(all, removals, this::answered);
+    }
+
+    private void sendBarrier() {
+      commit(Map.of(JobTables.FENCE, Payload.of(nextFence())), List.of(), this::answeredBarrier);
     }
-  }
 
-  private void committed(
-      Transaction transaction,
-      long timeoutMillis,
-      long sentMillis,
-      Listener listener,
-      CommitResult result) {
-    switch (result.outcome()) {
-      case DONE -> saved(result.version(), listener);
-      case INVALID -> refused(listener);
-      case REFUSED ->
-          timers.after(PAUSE_MILLIS, () -> commit(transaction, timeoutMillis, listener));
-      case UNKNOWN -> {
-        long nextTimeoutMillis = Math.min(2 * timeoutMillis, MAX_TIMEOUT_MILLIS);
-        long elapsedMillis = timers.now().mono() - sentMillis;
-        // An error status or a reset comes at once, so its repetition needs a pause of its own.
-        timers.after(
-            Math.max(0, PAUSE_MILLIS - elapsedMillis),
-            () -> commit(transaction, nextTimeoutMillis, listener));
+    private void commit(
+        Map<RowKey, Payload> all, List<RowKey> removed, BiConsumer<CommitResult, Long> answer) {
+      if (!stopped) {
+        long sentMillis = timers.now().mono();
+        store.commit(
+            new Transaction(Map.of(JobTables.FENCE, fenceVersion), all, removed),
+            timeoutMillis,
+            result -> answer.accept(result, sentMillis));
       }
-      case CONFLICT -> conflict(result, listener);
-      default -> throw new IllegalStateException("no such outcome: " + result.outcome());
     }
-  }
 
-  private void refused(Listener listener) {
-    if (!stopped) {
-      listener.refused();
+    private void answered(CommitResult result, long sentMillis) {
+      switch (result.outcome()) {
+        case DONE -> saved(result.version());
+        case INVALID -> refused();
+        case CONFLICT -> conflict(result);
+        case REFUSED, UNKNOWN -> {
+          failures++;
+          boolean barrierDue = failures % FAILURES_PER_BARRIER == 0;
+          afterFailure(result, sentMillis, barrierDue ? this::sendBarrier : this::send);
+        }
+        default -> throw new IllegalStateException("no such outcome: " + result.outcome());
+      }
     }
-  }
 
-  private void conflict(CommitResult result, Listener listener) {
-    Row fence = result.current(JobTables.FENCE).orElse(null);
-    if (fence != null && fence.text().equals(fence())) {
-      saved(fence.version(), listener);
-    } else {
-      onDeposed.accept("another leader writes progress");
+    private void answeredBarrier(CommitResult result, long sentMillis) {
+      switch (result.outcome()) {
+        case DONE -> passedBarrier(result.version());
+        case CONFLICT -> conflict(result);
+        default -> afterFailure(result, sentMillis, this::send);
+      }
     }
-  }
 
-  private void saved(long version, Listener listener) {
-    fenceVersion = version;
-    if (!stopped) {
-      listener.saved();
+    /** Repeats after a pause; a timeout counts as one, an error status or a reset comes at once. */
+    private void afterFailure(CommitResult result, long sentMillis, Runnable next) {
+      long elapsedMillis = timers.now().mono() - sentMillis;
+      boolean refused = result.outcome() == CommitResult.Outcome.REFUSED;
+      timeoutMillis = refused ? timeoutMillis : Math.min(2 * timeoutMillis, MAX_TIMEOUT_MILLIS);
+      timers.after(refused ? PAUSE_MILLIS : Math.max(0, PAUSE_MILLIS - elapsedMillis), next);
+    }
+
+    /** Handles a fence row of another version. Only this leader writes rows with its epoch. */
+    private void conflict(CommitResult result) {
+      Optional<Row> fence = result.current(JobTables.FENCE);
+      if (fence.filter(row -> row.text().equals(mark)).isPresent()) {
+        saved(fence.get().version());
+      } else if (fence.filter(row -> epochOf(row) == epoch).isPresent()) {
+        passedBarrier(fence.get().version());
+      } else {
+        onDeposed.accept("another leader writes progress");
+      }
+    }
+
+    private void passedBarrier(long version) {
+      fenceVersion = version;
+      barriers++;
+      if (barriers < MAX_BARRIERS) {
+        start();
+      } else {
+        refused();
+      }
+    }
+
+    private void saved(long version) {
+      fenceVersion = version;
+      if (!stopped) {
+        listener.saved();
+      }
+    }
+
+    private void refused() {
+      if (!stopped) {
+        listener.refused();
+      }
     }
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -34,6 +34,8 @@
     REFUSED,
     /** The store refuses it for its content and does nothing. */
     INVALID,
+    /** It is not carried out, and the response does not say so. */
+    FAILED,
     /** It is carried out, and the response is lost. */
     ANSWER_LOST,
     /**
@@ -141,6 +143,8 @@
             process.after(RESPONSE_MILLIS, () -> done.accept(result(CommitResult.Outcome.REFUSED)));
         case INVALID ->
             process.after(RESPONSE_MILLIS, () -> done.accept(result(CommitResult.Outcome.INVALID)));
+        case FAILED ->
+            process.after(RESPONSE_MILLIS, () -> done.accept(result(CommitResult.Outcome.UNKNOWN)));
         case ANSWER_LOST -> {
           self.after(RESPONSE_MILLIS, () -> apply(transaction));
           process.after(timeoutMillis, () -> done.accept(result(CommitResult.Outcome.UNKNOWN)));
--- a/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
@@ -7,11 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.JobEffect;
+import org.cottontack.core.job.JobId;
+import org.cottontack.core.job.ProgressRowId;
 import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of what one leader stores for the next. */
@@ -58,6 +63,74 @@
     }
   }
 
+  /** Saves over a store that fails, loses or delays transactions. */
+  public static class UnreliableStores {
+
+    private static final JobId JOB = new JobId("a");
+    private static final FakeTableStore.CommitBehaviour[] BEHAVIOURS = {
+      FakeTableStore.CommitBehaviour.GOOD,
+      FakeTableStore.CommitBehaviour.REFUSED,
+      FakeTableStore.CommitBehaviour.FAILED,
+      FakeTableStore.CommitBehaviour.ANSWER_LOST,
+      FakeTableStore.CommitBehaviour.LATE
+    };
+
+    /** Seeds. */
+    @DataProvider
+    public Object[][] seeds() {
+      return IntStream.range(0, 40).mapToObj(seed -> new Object[] {seed}).toArray(Object[][]::new);
+    }
+
+    /** Guards against a save that is reported as stored and is not, or the other way round. */
+    @Test(dataProvider = "seeds")
+    public void storeExactlyWhatTheyReport(int seed) {
+      final Leaders leaders = new Leaders();
+      final Random random = new Random(seed);
+      leaders.next();
+      leaders.store.commitBehaviour =
+          change -> {
+            leaders.store.lateMillis = 50L + random.nextInt(4_000);
+            boolean good = random.nextInt(10) < 3;
+            return good
+                ? FakeTableStore.CommitBehaviour.GOOD
+                : BEHAVIOURS[random.nextInt(BEHAVIOURS.length)];
+          };
+      String stored = null;
+      for (int i = 0; i < 20; i++) {
+        String text = "r" + i;
+        List<Boolean> ended = new ArrayList<>();
+        leaders.progress.save(
+            new JobEffect.SaveProgress(
+                Map.of(ProgressRowId.main(JOB), text), Set.of(), "", Optional.empty()),
+            Optional.empty(),
+            listener(ended));
+        while (ended.isEmpty()) {
+          leaders.time.run(10);
+        }
+        stored = ended.get(0) ? text : stored;
+        assertEquals(leaders.store.table(JobTables.PROGRESS).get(JOB.value()), stored);
+        leaders.time.run(random.nextInt(5) == 0 ? 5_000 : 0);
+        assertEquals(leaders.store.table(JobTables.PROGRESS).get(JOB.value()), stored);
+        assertEquals(ended.size(), 1);
+      }
+      assertEquals(leaders.deposed, List.of());
+    }
+
+    private static ProgressStore.Listener listener(List<Boolean> ended) {
+      return new ProgressStore.Listener() {
+        @Override
+        public void saved() {
+          ended.add(true);
+        }
+
+        @Override
+        public void refused() {
+          ended.add(false);
+        }
+      };
+    }
+  }
+
   /** Ends of leases of unreachable workers. */
   public static class StoredEnds {
 
