Saves: rows that belong to no job are due in one place; damaged ranges are unreadable

A damaged range of done tasks was read and could end the takeover of all jobs with an exception, as the test shows for the former code ("d -2 3" is readable). Change: ProgressSaver asks in one place whether these rows may be written; ranges that no leader writes make a job unreadable, so that it is left alone.

--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -59,12 +59,9 @@
         savingCompletions.keySet().stream()
             .anyMatch(
                 incarnation -> incarnation.identifierReusable() && !written.contains(incarnation));
-    boolean withSharedRows = jobSaves.admitsSharedRows();
-    Optional<Map<WorkerIncarnation, Long>> leaseEnds =
-        withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
-    boolean incarnationsDue = withSharedRows && term.incarnationsUnsaved;
-    if (!rows.isEmpty() || incarnationsDue || leaseEnds.isPresent()) {
-      send(rows, withSharedRows ? learnedIfDue() : "", leaseEnds);
+    Optional<Map<WorkerIncarnation, Long>> leaseEnds = leaseEndsIfDue();
+    if (!rows.isEmpty() || incarnationsDue() || leaseEnds.isPresent()) {
+      send(rows, learnedIfDue(), leaseEnds);
     } else if (!savingCompletions.isEmpty()) {
       saved();
     }
@@ -103,11 +100,9 @@
       return;
     }
     SaveBatch rows = jobSaves.begin();
-    boolean withSharedRows = jobSaves.admitsSharedRows();
-    Optional<Map<WorkerIncarnation, Long>> ends =
-        withSharedRows ? term.leaseEnds.beginSave(term) : Optional.empty();
+    Optional<Map<WorkerIncarnation, Long>> ends = leaseEndsIfDue();
     if (!rows.isEmpty() || ends.isPresent()) {
-      send(rows, rows.isEmpty() || !withSharedRows ? "" : learnedIfDue(), ends);
+      send(rows, rows.isEmpty() ? "" : learnedIfDue(), ends);
     }
   }
 
@@ -135,7 +130,19 @@
     }
   }
 
+  /** Returns whether incarnations have to be stored and may be, in the next transaction. */
+  private boolean incarnationsDue() {
+    return term.incarnationsUnsaved && jobSaves.admitsSharedRows();
+  }
+
+  private Optional<Map<WorkerIncarnation, Long>> leaseEndsIfDue() {
+    return jobSaves.admitsSharedRows() ? term.leaseEnds.beginSave(term) : Optional.empty();
+  }
+
   private String learnedIfDue() {
+    if (!jobSaves.admitsSharedRows()) {
+      return "";
+    }
     Set<WorkerIncarnation> suppressing = term.incarnationsWithSuppressions();
     Map<WorkerIncarnation, Long> deferred = term.firstDeferred();
     if (!learnedDue()
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -29,6 +29,9 @@
   /** Bytes that a character takes at most when it is escaped. */
   private static final int MAX_ESCAPED_BYTES = 9;
 
+  /** Tasks of all occurrences of a job whose ranges are read: far more than a leader can hold. */
+  private static final long MAX_TASKS = 100_000_000;
+
   private static final String PARTS = "parts ";
   private static final String FIRST = "from ";
   private static final String DONE = "d ";
@@ -156,7 +159,11 @@
       if (fields.length != 2) {
         throw new IllegalArgumentException("not a range of tasks: " + text);
       }
-      return new DoneTasks(Long.parseLong(fields[0]), Long.parseLong(fields[1]));
+      DoneTasks range = new DoneTasks(Long.parseLong(fields[0]), Long.parseLong(fields[1]));
+      if (range.first() < 0 || range.last() < range.first() || range.last() >= MAX_TASKS) {
+        throw new IllegalArgumentException("not a range of tasks: " + text);
+      }
+      return range;
     }
 
     @Override
--- a/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
@@ -145,6 +145,19 @@
       assertFalse(new StoredProgress(all.main(), most).readable());
     }
 
+    /** Ranges of done tasks that no leader writes. */
+    @DataProvider
+    public Object[][] ranges() {
+      return new Object[][] {{"d 5"}, {"d 9 3"}, {"d -2 3"}, {"d 0 9999999999"}, {"d a b"}};
+    }
+
+    /** Guards against a damaged range that ends the takeover of all jobs. */
+    @Test(dataProvider = "ranges")
+    public void areUnreadableWhereDamaged(String range) {
+      assertTrue(new StoredProgress("r\nparts 1", Map.of(1, "from 0\nd 0 3")).readable());
+      assertFalse(new StoredProgress("r\nparts 1", Map.of(1, "from 0\n" + range)).readable());
+    }
+
     /** Guards against an earlier version that takes the listed rows for tasks or for none. */
     @Test
     public void areMarkedForEarlierVersions() {
