--- a/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Intake.java
@@ -83,7 +83,9 @@
      * It is larger than the store, or the memory of a leader, allows: it is not stored and can
      * never be.
      */
-    TOO_LARGE
+    TOO_LARGE,
+    /** The store refuses its content: it is not stored and will not be stored by this call. */
+    INVALID
   }
 
   /** Receives the answer to a submission; exactly one of the methods is called, once. */
@@ -128,6 +130,11 @@
   public void submit(JobSpec job, OptionalLong timeoutMillis, Caller caller) {
     long startMillis = timers.now().mono();
     Consumer<Answer> logged = withLogging("job.submitted", job.id(), caller::answered);
+    if (!taskLimit.admits(job)) {
+      logTooLarge(job, "tasks", job.tasks(), taskLimit.tasks());
+      logged.accept(Answer.TOO_LARGE);
+      return;
+    }
     Consumer<AdmissionGate.Rejection> rejected =
         rejection -> {
           logRejected(job, rejection);
@@ -147,11 +154,6 @@
   }
 
   private void store(JobSpec job, long deadlineMillis, Consumer<Answer> done) {
-    if (!taskLimit.admits(job)) {
-      logTooLarge(job, "tasks", job.tasks(), taskLimit.tasks());
-      done.accept(Answer.TOO_LARGE);
-      return;
-    }
     int maxBytes = store.limits().contentBytes();
     byte[] content = JobCodec.write(job, maxBytes);
     if (content.length > maxBytes) {
@@ -515,7 +517,7 @@
       inFlight--;
       switch (result.outcome()) {
         case DONE, CONFLICT -> finish(() -> onResolved.accept(result));
-        case INVALID -> finish(() -> done.accept(Answer.TOO_LARGE));
+        case INVALID -> finish(() -> done.accept(Answer.INVALID));
         case UNKNOWN -> {
           inDoubt = true;
           scheduleResend();
