Starts: a listed run shows that its only start has arrived

Callers would see a long-running task that stays away for 9.5 to 14.7 s after its worker is lost. Cause: a start whose answer is lost counts as in flight for 8.5 s after its sending, although its run is listed and the start was sent once. Meanwhile its task is kept on the worker: it is not moved off when the worker drains, and if the worker is lost, the end of its leases is not stored, so one change of leaders makes the task wait for 8.5 s from that change. A run that was listed before the answer was given up was also ordered again, which made the doubt a real one. This is knowledge that is at hand and not used; takeovers already conclude the same of a listed run. Change: a report that lists the run, or its end, clears the starts of its task if this leader placed it, sent its start once and had no other start in flight (Task.recordStartArrived). An answer that is given up later no longer leads to a second order for a listed run. A start that was sent twice, or that an earlier leader sent, stays in doubt as before.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -172,7 +172,7 @@
     switch (event.result()) {
       case STARTED, OLD -> confirm(task);
       case LATE -> handleLateStart(worker, task);
-      case NOT_SENT, UNKNOWN -> task.order = Task.Order.RESEND;
+      case NOT_SENT, UNKNOWN -> resendUnlessListed(task);
       case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> placeElsewhere(worker, task);
       case FENCED -> fenced(worker);
       case REBORN -> {
@@ -221,6 +221,13 @@
     task.beganMillis = task.beganMillis == 0 ? term.now.mono() : task.beganMillis;
   }
 
+  /** Sends a start again, unless a report has shown since that its run is on the worker. */
+  private static void resendUnlessListed(Task task) {
+    if (task.order != Task.Order.CONFIRMED || !task.began) {
+      task.order = Task.Order.RESEND;
+    }
+  }
+
   /**
    * Releases a short-lease run so that it is placed on another worker: where orders take longer
    * than its lease it would never begin.
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -133,6 +133,9 @@
   private boolean sentByUs;
   private long sentMillis;
 
+  /** Number of times that this leader has sent the start of the present run. */
+  private int startsSent;
+
   /** When the last start of the present run that got no answer was sent. */
   private long unansweredMillis;
 
@@ -232,6 +235,7 @@
   void sent(long nowMillis) {
     order = Order.SENT;
     sentByUs = true;
+    startsSent++;
     sentMillis = nowMillis;
     pendingStart.ifPresent(other -> addLateStart(other.start(), nowMillis));
     lateStart = lateStart.filter(start -> !start.expired(nowMillis));
@@ -318,6 +322,16 @@
     }
   }
 
+  /**
+   * Records that its worker has the present run, or has listed its end. If the start of that run
+   * was sent only once, it has arrived, whether or not its answer does, and none is in flight.
+   */
+  void recordStartArrived() {
+    if (startsSent == 1 && !inherited() && !duplicateStartPossible) {
+      clearLateStarts();
+    }
+  }
+
   /**
    * Records that its worker's present incarnation has seen the present run end, or a stop for it.
    * That incarnation refuses the starts that may still be in flight.
@@ -329,7 +343,7 @@
             sent -> new PendingStart(sent.to(), sent.run(), sent.start().refusedFrom(worker)));
   }
 
-  /** Records that no start in flight can reach any incarnation of its worker. */
+  /** Records that no start is in flight that an incarnation of its worker may carry out. */
   void clearLateStarts() {
     lateStart = Optional.empty();
     pendingStart = Optional.empty();
@@ -414,6 +428,7 @@
     startInDoubt = false;
     cancelLogged = false;
     sentByUs = false;
+    startsSent = 0;
     absentMillis = nowMillis;
     began = false;
     beganMillis = 0;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -235,6 +235,7 @@
     orders.logCancelledRun(worker, task, "listed");
     task.began = true;
     task.recordRunFound();
+    task.recordStartArrived();
     task.listedMillis = term.now.mono();
     if (task.crashes > 0 && CrashBlame.cleared(task)) {
       task.forgetCrashes();
@@ -322,6 +323,7 @@
       deferAcknowledgement(worker, task, completion);
     }
     if (inForce) {
+      task.recordStartArrived();
       task.recordRefusal();
     }
     term.release(task);
