Leaders: a short term adds nothing to the wait for a lost worker's leases

Callers would see a long-running task away for 10.8 s, and for 13.1 s with two short terms, where its worker and its leader are lost together and the next leader is killed within its first 0.8 s. Cause: each renewal stated leases of 8.5 s from its sending, also of a leader that had not begun and had granted none; only a released lease told the two apart. The leader after it waited for 8.5 s from the takeover of the killed one, although all leases dated from the leader before. Change: a leader states leases of its own only once it is about to grant longer ones than it inherited. Until 1.5 s after it has begun, when it has stored the ends of those that do not answer, and while the inherited leases last for 4.5 s, it bases leases on the last renewal of the leader before it. Longer ones are based on a renewal only once that is stored and states them; one that was in flight when the leader began does not count. A renewal that may be stored late, over a newer one, states the longest leases as before. An end that was stated by the store's clock is passed on as it was read. A stopping leader states the leases of its last stored renewal, not of the time of its stop. Where starts waited for a renewal they are sent with it, not with the next tick.

--- a/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobEntry.java
@@ -136,6 +136,13 @@
       return leader != null && leader.mayYieldLeadershipTo(dataCentre);
     }
 
+    @Override
+    public void startsPermitted() {
+      if (leader != null) {
+        leader.startsPermitted();
+      }
+    }
+
     @Override
     public AdmissionLimits admissionLimits() {
       return leader == null ? AdmissionLimits.NONE : leader.admissionLimits();
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -293,12 +293,14 @@
   private void onTableRead(ProgressStore.Found found) {
     unreadTables--;
     if (unreadTables == 0) {
-      begin(found);
+      leadership.begin(() -> begin(found));
     }
   }
 
   private void begin(ProgressStore.Found found) {
-    leadership.begin();
+    if (stopped) {
+      return;
+    }
     final Map<JobId, StoredProgress> progress = found.jobs();
     accepted.keySet().stream().filter(retention::matchCancellation).forEach(cancelled::add);
     JobScheduler created =
@@ -400,10 +402,19 @@
       cancellationWatcher.refreshAfterClockJump();
       workerWatcher.refreshAfterClockJump();
       rules.refreshAfterClockJump();
-      post(new JobEvent.Tick(leadership.renewal()));
+      postTick();
     }
   }
 
+  private void postTick() {
+    post(new JobEvent.Tick(leadership.grantRenewal()));
+  }
+
+  /** Sends starts again that were not sent because the lease did not permit them. */
+  void startsPermitted() {
+    postTick();
+  }
+
   // Deciding
 
   private void post(JobEvent event) {
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -52,6 +52,20 @@
    */
   private static final long MIN_HANDOVER_INTERVAL_MILLIS = 30_000;
 
+  /**
+   * Time after a leader has begun in which it grants no lease beyond those that it inherited, in
+   * milliseconds. It has then noticed which workers do not answer, and stored when their leases
+   * end. If it is killed before, the next leader waits for them no longer than this one would have.
+   */
+  private static final long INHERITED_GRANTS_MILLIS = 1_500;
+
+  /**
+   * Shortest time that inherited leases last while a leader grants none beyond them, in
+   * milliseconds: longer than two elections after a loss. The next leaders can still renew the
+   * leases of workers that they reach.
+   */
+  private static final long MIN_GRANT_MILLIS = 4_500;
+
   private static final RowKey ELECTION =
       new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "election");
   private static final RowKey LEASE = new RowKey(JobTables.LEADER, JobTables.LEADER_PART, "lease");
@@ -63,6 +77,16 @@
    */
   private static final long HEAD_START_MILLIS = 1_500;
 
+  /**
+   * A renewal of the lease.
+   *
+   * @param term the epoch of this leader
+   * @param number how often this process had renewed the lease
+   * @param sent when it was sent
+   * @param statesGrant whether it states that this leader grants leases to workers
+   */
+  private record Renewal(long term, long number, Moment sent, boolean statesGrant) {}
+
   private final TableStore store;
   private final Timers timers;
   private final String name;
@@ -82,12 +106,22 @@
   private long epoch;
   private long electionVersion;
   private long handedOverMillis = Long.MIN_VALUE / 2;
-  private boolean begun;
+  private Optional<Moment> begun = Optional.empty();
+
+  /** Called once this leader may grant leases that last long enough. */
+  private Optional<Runnable> onGrant = Optional.empty();
+
+  private Moment grantRenewal;
+
+  /** Whether this leader has granted leases beyond those that it inherited. */
+  private boolean grants;
+
   private long renewals;
   private long renewalSentMillis;
   private long leaseVersion;
   private boolean leaseVersionKnown;
   private long campaignEpoch;
+  private long campaignLeaseVersion;
   private Moment campaignSent;
 
   /** Listener for the terms of this instance; called on the event loop. */
@@ -105,6 +139,9 @@
      */
     boolean mayYieldLeadershipTo(String dataCentre);
 
+    /** Called when a stored renewal permits starts that were not permitted before it. */
+    default void startsPermitted() {}
+
     /** Returns the jobs that instances are to reject at present, by the leader's decision. */
     default AdmissionLimits admissionLimits() {
       return AdmissionLimits.NONE;
@@ -166,9 +203,35 @@
     return leading && lease.mayStart(timers.now());
   }
 
-  /** Records that this leader grants leases to workers from now on. */
-  void begin() {
-    begun = true;
+  /**
+   * Records that this leader has taken over and is about to grant leases to workers. Leases that
+   * end no later than the inherited ones may be granted at once. Once these end soon, a renewal has
+   * to state that this leader grants some itself, and to be stored, before longer ones are granted.
+   *
+   * @param ready called once this leader may grant leases
+   */
+  void begin(Runnable ready) {
+    Moment now = timers.now();
+    begun = Optional.of(now);
+    if (leftMillis(now) >= MIN_GRANT_MILLIS) {
+      ready.run();
+    } else {
+      onGrant = Optional.of(ready);
+      sendRenewal(epoch);
+    }
+  }
+
+  /** Returns how long leases that are granted now last at the most. */
+  private long leftMillis(Moment now) {
+    return LeaderLease.GRANT_MILLIS - now.longestSince(grantRenewal);
+  }
+
+  /** Returns whether a renewal that is sent now has to state that this leader grants leases. */
+  private boolean statesGrant(Moment now) {
+    return begun.isPresent()
+        && (grants
+            || now.longestSince(begun.get()) >= INHERITED_GRANTS_MILLIS
+            || leftMillis(now) < MIN_GRANT_MILLIS + RENEW_MILLIS);
   }
 
   /** Returns when the last renewal of this term that was stored was sent. */
@@ -176,6 +239,14 @@
     return lease.renewal();
   }
 
+  /**
+   * Returns the renewal on which this leader bases leases of workers. The row states leases that
+   * last {@link LeaderLease#GRANT_MILLIS} from then.
+   */
+  Moment grantRenewal() {
+    return grantRenewal;
+  }
+
   /**
    * Returns the time on the monotonic clock, in milliseconds, at which all worker leases granted by
    * earlier leaders have ended: no lease lasts longer than the last renewal of the leader that
@@ -280,14 +351,18 @@
     // All attempts at an epoch write the same name. If this name is found in the store, the first
     // attempt may have written it. A lease counted from the last attempt would then last longer
     // than other instances wait.
+    final Moment now = timers.now();
+    final boolean again = next == campaignEpoch && leaseVersion == campaignLeaseVersion;
+    campaignLeaseVersion = leaseVersion;
     if (next != campaignEpoch) {
       campaignEpoch = next;
-      campaignSent = timers.now();
+      campaignSent = now;
     }
     final Moment sent = campaignSent;
     // The transaction succeeds only if nobody has renewed since this version of the lease row.
     Optional<Row> previous = Optional.ofNullable(rows.get(LEASE)).filter(row -> leaseVersion > 0);
-    leaseRow.inherit(previous.map(row -> LeaseText.parse(row.text())), lease.changedMillis());
+    leaseRow.inherit(
+        previous.map(row -> LeaseText.parse(row.text())), lease.changedMillis(), now, again);
     Transaction transaction =
         new Transaction(
             Map.of(ELECTION, election == null ? 0 : election.version(), LEASE, leaseVersion),
@@ -295,7 +370,7 @@
                 ELECTION,
                 Payload.of(next + " " + self),
                 LEASE,
-                leaseRow.held(renewals, sent, true),
+                leaseRow.held(renewals, now, true, false),
                 LeadershipHandover.CAPACITY,
                 handover.capacityPayload()),
             List.of());
@@ -343,7 +418,10 @@
       return;
     }
     leading = true;
-    begun = false;
+    begun = Optional.empty();
+    onGrant = Optional.empty();
+    grantRenewal = leaseRow.inheritedRenewal();
+    grants = false;
     epoch = won;
     electionVersion = version;
     leaseVersion = version;
@@ -394,7 +472,8 @@
       expected.put(LEASE, leaseVersion);
     }
     leaseVersionKnown = false;
-    Payload text = leaseRow.held(renewals, sent, includesTime);
+    final boolean statesGrant = statesGrant(sent);
+    Payload text = leaseRow.held(renewals, sent, includesTime, statesGrant);
     Map<RowKey, Payload> writes = new HashMap<>();
     writes.put(LEASE, text);
     if (publishesLimits && includesTime) {
@@ -403,24 +482,32 @@
           .ifPresent(limits -> writes.put(AdmissionRow.KEY, limits));
     }
     Transaction transaction = new Transaction(expected, writes, List.of());
-    long number = renewals;
-    store.commit(transaction, COMMIT_TIMEOUT_MILLIS, result -> renewed(term, number, sent, result));
+    Renewal renewal = new Renewal(term, renewals, sent, statesGrant);
+    store.commit(transaction, COMMIT_TIMEOUT_MILLIS, result -> renewed(renewal, result));
   }
 
-  private void renewed(long term, long number, Moment sent, CommitResult result) {
+  private void renewed(Renewal renewal, CommitResult result) {
+    final long term = renewal.term();
     if (!leading || epoch != term) {
       return;
     }
-    leaseRow.updateClock(sent, timers.now(), result.storeMillis());
+    leaseRow.updateClock(renewal.sent(), timers.now(), result.storeMillis());
     if (result.outcome() == CommitResult.Outcome.DONE) {
-      lease.renewed(sent);
-      admissionRow.stored(number);
+      final boolean permitted = mayStart();
+      lease.renewed(renewal.sent());
+      admissionRow.stored(renewal.number());
       leaseVersion = Math.max(leaseVersion, result.version());
       // When a response is late, newer renewals are already in flight. A renewal that expected the
       // row version of this one would conflict, and so would each later one while responses are
       // late.
-      leaseVersionKnown = number == renewals;
+      leaseVersionKnown = renewal.number() == renewals;
       yieldLeadership();
+      if (leading && renewal.statesGrant()) {
+        grant(renewal.sent());
+      }
+      if (!permitted && mayStart()) {
+        listener.startsPermitted();
+      }
     } else if (result.outcome() == CommitResult.Outcome.CONFLICT) {
       conflicted(term, result);
     } else {
@@ -428,6 +515,17 @@
     }
   }
 
+  /** Bases leases on a stored renewal that states them. */
+  private void grant(Moment sent) {
+    if (!grants || sent.mono() > grantRenewal.mono()) {
+      grantRenewal = sent;
+      grants = true;
+    }
+    Optional<Runnable> ready = onGrant;
+    onGrant = Optional.empty();
+    ready.ifPresent(Runnable::run);
+  }
+
   /**
    * Handles a conflict of a renewal: another instance has taken over, or one has requested the
    * leadership.
@@ -510,7 +608,8 @@
   }
 
   private Payload free(String cutOff) {
-    return leaseRow.free(cutOff, timers.now(), begun);
+    long ownLeaseEndMillis = grants ? grantRenewal.mono() + LeaderLease.GRANT_MILLIS : 0;
+    return leaseRow.free(cutOff, timers.now(), ownLeaseEndMillis);
   }
 
   /** Releases the lease, unless another instance has taken over meanwhile. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaseRow.java
@@ -9,14 +9,25 @@
 /**
  * Creates the texts that an instance writes to the lease row of the leader, and keeps the end of
  * the leases inherited from earlier leaders. The row states how long worker leases that its writer
- * or an earlier leader granted may last.
+ * or an earlier leader granted may last. A leader that grants no lease beyond those it inherited
+ * states only these, so that its term does not delay the tasks of lost workers.
  */
 final class LeaseRow {
 
+  private static final Moment NEVER = new Moment(Long.MIN_VALUE / 4, Long.MIN_VALUE / 4);
+
   private final String self;
   private final StoreClock clock = new StoreClock();
   private long inheritedLeaseEndMillis;
 
+  /** The same on the store's clock, as the last leader stated it; 0 if it stated no time. */
+  private long inheritedStoreMillis;
+
+  /** The same, counted from when this instance saw the row change, which is the latest end. */
+  private long latestInheritedEndMillis;
+
+  private Moment inheritedRenewal = NEVER;
+
   /**
    * Creates the writer of an instance that has inherited no leases.
    *
@@ -47,9 +58,45 @@
    *
    * @param last the last text of the lease row; empty when there is none
    * @param changedMillis monotonic time at which this instance saw the row change, in milliseconds
+   * @param now the present time
+   * @param again whether an earlier attempt at the same takeover may have been stored
    */
-  void inherit(Optional<LeaseText> last, long changedMillis) {
+  void inherit(Optional<LeaseText> last, long changedMillis, Moment now, boolean again) {
     inheritedLeaseEndMillis = last.map(text -> leaseEndMillis(text, changedMillis)).orElse(0L);
+    inheritedStoreMillis =
+        last.filter(text -> text.sentMillis() > 0)
+            .map(text -> text.sentMillis() + text.grantMillis())
+            .orElse(0L);
+    latestInheritedEndMillis = last.map(text -> changedMillis + text.grantMillis()).orElse(0L);
+    Moment renewal = renewal(earliestInheritedEndMillis(now), now);
+    inheritedRenewal = again ? earlier(inheritedRenewal, renewal) : renewal;
+  }
+
+  private long earliestInheritedEndMillis(Moment now) {
+    if (inheritedStoreMillis == 0) {
+      return latestInheritedEndMillis;
+    }
+    long byStoreClock = clock.earliest(inheritedStoreMillis, now).orElse(Long.MAX_VALUE);
+    return Math.min(latestInheritedEndMillis, byStoreClock);
+  }
+
+  /** Returns when a renewal was sent whose leases last until a limit, but not a future time. */
+  private static Moment renewal(long limitMillis, Moment now) {
+    long ago = Math.max(0, now.mono() + LeaderLease.GRANT_MILLIS - limitMillis);
+    return new Moment(now.mono() - ago, now.wall() - ago);
+  }
+
+  private static Moment earlier(Moment one, Moment two) {
+    return new Moment(Math.min(one.mono(), two.mono()), Math.min(one.wall(), two.wall()));
+  }
+
+  /**
+   * Returns the renewal of an earlier leader on which this leader may base leases before a renewal
+   * of its own states that it grants some: such leases end no later than those that this leader
+   * inherited.
+   */
+  Moment inheritedRenewal() {
+    return inheritedRenewal;
   }
 
   /**
@@ -82,31 +129,43 @@
    *
    * @param renewals how often this process has renewed it
    * @param sent when it is sent
-   * @param includesTime whether the text states the time of sending, by the store's clock
+   * @param includesTime whether the text states the time of sending, by the store's clock. Such a
+   *     text is stored only over the last one. Any other may be stored late, over a newer one, and
+   *     states the longest leases.
+   * @param grants whether leases may be based on this renewal
    */
-  Payload held(long renewals, Moment sent, boolean includesTime) {
-    long grant = Math.max(LeaderLease.GRANT_MILLIS, remainingInheritedMillis(sent));
+  Payload held(long renewals, Moment sent, boolean includesTime, boolean grants) {
+    long own = grants || !includesTime ? LeaderLease.GRANT_MILLIS : 0;
     OptionalLong sentMillis = includesTime ? clock.latest(sent) : OptionalLong.empty();
+    long grant = Math.max(own, remainingInheritedMillis(sent));
     return Payload.of(LeaseText.held(self, renewals, grant, sentMillis));
   }
 
   /**
-   * Returns the text of a free lease. A leader that has not begun has granted no leases itself. If
-   * its short term counted like any other, a leader that yields at once would restart the wait for
-   * lost workers.
+   * Returns the text of a free lease. If the short term of a leader that has granted no leases
+   * itself counted like any other, a leader that yields at once would restart the wait for lost
+   * workers.
    *
    * @param cutOff the data centre whose instances wait longer before a takeover; empty for none
    * @param now when it is sent
-   * @param begun whether this leader has granted leases to workers
+   * @param ownLeaseEndMillis monotonic time at which all leases that this leader granted have
+   *     ended, in milliseconds
    */
-  Payload free(String cutOff, Moment now, boolean begun) {
-    long own = begun ? LeaderLease.GRANT_MILLIS : 0;
+  Payload free(String cutOff, Moment now, long ownLeaseEndMillis) {
+    long own = ownLeaseEndMillis - now.mono();
     long grant = Math.max(own, remainingInheritedMillis(now));
     return Payload.of(LeaseText.free(cutOff, grant, clock.latest(now)));
   }
 
-  /** Returns how long leases granted by earlier leaders may still last. */
+  /**
+   * Returns how long leases granted by earlier leaders may still last. An end that the last leader
+   * stated on the store's clock is passed on. Translated by each leader, it would become earlier
+   * with each clock that runs fast.
+   */
   private long remainingInheritedMillis(Moment now) {
-    return inheritedLeaseEndMillis - now.mono();
+    long byStoreClock =
+        Math.max(0, inheritedStoreMillis - clock.latest(now).orElse(inheritedStoreMillis));
+    long latest = Math.min(latestInheritedEndMillis, now.mono() + byStoreClock);
+    return Math.max(0, Math.max(inheritedLeaseEndMillis, latest) - now.mono());
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/ElectionSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ElectionSimulation.java
@@ -36,7 +36,7 @@
     public void won(long epoch) {
       events.add("won " + epoch);
       if (begins) {
-        leadership.begin();
+        leadership.begin(() -> {});
       }
     }
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/InheritedLeasesTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/InheritedLeasesTest.java
@@ -2,6 +2,7 @@
 
 import static org.cottontack.daemon.job.ElectionSimulation.LARGE;
 import static org.cottontack.daemon.job.ElectionSimulation.SMALL;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.peer.Payload;
 import org.cottontack.daemon.job.ElectionSimulation.Candidate;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of how long a leader waits for worker leases that earlier leaders granted. */
@@ -192,5 +194,63 @@
       simulation.time.run(2_000);
       assertCountedFrom(death, next);
     }
+
+    /** How long the second leader lives, and whether it has begun. */
+    @DataProvider
+    static Object[][] terms() {
+      return new Object[][] {{50L, false}, {700L, false}, {300L, true}, {900L, true}};
+    }
+
+    /**
+     * The leader dies together with a worker, and the next one dies before it has granted leases
+     * that outlast the inherited ones. The wait for the lost worker must go on unchanged.
+     */
+    @Test(dataProvider = "terms")
+    public void dyingSoonKeepsTheWait(long term, boolean begins) {
+      ElectionSimulation simulation = new ElectionSimulation();
+      final Candidate first = simulation.candidate("a", 1);
+      simulation.time.run(1_000);
+      final Candidate second = simulation.candidate("b", 1);
+      second.begins = begins;
+      simulation.time.run(3_000);
+      first.timers.killed = true;
+      final long death = second.timers.now().mono();
+      while (!second.leadership.leading()) {
+        simulation.time.run(1);
+      }
+      final Candidate third = simulation.candidate("c", 1);
+      simulation.time.run(term);
+      second.timers.killed = true;
+      simulation.time.run(4_000);
+      assertCountedFrom(death, third);
+    }
+
+    /**
+     * A leader that has inherited no leases begins while a renewal is in flight that states none.
+     * It must not grant leases before the row states them: the next leader would not wait for them.
+     */
+    @Test
+    public void grantsNothingBeforeTheRowStatesIt() {
+      ElectionSimulation simulation = new ElectionSimulation();
+      final Candidate only = simulation.candidate("a", 1);
+      only.begins = false;
+      while (!only.leadership.leading()) {
+        simulation.time.run(1);
+      }
+      final int transactions = simulation.store.transactions;
+      simulation.store.transactionMillis = 200;
+      while (simulation.store.transactions == transactions) {
+        simulation.time.run(1);
+      }
+      long[] stated = {-1};
+      only.leadership.begin(
+          () ->
+              stated[0] =
+                  LeaseText.parse(simulation.store.table(JobTables.LEADER).get("lease"))
+                      .grantMillis());
+      assertEquals(stated[0], -1);
+      simulation.time.run(450);
+      assertEquals(stated[0], LeaderLease.GRANT_MILLIS);
+    }
   }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/StoreClockDriftTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/StoreClockDriftTest.java
@@ -91,7 +91,7 @@
     LeaseText last =
         LeaseText.parse(
             LeaseText.held("old/1", 7, LeaderLease.GRANT_MILLIS, OptionalLong.of(age - 100)));
-    row.inherit(Optional.of(last), own(age, ppm));
+    row.inherit(Optional.of(last), own(age, ppm), at(age, ppm), false);
     long end = own(age - 100 + LeaderLease.GRANT_MILLIS, ppm);
     long early = end - row.inheritedLeaseEndMillis() - MARGIN_MILLIS;
     assertTrue(early <= 0, "released " + early + " ms too early");
