Log: why long-running tasks wait, for which worker and until when

Cause: worker.awaited, task.bound and job.placed each name a part of a wait. None says why a task that is free is not placed, whether a placed one has begun, or whether the end of leases that a leader waits for is its own, stored or inherited. So the hypotheses about a long-running task that stays away could not be told apart. Change: task.waits, once for each wait of more than 1 s of a long-running task that has run before, and when its reason changes: reason, worker, time left at most, and the source of that time. WaitLog decides nothing; it looks every 200 ms at begun long-running jobs, searches a worker for at most 50 tasks a check, and writes at most 50 lines a second. Result: WaitLogTest, 6 tests, passes; among them a lost worker with 120 tasks, all logged within 6 s.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -30,6 +30,7 @@
   private final WorkerHealth health;
   private final PlacementPass placementPass;
   private final ProgressSaver progressSaver;
+  private final WaitLog waitLog;
   private long loadLoggedMillis;
   private final AdmissionDecisions admission;
 
@@ -97,6 +98,7 @@
             runDurations,
             admission,
             health);
+    waitLog = new WaitLog(term, workerSelector);
     placementPass = new PlacementPass(term, workerSelector, urgency);
     progressSaver =
         new ProgressSaver(
@@ -298,6 +300,7 @@
     all.forEach(fleet::tick);
     term.unlistedSuppressions.expire(term.workers::containsKey, term.now.mono());
     admission.update();
+    waitLog.tick();
     boolean firstPollsDone = term.now.mono() - term.startMillis > term.timing.firstPollsMillis();
     if (firstPollsDone && PartitionDetector.cutOff(all)) {
       term.effects.add(new JobEffect.HandOver("cut off from most workers"));
