Placement: a task that waits for a reason of its own holds up no other

Callers would see a stopped or lost run of a long-running task, or a whole job, that does not start although there is room for it. Cause: once a task found no worker, its step, and steps of other jobs that need as much, were skipped for the rest of the pass, in every pass. The reason may be the task's or its job's own: the reserve for short tasks refuses only what never ran, a suspect needs a worker without another one, a spread limit counts the tasks of one step. By reading also: a short task on a worker whose completions may be suppressed, or that has its trial run, is refused where a long-running one is not. And a task that never ran could take the place of a run that was just stopped. Change: UnplaceableSteps keeps what was found together with the restrictions under which it was found, and a step counts for other jobs only if a search without the limits of the task and its job found nothing either; that is one more search for each step with a spread limit, which now counts for others too. In each priority, long-running tasks that have run before are placed first.

--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -1,8 +1,12 @@
 package org.cottontack.core.job;
 
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.cottontack.core.load.LoadPart;
 
@@ -38,8 +42,14 @@
             .flatMap(worker -> worker.orphans.keySet().stream())
             .map(RunKey::task)
             .collect(Collectors.toSet());
+    term.jobsToPlace.forEach(job -> job.waitsForPlace = false);
     UnplaceableSteps unplaceableSteps = new UnplaceableSteps();
-    inOrder().forEach(job -> placeJob(job, unplaceableSteps));
+    inOrder().stream()
+        .collect(
+            Collectors.groupingBy(
+                job -> job.spec.queue().priority(), TreeMap::new, Collectors.toList()))
+        .values()
+        .forEach(jobs -> placeJobs(jobs, unplaceableSteps));
   }
 
   private List<Job> inOrder() {
@@ -50,37 +60,44 @@
         : ranked;
   }
 
-  private void placeJob(Job job, UnplaceableSteps unplaceableSteps) {
-    JobQueue queue = term.table.current(job.spec.queue());
-    List<Task> ready = job.ready().toList();
-    boolean allPlaced = true;
-    job.waitsForPlace = false;
-    Optional<StepId> unplaceableStep = Optional.empty();
-    for (Task task : ready) {
-      boolean stepUnplaceable =
-          unplaceableStep.filter(step -> step.equals(task.name.step())).isPresent();
-      if (stepUnplaceable && !task.pinned(term.now.mono())) {
-        continue;
-      }
-      Optional<Worker> worker =
-          tasksWithOrphans.contains(task.name)
-              ? Optional.empty()
-              : choose(task, queue, unplaceableSteps);
-      if (worker.isPresent()) {
-        placeTask(task, worker.get());
-        shortTaskReserve.recordPlaced(task, queue.pool());
-        continue;
-      }
-      allPlaced = false;
-      if (!blockedOnItsOwn(task)) {
-        unplaceableStep = Optional.of(task.name.step());
-        job.waitsForPlace |= recordsWaits && fitsSomewhere(task.spec, queue);
-      }
+  /**
+   * Places the tasks of jobs of one priority. Users miss the long-running tasks that have run
+   * before, so these take free places before tasks that never ran.
+   */
+  private void placeJobs(List<Job> jobs, UnplaceableSteps unplaceableSteps) {
+    Map<Job, List<Task>> ready = new LinkedHashMap<>();
+    jobs.forEach(job -> ready.put(job, job.ready().toList()));
+    List<Task> missed =
+        ready.values().stream().flatMap(List::stream).filter(Task::isMissed).toList();
+    missed.forEach(task -> placeIfPossible(task, unplaceableSteps));
+    ready.forEach(
+        (job, tasks) -> {
+          tasks.stream()
+              .filter(task -> task.phase == Task.Phase.WAITING && !task.isMissed())
+              .forEach(task -> placeIfPossible(task, unplaceableSteps));
+          if (tasks.stream().allMatch(task -> task.phase == Task.Phase.PLACED)) {
+            term.jobsToPlace.remove(job);
+          }
+          logPlaced(job, tasks);
+        });
+  }
+
+  private void placeIfPossible(Task task, UnplaceableSteps unplaceableSteps) {
+    if (unplaceableSteps.coversStepOf(task) && !task.pinned(term.now.mono())) {
+      return;
     }
-    if (allPlaced) {
-      term.jobsToPlace.remove(job);
+    Job job = task.job;
+    JobQueue queue = term.table.current(job.spec.queue());
+    Optional<Worker> worker =
+        tasksWithOrphans.contains(task.name)
+            ? Optional.empty()
+            : choose(task, queue, unplaceableSteps);
+    if (worker.isPresent()) {
+      placeTask(task, worker.get());
+      shortTaskReserve.recordPlaced(task, queue.pool());
+    } else if (recordsWaits && !job.waitsForPlace && !blockedOnItsOwn(task)) {
+      job.waitsForPlace = fitsSomewhere(task.spec, queue);
     }
-    logPlaced(job, ready);
   }
 
   /** Returns whether some worker could hold a task of a step if it were empty. */
@@ -92,18 +109,24 @@
   }
 
   private Optional<Worker> choose(Task task, JobQueue queue, UnplaceableSteps unplaceableSteps) {
+    if (!shortTaskReserve.admits(task, queue.pool())) {
+      unplaceableSteps.addRefusedByReserve(task);
+      return Optional.empty();
+    }
     // A pinned task may go to a suspect worker that has its trial run; the others may not.
     boolean unplaceable =
         unplaceableSteps.covers(task.spec, queue)
             && !task.pinned(term.now.mono())
             && !workerSelector.mayIgnoreContention(task.job, queue);
-    if (unplaceable || !shortTaskReserve.admits(task, queue.pool())) {
+    if (unplaceable) {
+      unplaceableSteps.add(task, queue, false);
       return Optional.empty();
     }
-    Optional<Worker> worker =
-        workerSelector.choose(task, queue, term.workers.values(), term.now.mono());
+    Collection<Worker> workers = term.workers.values();
+    Optional<Worker> worker = workerSelector.choose(task, queue, workers, term.now.mono());
     if (worker.isEmpty() && !blockedOnItsOwn(task)) {
-      unplaceableSteps.add(task.spec, queue);
+      unplaceableSteps.add(
+          task, queue, workerSelector.isRefusedByItself(task, queue, workers, term.now.mono()));
     }
     return worker;
   }
--- a/core/src/main/java/org/cottontack/core/job/ShortTaskReserve.java
+++ b/core/src/main/java/org/cottontack/core/job/ShortTaskReserve.java
@@ -106,10 +106,14 @@
     return pools.computeIfAbsent(name, any -> new Pool());
   }
 
+  /** Returns whether a task waits until it leaves enough capacity to short tasks. */
+  static boolean appliesTo(Task task) {
+    return task.spec.is(StepSpec.Trait.LASTS) && task.run == 0;
+  }
+
   /** Returns whether a task may begin in a pool now. */
   boolean admits(Task task, String pool) {
-    boolean neverStarted = task.spec.is(StepSpec.Trait.LASTS) && task.run == 0;
-    return !neverStarted || pool(pool).admits(task.spec.reserved().cpuMillis());
+    return !appliesTo(task) || pool(pool).admits(task.spec.reserved().cpuMillis());
   }
 
   /** Records that a task was placed in a pool. */
--- a/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
+++ b/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
@@ -109,6 +109,17 @@
     return !task.shortLease;
   }
 
+  /**
+   * Returns whether suppressed completions keep tasks of one step off every worker off which they
+   * keep those of another.
+   */
+  static boolean restrictAtLeastAsMuch(StepSpec step, StepSpec other) {
+    return !mustNotRepeat(other)
+        || (mustNotRepeat(step)
+            && (step.estimateMillis() < MIN_ESTIMATE_MILLIS
+                || other.estimateMillis() >= MIN_ESTIMATE_MILLIS));
+  }
+
   /** Returns whether a task must not run again after it was done. */
   static boolean mustNotRepeat(StepSpec spec) {
     return !spec.is(StepSpec.Trait.LASTS) && !spec.is(StepSpec.Trait.SPECULATIVE);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -209,6 +209,11 @@
     return new RunKey(name, run);
   }
 
+  /** Returns whether it is a long-running task that has run before, so that users miss it. */
+  boolean isMissed() {
+    return phase == Phase.WAITING && run > 0 && spec.is(StepSpec.Trait.LASTS);
+  }
+
   /** Returns whether the present run is the first one and always had full pace. */
   boolean firstRunAtFullPace() {
     return phase == Phase.PLACED
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -126,16 +126,33 @@
         .map(Candidate::worker);
   }
 
+  /**
+   * Returns whether some worker would take a task but for restrictions of its own or of its job: a
+   * suspect needs a worker without another one, and a spread limit counts the tasks of one step.
+   */
+  boolean isRefusedByItself(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
+    return (CrashBlame.suspect(task) || task.spec.maxPerWorker() > 0)
+        && workers.stream()
+            .filter(worker -> worker.usable(nowMillis))
+            .filter(worker -> hasRoom(task, queue, worker, nowMillis))
+            .anyMatch(worker -> candidate(task, queue, worker, nowMillis).isPresent());
+  }
+
   private static boolean fits(Task task, JobQueue queue, Worker worker, long nowMillis) {
+    int limit = task.spec.maxPerWorker();
+    return hasRoom(task, queue, worker, nowMillis)
+        && (limit == 0 || worker.tasksOf(task.name.step()) < limit)
+        && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
+  }
+
+  private static boolean hasRoom(Task task, JobQueue queue, Worker worker, long nowMillis) {
     StepSpec spec = task.spec;
     return worker.info.pool().equals(queue.pool())
         && worker.free().holds(spec.reserved())
         && task.mayStartOn(worker.incarnation(), nowMillis)
         && worker.admits(spec, nowMillis)
         && mayTry(task, worker, nowMillis)
-        && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains)
-        && (spec.maxPerWorker() == 0 || worker.tasksOf(task.name.step()) < spec.maxPerWorker())
-        && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
+        && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains);
   }
 
   /**
