Starts: a lost answer to a lasting task's start is looked up before the start is sent again

Cause: a start without an answer was sent again 0.9 s after it was sent, although a poll of the same worker may take 1 s to be answered and then lists the run. The second start made the doubt a real one: its task is pinned for 8.5 s from then, and if the worker is lost meanwhile, the end of its leases is not stored for the next leader. Change: the start of a long-running task is sent again only once a poll that was sent after it was answered without the run. Other tasks are started again at once, as before: they may not wait, and nothing hangs on their doubt but acknowledgements. Test: ListedStartTest.listedRunIsNotStartedAgain, where a worker answers polls after 1,000 ms.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -201,6 +201,8 @@
     } else if (!worker.silent && worker.leaseLimited()) {
       // A start now would begin a run with little time left.
       return;
+    } else if (!worker.silent && mayBeListedSoon(task)) {
+      return;
     } else if (!worker.silent && !task.duplicateStartPossible && task.pinned(term.now.mono())) {
       task.prepareResend();
       term.dirty.add(task.job);
@@ -211,6 +213,15 @@
     }
   }
 
+  /**
+   * Returns whether the next report may show that a start without an answer has arrived. A second
+   * start of a long-running task would pin it to its worker for seconds, so it is sent only once a
+   * report shows that the first one has not arrived.
+   */
+  private static boolean mayBeListedSoon(Task task) {
+    return task.spec.is(StepSpec.Trait.LASTS) && task.startInDoubt && !task.startIgnored();
+  }
+
   void confirm(Task task) {
     if (!task.job.begun) {
       task.job.begun = true;
--- a/core/src/test/java/org/cottontack/core/job/ListedStartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ListedStartTest.java
@@ -125,11 +125,24 @@
       assertTrue(runs(simulation) && !draining.runs(TASK));
     }
 
-    /** Guards against a second order for a run that its worker has listed. */
-    @Test
-    public void listedRunIsNotStartedAgain() {
-      JobSimulation simulation = withLostAnswer();
-      simulation.run(5_000);
+    /** Longest time that a worker waits before it answers a poll, in milliseconds. */
+    @DataProvider
+    public Object[][] waits() {
+      return new Object[][] {{50L}, {500L}, {800L}, {1_000L}};
+    }
+
+    /**
+     * Guards against a second order for a run that its worker lists only after the answer to the
+     * first one was given up.
+     */
+    @Test(dataProvider = "waits")
+    public void listedRunIsNotStartedAgain(long wait) {
+      JobSimulation simulation = submitted();
+      simulation.maxWaitMillis = wait;
+      simulation.lost = ListedStartTest::isStart;
+      simulation.run(500);
+      simulation.lost = effect -> false;
+      simulation.run(2_000);
       assertEquals(simulation.effects.stream().filter(ListedStartTest::isStart).count(), 1);
     }
   }
