--- a/daemon/src/test/java/org/cottontack/daemon/job/InheritedLeasesTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/InheritedLeasesTest.java
@@ -225,6 +225,28 @@
       assertCountedFrom(death, third);
     }
 
+    /**
+     * A leader is stopped long after its last renewal. The leases that it granted count from that
+     * one, so the next leader must not count them from the stop.
+     */
+    @Test
+    public void countsLeasesOfStoppedLeadersFromTheirLastRenewal() {
+      ElectionSimulation simulation = new ElectionSimulation();
+      final Candidate first = simulation.candidate("a", 1);
+      simulation.time.run(1_000);
+      final Candidate second = simulation.candidate("b", 1);
+      simulation.time.run(3_000);
+      simulation.store.commitBehaviour = change -> FakeTableStore.CommitBehaviour.FAILED;
+      simulation.time.run(1_000);
+      simulation.store.commitBehaviour = change -> FakeTableStore.CommitBehaviour.GOOD;
+      final long grantEnd = lastGrantEnd(first);
+      first.leadership.leave(() -> {});
+      simulation.time.run(300);
+      assertWaitsFor(grantEnd, second);
+      long late = second.leadership.inheritedLeaseEndMillis() - grantEnd;
+      assertTrue(late <= 20, "late by " + late);
+    }
+
     /**
      * A leader that has inherited no leases begins while a renewal is in flight that states none.
      * It must not grant leases before the row states them: the next leader would not wait for them.
