--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -55,6 +55,12 @@
   /** Whether the worker answers no more polls. */
   boolean workerLost;
 
+  /** Whether the worker is about to leave. */
+  private boolean draining;
+
+  /** Notifies the leader of changes of the worker's registry entry. */
+  private Consumer<JobEvent> registryListener;
+
   /** Whether the runs on the worker are done when it answers the next poll. */
   boolean completesRuns;
 
@@ -129,6 +135,7 @@
 
   @Override
   public TableWatcher watcher(Consumer<JobEvent> listener, Runnable onCurrent) {
+    registryListener = listener;
     TableStore seen = store.seenBy(process, call -> true);
     return new TableWatcher(seen, process, "workers", List.of("all"), row -> {}, onCurrent);
   }
@@ -144,7 +151,13 @@
                 new DataCentreId("dc"),
                 new Resources(32_000, 10_000, 0),
                 List.of(),
-                false)));
+                draining)));
+  }
+
+  /** Lets the worker announce that it leaves. */
+  void drain() {
+    draining = true;
+    replay(registryListener);
   }
 
   @Override
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -403,6 +403,26 @@
       assertTrue(leaseEnds(simulation).matches("2\nw 0 \\d+"), leaseEnds(simulation));
     }
 
+    /**
+     * Guards against a wait that begins anew where a leader is stopped less than a poll after a
+     * worker has left. The leader gives the worker no lease any more, so the end of the last one is
+     * known.
+     */
+    @Test
+    public void storesEndsOfWorkersThatLeaveAsItStops() {
+      LeaderSimulation simulation = withRun();
+      simulation.drain();
+      simulation.time.run(1_000);
+      simulation.workerLost = true;
+      simulation.time.run(300);
+      assertEquals(leaseEnds(simulation), "");
+      boolean[] left = {false};
+      simulation.entry.stop(() -> left[0] = true);
+      simulation.time.run(100);
+      assertTrue(left[0]);
+      assertTrue(leaseEnds(simulation).matches("1\nw 0 \\d+"), leaseEnds(simulation));
+    }
+
     /**
      * Guards against work that is repeated because a leader that is stopped drops a completion that
      * it has just received, and the worker leaves before the next leader polls it.
