Starts in doubt: what is known of them outlasts the leader's term

Cause: a leader kept in memory that starts are ignored, and until when one in doubt may arrive. The next leader knew of no ignored start, so it waited for the leases of a lost worker only and placed a long-running task beside its late start. A task that waited was pinned anew from the beginning of each term, even where its start had long expired. Change: the row with the ends of leases takes further lines, which older versions skip: when the latest ignored start was sent, and for each run of a long-running task whose starts are in doubt until when they may arrive, on the store's clock (StoredStarts, RecoveryFacts). Times that were read keep their stored value; one read back is never earlier than true. An expiry covers all starts of its run: none is sent before it is withdrawn, and it goes with its run. While orders are late a leader also stores that no start of a run is in doubt. What is not stored is assumed as before. Ends of leases are stored for the same workers as before. Not covered: a leader of an older version that rewrites the row drops the ignored start; a leader killed before it has saved one leaves the next as before.

--- a/core/src/main/java/org/cottontack/core/job/IgnoredStarts.java
+++ b/core/src/main/java/org/cottontack/core/job/IgnoredStarts.java
@@ -1,5 +1,7 @@
 package org.cottontack.core.job;
 
+import java.util.OptionalLong;
+
 /**
  * Starts that a worker left unanswered although it answered a later request. They show that orders
  * are delayed rather than lost in a crash: orders are then carried out up to {@link
@@ -31,6 +33,14 @@
     return latest;
   }
 
+  /**
+   * Returns when the latest ignored start was sent, on our steady clock; empty once it no longer
+   * matters.
+   */
+  OptionalLong latestMillis(long nowMillis) {
+    return toleratesAbsence(nowMillis) ? OptionalLong.of(latestMillis) : OptionalLong.empty();
+  }
+
   /**
    * Returns whether users tolerate the absence of a long-running task until a time. The absence
    * counts only after an undisturbed period, which begins when the latest ignored start has
--- a/core/src/main/java/org/cottontack/core/job/JobEffect.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEffect.java
@@ -15,21 +15,20 @@
    * @param removals rows of progress to remove
    * @param learned estimates for images and queues, stored for the next leader; empty when they
    *     were written a short while ago
-   * @param leaseEnds when the leases of unreachable workers end, on this leader's steady clock;
-   *     they replace the stored ones. Empty to leave those unchanged.
+   * @param facts what the next leader cannot learn from workers, on this leader's steady clock;
+   *     replaces what is stored. Empty to leave that unchanged.
    */
   record SaveProgress(
       Map<ProgressRowId, String> progress,
       Set<ProgressRowId> removals,
       String learned,
-      Optional<Map<WorkerIncarnation, Long>> leaseEnds)
+      Optional<RecoveryFacts> facts)
       implements JobEffect {
 
     /** Keeps the maps immutable. */
     public SaveProgress {
       progress = Map.copyOf(progress);
       removals = Set.copyOf(removals);
-      leaseEnds = leaseEnds.map(Map::copyOf);
     }
   }
 
--- a/core/src/main/java/org/cottontack/core/job/JobEvent.java
+++ b/core/src/main/java/org/cottontack/core/job/JobEvent.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
@@ -61,6 +62,22 @@
     }
   }
 
+  /**
+   * What earlier leaders stored of starts was read. Comes before any job.
+   *
+   * @param starts for a run of a long-running task, until when its starts and those of earlier runs
+   *     may be carried out, on this leader's steady clock
+   * @param ignoredStart when the latest ignored start was sent at the latest, on the same clock
+   */
+  record StartsRecovered(Map<RunKey, StartExpiry> starts, OptionalLong ignoredStart)
+      implements JobEvent {
+
+    /** Keeps the map immutable. */
+    public StartsRecovered {
+      starts = Map.copyOf(starts);
+    }
+  }
+
   /**
    * Rows of open jobs were found that this leader cannot read, because of damage or another
    * version. Their runs go on, and no completion of theirs is acknowledged. Comes before any
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -261,6 +261,9 @@
       progressSaver.restoreLearned(e.learned());
     } else if (event instanceof JobEvent.LeaseEndsRecovered e) {
       term.leaseEnds.recover(e.ends(), term.now);
+    } else if (event instanceof JobEvent.StartsRecovered e) {
+      term.leaseEnds.recoverStarts(e.starts(), e.ignoredStart());
+      e.ignoredStart().ifPresent(term.ignoredStarts::add);
     } else if (event instanceof JobEvent.JobsLeftAlone e) {
       term.leftAlone.addAll(e.jobs());
     } else if (event instanceof JobEvent.JobCancelled e) {
--- a/core/src/main/java/org/cottontack/core/job/LateStart.java
+++ b/core/src/main/java/org/cottontack/core/job/LateStart.java
@@ -49,6 +49,14 @@
     return new LateStart(to, spec.is(StepSpec.Trait.LASTS) ? leaseEndMillis : expires, expires);
   }
 
+  /** Returns the same start, which restricts placement no longer than a stored expiry. */
+  LateStart within(StartExpiry stored) {
+    return new LateStart(
+        firstRefusing,
+        Math.min(minPinEndMillis, stored.minPinEndMillis()),
+        Math.min(expiresMillis, stored.expiresMillis()));
+  }
+
   /**
    * Returns a start that restricts placement as much as both. A task is pinned to one worker, so
    * both starts are for the same one.
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -70,20 +70,40 @@
    * term ended, so the start may still be carried out late.
    */
   private void inherit(Task task) {
+    task.recordRestored();
     if (task.worker.identifierReusable()) {
-      long leaseEndMillis = term.inheritedLeaseEndMillis(task.worker);
-      task.addLateStart(
-          LateStart.inherited(task.worker, task.spec, term.startMillis, leaseEndMillis),
-          term.now.mono());
+      task.addLateStart(inheritedStart(task), term.now.mono());
     }
     if (task.phase == Task.Phase.PLACED) {
       task.inherit(term.now.mono());
       workerOrUnlisted(task.worker).add(task);
     } else {
       task.worker = null;
+      term.waits(task);
     }
   }
 
+  /**
+   * Returns the start of a restored task that may still be carried out. Unless it is stored until
+   * when, it counts as sent at the end of the last term.
+   */
+  private LateStart inheritedStart(Task task) {
+    return term.leaseEnds
+        .startExpiry(task.key())
+        .map(
+            stored ->
+                LateStart.inherited(
+                        task.worker, task.spec, term.startMillis, term.inheritedLeaseEndMillis)
+                    .within(stored))
+        .orElseGet(
+            () ->
+                LateStart.inherited(
+                    task.worker,
+                    task.spec,
+                    term.startMillis,
+                    term.inheritedLeaseEndMillis(task.worker)));
+  }
+
   /**
    * Returns the worker of an incarnation, and adds it as unlisted when it is unknown. A worker that
    * is not registered may still run the tasks that were placed on it.
--- a/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressSaver.java
@@ -59,18 +59,18 @@
         savingCompletions.keySet().stream()
             .anyMatch(
                 incarnation -> incarnation.identifierReusable() && !written.contains(incarnation));
-    Optional<Map<WorkerIncarnation, Long>> leaseEnds = leaseEndsIfDue();
-    if (!rows.isEmpty() || incarnationsDue() || leaseEnds.isPresent()) {
-      send(rows, learnedIfDue(), leaseEnds);
+    Optional<RecoveryFacts> facts = factsIfDue();
+    if (!rows.isEmpty() || incarnationsDue() || facts.isPresent()) {
+      send(rows, learnedIfDue(), facts);
     } else if (!savingCompletions.isEmpty()) {
       saved();
     }
   }
 
-  private void send(SaveBatch rows, String text, Optional<Map<WorkerIncarnation, Long>> leaseEnds) {
+  private void send(SaveBatch rows, String text, Optional<RecoveryFacts> facts) {
     saving = true;
-    savingSharedRows = !text.isEmpty() || leaseEnds.isPresent();
-    term.effects.add(new JobEffect.SaveProgress(rows.writes(), rows.removals(), text, leaseEnds));
+    savingSharedRows = !text.isEmpty() || facts.isPresent();
+    term.effects.add(new JobEffect.SaveProgress(rows.writes(), rows.removals(), text, facts));
   }
 
   /**
@@ -93,16 +93,16 @@
 
   /**
    * Saves what the next leader cannot learn from a worker that leaves meanwhile: the progress that
-   * is not saved yet, and the ends of leases of unreachable workers.
+   * is not saved yet, the ends of leases of unreachable workers, and the starts in doubt.
    */
   void saveBeforeEnd() {
     if (saving) {
       return;
     }
     SaveBatch rows = jobSaves.begin();
-    Optional<Map<WorkerIncarnation, Long>> ends = leaseEndsIfDue();
-    if (!rows.isEmpty() || ends.isPresent()) {
-      send(rows, rows.isEmpty() ? "" : learnedIfDue(), ends);
+    Optional<RecoveryFacts> unsaved = factsIfDue();
+    if (!rows.isEmpty() || unsaved.isPresent()) {
+      send(rows, rows.isEmpty() ? "" : learnedIfDue(), unsaved);
     }
   }
 
@@ -135,7 +135,7 @@
     return term.incarnationsUnsaved && jobSaves.admitsSharedRows();
   }
 
-  private Optional<Map<WorkerIncarnation, Long>> leaseEndsIfDue() {
+  private Optional<RecoveryFacts> factsIfDue() {
     return jobSaves.admitsSharedRows() ? term.leaseEnds.beginSave(term) : Optional.empty();
   }
 
--- a/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredLeaseEnds.java
@@ -53,6 +53,7 @@
     }
   }
 
+  private final StoredStarts starts = new StoredStarts();
   private Map<WorkerIncarnation, End> stored = Map.of();
 
   /** The ends that the save in flight writes. */
@@ -65,6 +66,16 @@
             .collect(Collectors.toMap(Map.Entry::getKey, entry -> new End(entry.getValue(), now)));
   }
 
+  /** Takes over what earlier leaders stored of starts in doubt and of ignored ones. */
+  void recoverStarts(Map<RunKey, StartExpiry> expiries, OptionalLong ignoredStart) {
+    starts.recover(expiries, ignoredStart);
+  }
+
+  /** Returns the stored expiry of the starts of a run that an earlier leader placed. */
+  Optional<StartExpiry> startExpiry(RunKey run) {
+    return starts.expiry(run);
+  }
+
   /** Returns the stored end of an incarnation's leases; empty if there is none. */
   OptionalLong endMillis(WorkerIncarnation incarnation) {
     return Stream.ofNullable(stored.get(incarnation)).mapToLong(End::millis).findFirst();
@@ -79,9 +90,12 @@
     return ends(worker).mapToLong(end -> end.limitMillis(now)).reduce(Long.MAX_VALUE, Math::min);
   }
 
-  /** Returns whether an end of a worker's leases may be in the store. */
+  /**
+   * Returns whether an end of a worker's leases, or the expiry of a start that this leader may send
+   * to it again, may be in the store.
+   */
   boolean contains(WorkerId worker) {
-    return ends(worker).findAny().isPresent();
+    return ends(worker).findAny().isPresent() || starts.workers().anyMatch(worker::equals);
   }
 
   private Stream<End> ends(WorkerId worker) {
@@ -99,11 +113,12 @@
     return unreached(term, false).allMatch(worker -> isStored(term, worker));
   }
 
-  /** Returns whether all ends that may be stored when the term ends are stored. */
+  /** Returns whether all that may be stored when the term ends is stored. */
   boolean allStored(Term term) {
-    return unreached(term, false)
-        .filter(worker -> storable(term, worker))
-        .allMatch(worker -> isStored(term, worker));
+    return !starts.due(term)
+        && unreached(term, false)
+            .filter(worker -> storable(term, worker))
+            .allMatch(worker -> isStored(term, worker));
   }
 
   private boolean isStored(Term term, Worker worker) {
@@ -112,19 +127,22 @@
   }
 
   /**
-   * Returns all ends to write, if those in the store are out of date: an end is missing or has
-   * become later, or a worker answers again. Ends that have passed are no reason to write.
+   * Returns all that is to be written, if what is in the store is out of date: an end is missing or
+   * has become later, or a worker answers again, or there is news of starts in doubt. Ends that
+   * have passed are no reason to write.
    */
-  Optional<Map<WorkerIncarnation, Long>> beginSave(Term term) {
+  Optional<RecoveryFacts> beginSave(Term term) {
     Map<WorkerIncarnation, End> next = kept(term);
     boolean withdrawn =
         stored.keySet().stream()
-            .anyMatch(incarnation -> !next.containsKey(incarnation) && reached(term, incarnation));
+            .anyMatch(
+                incarnation ->
+                    !next.containsKey(incarnation) && reached(term, incarnation.worker()));
     List<Worker> missing =
         unreached(term, !term.ending)
             .filter(worker -> storable(term, worker) && !isStored(term, worker))
             .toList();
-    if (missing.isEmpty() && !withdrawn) {
+    if (missing.isEmpty() && !withdrawn && !starts.due(term)) {
       return Optional.empty();
     }
     missing.forEach(
@@ -133,32 +151,35 @@
                 worker.incarnation(),
                 new End(LeaseEndBounds.exactly(computedEndMillis(term, worker)), term.now)));
     saving = Optional.of(Map.copyOf(next));
-    return Optional.of(
+    Map<WorkerIncarnation, Long> ends =
         next.entrySet().stream()
-            .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().millis())));
+            .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().millis()));
+    Map<RunKey, StartExpiry> expiries = starts.beginSave(term);
+    return Optional.of(new RecoveryFacts(ends, expiries, starts.savingIgnored()));
   }
 
   /**
    * Records that the save is in the store.
    *
-   * @return the workers whose leases may be extended again
+   * @return the workers whose leases may be extended, and starts be sent, again
    */
   Set<WorkerId> saved() {
-    Set<WorkerId> before = workers(stored);
+    final Set<WorkerId> before = workers();
     stored = saving.orElse(stored);
     saving = Optional.empty();
-    before.removeAll(workers(stored));
+    starts.saved();
+    before.removeAll(workers());
     return before;
   }
 
   /** Records that the store has refused the save. */
   void refused() {
     saving = Optional.empty();
+    starts.refused();
   }
 
-  private static Set<WorkerId> workers(Map<WorkerIncarnation, End> ends) {
-    return ends.keySet().stream()
-        .map(WorkerIncarnation::worker)
+  private Set<WorkerId> workers() {
+    return Stream.concat(stored.keySet().stream().map(WorkerIncarnation::worker), starts.workers())
         .collect(Collectors.toCollection(HashSet::new));
   }
 
@@ -168,7 +189,7 @@
     kept.entrySet()
         .removeIf(
             entry ->
-                reached(term, entry.getKey())
+                reached(term, entry.getKey().worker())
                     || term.now.mono() > entry.getValue().millis() + KEPT_MILLIS);
     return kept;
   }
@@ -179,7 +200,7 @@
    * @param awaitsAnswers whether a worker whose first poll is in flight may be reachable. Otherwise
    *     it counts as unreachable: this leader has given it no lease.
    */
-  private static Stream<Worker> unreached(Term term, boolean awaitsAnswers) {
+  static Stream<Worker> unreached(Term term, boolean awaitsAnswers) {
     return term.workers.values().stream()
         .filter(worker -> !worker.placed.isEmpty())
         .filter(
@@ -211,8 +232,8 @@
   }
 
   /** Returns whether the present incarnation of a worker answers this leader. */
-  private static boolean reached(Term term, WorkerIncarnation incarnation) {
-    return Optional.ofNullable(term.workers.get(incarnation.worker()))
+  static boolean reached(Term term, WorkerId id) {
+    return Optional.ofNullable(term.workers.get(id))
         .filter(worker -> worker.everAnswered && !worker.silent)
         .isPresent();
   }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -131,6 +131,10 @@
   boolean cancelLogged;
 
   private boolean sentByUs;
+
+  /** The run that was read from the store; 0 if none was. */
+  private int restoredRun;
+
   private long sentMillis;
 
   /** When the last start of the present run that got no answer was sent. */
@@ -246,6 +250,16 @@
     return sentByUs;
   }
 
+  /** Records that the present run was read from the store. */
+  void recordRestored() {
+    restoredRun = run;
+  }
+
+  /** Returns whether the present run is known to be stored, so that its number is never reused. */
+  boolean runStored() {
+    return sentByUs || run == restoredRun;
+  }
+
   /** Returns when its start was last sent, on our steady clock. */
   long sentMillis() {
     return sentMillis;
@@ -340,6 +354,12 @@
     return inFlightStart().map(LateStart::firstRefusing);
   }
 
+  /** Returns until when the starts that may be in flight restrict the task; empty if none is. */
+  Optional<StartExpiry> startExpiry() {
+    return inFlightStart()
+        .map(start -> new StartExpiry(start.minPinEndMillis(), start.expiresMillis()));
+  }
+
   /** Returns whether a start in flight pins the task to one worker. */
   boolean pinned(long nowMillis) {
     return pinnedForMillis(nowMillis).isPresent();
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -46,6 +46,9 @@
    */
   final Set<JobId> leftAlone = new HashSet<>();
 
+  /** Long-running tasks that wait for a worker while a start of theirs may be in flight. */
+  final Set<Task> waitingWithStarts = new LinkedHashSet<>();
+
   /** Jobs whose progress has changed since it was last saved. */
   final Set<Job> dirty = new LinkedHashSet<>();
 
@@ -248,6 +251,7 @@
         .map(incarnation -> workers.get(incarnation.worker()))
         .ifPresent(worker -> worker.remove(task));
     task.release().forEach(completion -> deferAcknowledgement(task, completion));
+    waits(task);
     dirty.add(task.job);
     capacityChanged = true;
     if (!task.job.phase.terminal()) {
@@ -255,6 +259,13 @@
     }
   }
 
+  /** Records that a task waits for a worker. */
+  void waits(Task task) {
+    if (task.spec.is(StepSpec.Trait.LASTS) && task.startExpiry().isPresent()) {
+      waitingWithStarts.add(task);
+    }
+  }
+
   /** Defers the acknowledgement of an earlier run's completion while its task is pinned. */
   private void deferAcknowledgement(Task task, Task.EarlierCompletion completion) {
     long millis = task.pinnedForMillis(now.mono()).orElse(0);
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -137,8 +137,8 @@
   private final SimulationInvariants invariants = new SimulationInvariants(this);
   private String learned = "";
 
-  /** The stored ends of the leases of unreachable workers. */
-  Map<WorkerIncarnation, Long> leaseEnds = Map.of();
+  /** What is stored of unreachable workers and of starts in doubt. */
+  RecoveryFacts facts = RecoveryFacts.NONE;
 
   private boolean ending;
 
@@ -288,10 +288,11 @@
     leader = newLeader(inherited);
     post(
         new JobEvent.LeaseEndsRecovered(
-            leaseEnds.entrySet().stream()
+            facts.leaseEnds().entrySet().stream()
                 .collect(
                     Collectors.toMap(
                         Map.Entry::getKey, end -> LeaseEndBounds.exactly(end.getValue())))));
+    post(new JobEvent.StartsRecovered(facts.starts(), facts.ignoredStart()));
     post(new JobEvent.LearnedRecovered(learned));
     post(new JobEvent.JobsLeftAlone(unreadable));
     registerWorkers();
@@ -440,7 +441,7 @@
           if (from == leader || (savesOutliveLeaders && inEpoch == epoch)) {
             stored.apply(save);
             learned = save.learned().isEmpty() ? learned : save.learned();
-            leaseEnds = save.leaseEnds().orElse(leaseEnds);
+            facts = save.facts().orElse(facts);
             post(from, new JobEvent.ProgressSaved());
           }
         });
--- a/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/KnowledgeAcrossLeadersTest.java
@@ -53,7 +53,7 @@
         .toArray(Object[][]::new);
   }
 
-  private static void changeLeader(JobSimulation simulation, boolean killed) {
+  static void changeLeader(JobSimulation simulation, boolean killed) {
     if (killed) {
       simulation.killLeader();
       simulation.run(TAKEOVER_MILLIS);
@@ -76,13 +76,13 @@
     return begun;
   }
 
-  private static void runUntil(JobSimulation simulation, long end, BooleanSupplier done) {
+  static void runUntil(JobSimulation simulation, long end, BooleanSupplier done) {
     while (simulation.now < end && !done.getAsBoolean()) {
       simulation.run(10);
     }
   }
 
-  private static boolean logged(JobSimulation simulation, String event) {
+  static boolean logged(JobSimulation simulation, String event) {
     return simulation.effects.stream()
         .anyMatch(effect -> effect instanceof JobEffect.Note note && note.name().equals(event));
   }
--- a/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/LinkSimulation.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -91,6 +92,9 @@
     /** Translations of stored ends of leases, which keep their stored value. */
     private final Map<WorkerIncarnation, TranslatedEnd> translatedEnds = new HashMap<>();
 
+    /** Translations of all other stored times, by what they belong to. */
+    private final Map<Object, TranslatedEnd> translatedTimes = new HashMap<>();
+
     Leader(Instance instance, long epoch, long inheritedLeaseEndMillis) {
       this.instance = instance;
       this.epoch = epoch;
@@ -120,8 +124,59 @@
       return found;
     }
 
+    /** Returns what is stored of starts on this leader's clock. */
+    JobEvent.StartsRecovered startsFromStore(RecoveryFacts stored) {
+      Map<RunKey, StartExpiry> starts = new HashMap<>();
+      stored
+          .starts()
+          .forEach(
+              (run, expiry) ->
+                  starts.put(
+                      run,
+                      new StartExpiry(
+                          timeFromStore(List.of(run, "pin"), expiry.minPinEndMillis()),
+                          timeFromStore(List.of(run, "expiry"), expiry.expiresMillis()))));
+      OptionalLong ignored =
+          stored.ignoredStart().stream()
+              .map(sent -> Math.min(now, timeFromStore("ignored", sent)))
+              .findFirst();
+      return new JobEvent.StartsRecovered(starts, ignored);
+    }
+
+    private long timeFromStore(Object of, long storeMillis) {
+      long millis = storeMillis + clockErrorMillis;
+      translatedTimes.put(of, new TranslatedEnd(millis, storeMillis));
+      return millis;
+    }
+
+    private long timeToStore(Object of, long millis) {
+      return translatedTimes
+          .merge(
+              of,
+              new TranslatedEnd(millis, millis),
+              (before, next) -> before.millis() == next.millis() ? before : next)
+          .storeMillis();
+    }
+
+    /** Returns facts on the store's clock; a time that is stored keeps its value. */
+    RecoveryFacts toStore(RecoveryFacts facts) {
+      Map<RunKey, StartExpiry> starts = new HashMap<>();
+      facts
+          .starts()
+          .forEach(
+              (run, expiry) ->
+                  starts.put(
+                      run,
+                      new StartExpiry(
+                          timeToStore(List.of(run, "pin"), expiry.minPinEndMillis()),
+                          timeToStore(List.of(run, "expiry"), expiry.expiresMillis()))));
+      OptionalLong ignored =
+          facts.ignoredStart().stream().map(sent -> timeToStore("ignored", sent)).findFirst();
+      return new RecoveryFacts(toStore(facts.leaseEnds()), starts, ignored);
+    }
+
     /** Returns ends of leases on the store's clock; an end that is stored keeps its value. */
-    Map<WorkerIncarnation, Long> toStore(Map<WorkerIncarnation, Long> ends) {
+    private Map<WorkerIncarnation, Long> toStore(Map<WorkerIncarnation, Long> ends) {
       translatedEnds.keySet().retainAll(ends.keySet());
       ends.forEach(
           (worker, end) ->
@@ -220,7 +275,7 @@
   double failShare;
   boolean storeSlow;
   private String learned = "";
-  private Map<WorkerIncarnation, Long> leaseEnds = Map.of();
+  private RecoveryFacts facts = RecoveryFacts.NONE;
   private long fenceEpoch;
   private long checkedEpoch;
   private long electionEpoch;
@@ -685,19 +740,16 @@
             claim(leader);
           } else {
             String learnedThen = learned;
-            Map<WorkerIncarnation, Long> endsThen = leaseEnds;
+            RecoveryFacts factsThen = facts;
             after(
                 between(10, maxReadMillis),
-                () -> begin(leader, result.orElseThrow(), learnedThen, endsThen));
+                () -> begin(leader, result.orElseThrow(), learnedThen, factsThen));
           }
         });
   }
 
   private void begin(
-      Leader leader,
-      StoredRows progress,
-      String learnedThen,
-      Map<WorkerIncarnation, Long> endsThen) {
+      Leader leader, StoredRows progress, String learnedThen, RecoveryFacts factsThen) {
     if (leader.ended || leader.ending) {
       return;
     }
@@ -705,7 +757,8 @@
     leader.scheduler =
         new JobScheduler(
             JobTiming.STANDARD, JobFixtures.TABLE, moment(), leader.inheritedLeaseEndMillis);
-    post(leader, new JobEvent.LeaseEndsRecovered(leader.fromStore(endsThen)));
+    post(leader, new JobEvent.LeaseEndsRecovered(leader.fromStore(factsThen.leaseEnds())));
+    post(leader, leader.startsFromStore(factsThen));
     post(leader, new JobEvent.LearnedRecovered(learnedThen));
     updateWorkers(leader);
     specs
@@ -826,14 +879,14 @@
   }
 
   private void save(Leader leader, JobEffect.SaveProgress save) {
-    Optional<Map<WorkerIncarnation, Long>> ends = save.leaseEnds().map(leader::toStore);
-    commit(leader, save, ends, new boolean[1]);
+    Optional<RecoveryFacts> facts = save.facts().map(leader::toStore);
+    commit(leader, save, facts, new boolean[1]);
   }
 
   private void commit(
       Leader leader,
       JobEffect.SaveProgress save,
-      Optional<Map<WorkerIncarnation, Long>> ends,
+      Optional<RecoveryFacts> saved,
       boolean[] performed) {
     if (leader.ended) {
       return;
@@ -853,13 +906,13 @@
                     }
                     stored.apply(save);
                     learned = save.learned().isEmpty() ? learned : save.learned();
-                    leaseEnds = ends.orElse(leaseEnds);
+                    facts = saved.orElse(facts);
                   }
                   answer.accept(performed[0]);
                 }),
         result -> {
           if (result.isEmpty()) {
-            commit(leader, save, ends, performed);
+            commit(leader, save, saved, performed);
           } else if (result.get()) {
             post(leader, new JobEvent.ProgressSaved());
           } else {
--- a/core/src/test/java/org/cottontack/core/job/LostWorkerAcrossLeadersTest.java
+++ b/core/src/test/java/org/cottontack/core/job/LostWorkerAcrossLeadersTest.java
@@ -112,12 +112,12 @@
       JobSimulation simulation = withLongRunningTask(one, two);
       (one.runs(TASK) ? one : two).dead = true;
       simulation.run(2_000);
-      final Map<WorkerIncarnation, Long> ends = simulation.leaseEnds;
+      final Map<WorkerIncarnation, Long> ends = simulation.facts.leaseEnds();
       assertEquals(ends.size(), 1);
       for (int i = 0; i < 5; i++) {
         endLeader(simulation, false);
         simulation.run(1_000);
-        assertEquals(simulation.leaseEnds, ends);
+        assertEquals(simulation.facts.leaseEnds(), ends);
       }
     }
 
@@ -308,8 +308,8 @@
           simulation.effects.stream()
               .filter(JobEffect.SaveProgress.class::isInstance)
               .map(JobEffect.SaveProgress.class::cast)
-              .flatMap(save -> save.leaseEnds().stream())
-              .mapToLong(Map::size)
+              .flatMap(save -> save.facts().stream())
+              .mapToLong(facts -> facts.leaseEnds().size())
               .sum();
       assertTrue(ends >= LOST, "ends " + ends);
       assertTrue(ends * END_BYTES <= SECONDS * BYTES_PER_SECOND, "ends " + ends);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -312,7 +312,11 @@
     post(
         new JobEvent.LeaseEndsRecovered(
             leaseEnds.fromStore(
-                found.leaseEnds(), leadership.inheritedLeaseEndMillis(), timers.now())));
+                found.facts().leaseEnds(), leadership.inheritedLeaseEndMillis(), timers.now())));
+    post(
+        new JobEvent.StartsRecovered(
+            leaseEnds.startsFromStore(found.facts().starts()),
+            leaseEnds.ignoredFromStore(found.facts().ignoredStart(), timers.now())));
     post(new JobEvent.LearnedRecovered(found.learned()));
     post(new JobEvent.DataCentresEvacuated(evacuated));
     registry.replay(this::post);
@@ -546,7 +550,7 @@
     long began = timers.now().mono();
     progressStore.save(
         save,
-        save.leaseEnds().map(ends -> leaseEnds.toStore(ends, timers.now())),
+        save.facts().map(facts -> leaseEnds.toStore(facts, timers.now())),
         new ProgressStore.Listener() {
           @Override
           public void saved() {
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -10,8 +10,8 @@
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.ProgressRowId;
+import org.cottontack.core.job.RecoveryFacts;
 import org.cottontack.core.job.StoredProgress;
-import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
 
 /**
@@ -39,13 +39,14 @@
    * @param jobs stored progress of each job that has any
    * @param stray rows of tasks of jobs that have no main row, by their numbers
    * @param learned content of the {@link JobTables#LEARNED} row; empty when there is none
-   * @param leaseEnds stored ends of leases of unreachable workers, on the store's clock
+   * @param facts what was stored of unreachable workers and of starts in doubt, on the store's
+   *     clock
    */
   record Found(
       Map<JobId, StoredProgress> jobs,
       Map<JobId, Map<Integer, String>> stray,
       String learned,
-      Map<WorkerIncarnation, Long> leaseEnds) {}
+      RecoveryFacts facts) {}
 
   private final WatchedStore store;
   private final Timers timers;
@@ -132,8 +133,8 @@
     Found found = found(rows, tasks, fenceRow.map(ProgressStore::epochOf).orElse(0L));
     Map<RowKey, Payload> writes = new HashMap<>();
     writes.put(JobTables.FENCE, Payload.of(fence()));
-    if (!found.leaseEnds().isEmpty()) {
-      writes.put(JobTables.LEASE_ENDS, leaseEnds(found.leaseEnds()));
+    if (!found.facts().isEmpty()) {
+      writes.put(JobTables.LEASE_ENDS, row(found.facts()));
     }
     Map<RowKey, Long> expected = Map.of(JobTables.FENCE, fenceRow.map(Row::version).orElse(0L));
     store.commit(
@@ -152,17 +153,12 @@
   private static Found found(List<Row> rows, List<Row> tasks, long lastEpoch) {
     Map<JobId, String> jobs = new HashMap<>();
     String learned = "";
-    Map<WorkerIncarnation, Long> leaseEnds = Map.of();
+    RecoveryFacts facts = RecoveryFacts.NONE;
     for (Row row : rows) {
       if (row.at().equals(JobTables.LEARNED)) {
         learned = row.text();
       } else if (row.at().equals(JobTables.LEASE_ENDS)) {
-        // A later leader of an older version neither reads nor withdraws these ends.
-        leaseEnds =
-            Optional.of(LeaseEndsText.parse(row.text()))
-                .filter(text -> text.epoch() == lastEpoch)
-                .map(LeaseEndsText::ends)
-                .orElse(Map.of());
+        facts = facts(LeaseEndsText.parse(row.text()), lastEpoch);
       } else if (!row.at().equals(JobTables.FENCE)) {
         jobs.put(new JobId(row.key()), row.text());
       }
@@ -174,7 +170,17 @@
             progress.put(
                 id,
                 new StoredProgress(main, Optional.ofNullable(parts.remove(id)).orElse(Map.of()))));
-    return new Found(progress, parts, learned, leaseEnds);
+    return new Found(progress, parts, learned, facts);
+  }
+
+  /**
+   * Returns the facts that still hold. A later leader of an older version neither reads nor
+   * withdraws them; when the latest ignored start was sent holds all the same.
+   */
+  private static RecoveryFacts facts(LeaseEndsText text, long lastEpoch) {
+    return text.epoch() == lastEpoch
+        ? text.facts()
+        : new RecoveryFacts(Map.of(), Map.of(), text.facts().ignoredStart());
   }
 
   private static Map<JobId, Map<Integer, String>> parts(List<Row> tasks) {
@@ -190,8 +196,8 @@
     return parts;
   }
 
-  private Payload leaseEnds(Map<WorkerIncarnation, Long> ends) {
-    return Payload.of(new LeaseEndsText(epoch, ends).text(store.limits().sharedRowBytes()));
+  private Payload row(RecoveryFacts facts) {
+    return Payload.of(new LeaseEndsText(epoch, facts).text(store.limits().sharedRowBytes()));
   }
 
   private static long epochOf(Row fence) {
@@ -220,18 +226,15 @@
   /**
    * Writes progress; the caller has at most one save in flight.
    *
-   * @param leaseEnds the ends of leases to write, on the store's clock; empty to write none
+   * @param facts the facts to write, on the store's clock; empty to write none
    */
-  void save(
-      JobEffect.SaveProgress save,
-      Optional<Map<WorkerIncarnation, Long>> leaseEnds,
-      Listener listener) {
+  void save(JobEffect.SaveProgress save, Optional<RecoveryFacts> facts, Listener listener) {
     Map<RowKey, Payload> writes = new HashMap<>();
     save.progress().forEach((id, text) -> writes.put(JobTables.progress(id), Payload.of(text)));
     if (!save.learned().isEmpty()) {
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
-    leaseEnds.ifPresent(ends -> writes.put(JobTables.LEASE_ENDS, leaseEnds(ends)));
+    facts.ifPresent(all -> writes.put(JobTables.LEASE_ENDS, row(all)));
     List<RowKey> removals = save.removals().stream().map(JobTables::progress).toList();
     new Save(writes, removals, listener).start();
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
@@ -4,9 +4,11 @@
 import static org.testng.Assert.assertFalse;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -14,6 +16,10 @@
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.ProgressRowId;
+import org.cottontack.core.job.RecoveryFacts;
+import org.cottontack.core.job.RunKey;
+import org.cottontack.core.job.StartExpiry;
+import org.cottontack.core.job.TaskName;
 import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
 import org.testng.annotations.DataProvider;
@@ -57,12 +63,84 @@
       return found;
     }
 
+    /** Lets a leader of another version take over, which writes other rows. */
+    void nextOfOlderVersion(Map<RowKey, Payload> rows) {
+      epoch++;
+      Map<RowKey, Payload> writes = new HashMap<>(rows);
+      writes.put(JobTables.FENCE, Payload.of(epoch + " 0"));
+      store
+          .seenBy(time.process(), call -> true)
+          .commit(new Transaction(Map.of(), writes, List.of()), 1_000, result -> {});
+      time.run(100);
+    }
+
     void save(Map<WorkerIncarnation, Long> ends) {
-      progress.save(NOTHING, Optional.of(ends), IGNORED);
+      save(new RecoveryFacts(ends, Map.of(), OptionalLong.empty()));
+    }
+
+    void save(RecoveryFacts facts) {
+      progress.save(NOTHING, Optional.of(facts), IGNORED);
       time.run(200);
     }
   }
 
+  /** Starts in doubt and ignored starts. */
+  public static class StoredStarts {
+
+    private static final RecoveryFacts FACTS =
+        new RecoveryFacts(
+            ENDS,
+            Map.of(new RunKey(TaskName.parse("a.0.1.2"), 3), new StartExpiry(8_500, 12_000)),
+            OptionalLong.of(700));
+
+    /** Guards against facts that are lost with leaders that end before they save anything. */
+    @Test
+    public void outlastLeadersThatSaveNothing() {
+      Leaders leaders = new Leaders();
+      leaders.next();
+      leaders.save(FACTS);
+      leaders.next();
+      leaders.next();
+      assertEquals(leaders.next().facts(), FACTS);
+    }
+
+    /** Guards against ignored starts that are lost because no worker is unreachable. */
+    @Test
+    public void outlastLeadersWithoutLeaseEnds() {
+      Leaders leaders = new Leaders();
+      leaders.next();
+      RecoveryFacts ignored = new RecoveryFacts(Map.of(), Map.of(), OptionalLong.of(700));
+      leaders.save(ignored);
+      leaders.next();
+      assertEquals(leaders.next().facts(), ignored);
+    }
+
+    /**
+     * Guards against expiries that were true before a leader of an older version sent those starts
+     * again; orders were late all the same.
+     */
+    @Test
+    public void areNotUsedAfterLeadersOfOlderVersions() {
+      Leaders leaders = new Leaders();
+      leaders.next();
+      leaders.save(FACTS);
+      leaders.nextOfOlderVersion(Map.of());
+      RecoveryFacts ignored = new RecoveryFacts(Map.of(), Map.of(), OptionalLong.of(700));
+      assertEquals(leaders.next().facts(), ignored);
+      assertEquals(leaders.next().facts(), ignored);
+    }
+
+    /** Guards against expiries that are taken for those of a leader that wrote lease ends only. */
+    @Test
+    public void areDroppedByLeadersThatRewriteLeaseEndsOnly() {
+      Leaders leaders = new Leaders();
+      leaders.next();
+      leaders.save(FACTS);
+      leaders.nextOfOlderVersion(Map.of(JobTables.LEASE_ENDS, Payload.of("2\nw 0 9000")));
+      assertEquals(leaders.next().facts(), new RecoveryFacts(ENDS, Map.of(), OptionalLong.empty()));
+    }
+  }
+
   /** Saves over a store that fails, loses or delays transactions. */
   public static class UnreliableStores {
 
@@ -137,9 +215,9 @@
     @Test
     public void reachTheNextLeader() {
       Leaders leaders = new Leaders();
-      assertEquals(leaders.next().leaseEnds(), Map.of());
+      assertEquals(leaders.next().facts().leaseEnds(), Map.of());
       leaders.save(ENDS);
-      assertEquals(leaders.next().leaseEnds(), ENDS);
+      assertEquals(leaders.next().facts().leaseEnds(), ENDS);
     }
 
     /** Guards against ends that are lost with leaders that end before they save anything. */
@@ -150,7 +228,7 @@
       leaders.save(ENDS);
       leaders.next();
       leaders.next();
-      assertEquals(leaders.next().leaseEnds(), ENDS);
+      assertEquals(leaders.next().facts().leaseEnds(), ENDS);
     }
 
     @Test
@@ -160,7 +238,7 @@
       leaders.save(ENDS);
       leaders.next();
       leaders.save(Map.of());
-      assertEquals(leaders.next().leaseEnds(), Map.of());
+      assertEquals(leaders.next().facts().leaseEnds(), Map.of());
     }
 
     /**
@@ -172,18 +250,9 @@
       Leaders leaders = new Leaders();
       leaders.next();
       leaders.save(ENDS);
-      VirtualTimers.View older = leaders.time.process();
-      leaders
-          .store
-          .seenBy(older, call -> true)
-          .commit(
-              new Transaction(Map.of(), Map.of(JobTables.FENCE, Payload.of("2 0")), List.of()),
-              1_000,
-              result -> {});
-      leaders.time.run(100);
-      leaders.epoch = 2;
-      assertEquals(leaders.next().leaseEnds(), Map.of());
-      assertEquals(leaders.next().leaseEnds(), Map.of());
+      leaders.nextOfOlderVersion(Map.of());
+      assertEquals(leaders.next().facts().leaseEnds(), Map.of());
+      assertEquals(leaders.next().facts().leaseEnds(), Map.of());
     }
 
     /** Guards against a leader that withdraws ends after its successor has read them. */
@@ -193,11 +262,11 @@
       leaders.next();
       leaders.save(ENDS);
       final ProgressStore former = leaders.progress;
-      assertEquals(leaders.next().leaseEnds(), ENDS);
-      former.save(NOTHING, Optional.of(Map.of()), IGNORED);
+      assertEquals(leaders.next().facts().leaseEnds(), ENDS);
+      former.save(NOTHING, Optional.of(RecoveryFacts.NONE), IGNORED);
       leaders.time.run(200);
       assertFalse(leaders.deposed.isEmpty());
-      assertEquals(leaders.next().leaseEnds(), ENDS);
+      assertEquals(leaders.next().facts().leaseEnds(), ENDS);
     }
   }
 }
