Restarts: a run that no start can begin again waits for the old leases only

Callers would see a long-running task that stays away for 10.4 s from when its worker is listed as restarted, if the next incarnation never answers: 10,620 ms where it is listed 90 ms after the loss, 13,520 ms where it is listed after 3 s (9,000 are the bound). Cause: a restart counted as the begin of the longest lease, since an order in flight may begin a run on the next incarnation. Without a start in flight none can: the run has ended. Change: only a start that may still be in flight, whether it pins its task or not, makes the runs of a restarted worker wait for 10.3 s. Otherwise they wait until the leases of the earlier incarnation have ended, which is also long enough where the registry is wrong and the worker goes on without answering. A next incarnation that answers is handled as before. Tests: RestartedWorkerTest$Unanswering: before, 6 of 7 cases fail, all of those about absence; after, none. The seventh has a registry that is wrong, and a worker with the slowest clock.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -139,7 +139,7 @@
    * until the first answer of the next incarnation.
    */
   private Worker restarted(Worker before, WorkerInfo info) {
-    long leaseEnd = Math.max(before.leasesEndedMillis(), term.now.mono() + MAX_LEASE_MILLIS);
+    long leaseEnd = leaseEndAfterRestart(before);
     Worker next = term.add(info, leaseEnd);
     List<Task> runs = List.copyOf(before.placed.values());
     runs.forEach(next::add);
@@ -147,6 +147,21 @@
     return next;
   }
 
+  /**
+   * Returns until when the runs of a restarted worker are kept if its next incarnation does not
+   * answer. Only a start in flight can begin one of them there, with a lease as long as any. If
+   * there is none, the wait covers a registry entry that is wrong about the restart: the runs then
+   * go on until their leases end.
+   */
+  private long leaseEndAfterRestart(Worker before) {
+    long now = term.now.mono();
+    boolean startInFlight =
+        before.placed.values().stream().anyMatch(task -> task.startInFlight(now));
+    return startInFlight
+        ? Math.max(before.leasesEndedMillis(), now + MAX_LEASE_MILLIS)
+        : before.lastLeaseEndMillis();
+  }
+
   /**
    * Handles an answer from another incarnation of a worker. Answers may arrive out of order: an
    * answer of an earlier incarnation to a poll sent before the current one last answered counts as
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -354,6 +354,11 @@
     return inFlightStart().map(LateStart::firstRefusing);
   }
 
+  /** Returns whether a start may still be in flight, whether or not it pins the task. */
+  boolean startInFlight(long nowMillis) {
+    return inFlightStart().filter(start -> !start.expired(nowMillis)).isPresent();
+  }
+
   /** Returns whether a start in flight pins the task to one worker. */
   boolean pinned(long nowMillis) {
     return pinnedForMillis(nowMillis).isPresent();
--- a/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
@@ -153,6 +153,80 @@
     }
   }
 
+  /** Next incarnations that are listed and never answer. */
+  public static class Unanswering {
+
+    /** Longest permitted absence of a long-running task after a loss of its worker. */
+    private static final long MAX_ABSENCE_MILLIS = 9_000;
+
+    private static final TaskName TASK = TaskName.parse("s.0.0.0");
+
+    private static SimulatedWorker crashedForGood(JobSimulation simulation, long restart) {
+      SimulatedWorker worker =
+          simulation.workers.values().stream()
+              .filter(other -> other.runs(TASK))
+              .findFirst()
+              .orElseThrow();
+      simulation.restartMillis = restart;
+      simulation.crash(worker);
+      simulation.run(restart);
+      SimulatedWorker next = simulation.workers.get(worker.info.id());
+      next.reachable = false;
+      return next;
+    }
+
+    private static JobSimulation withLongRunningTask() {
+      JobSimulation simulation = restartingFleet(2);
+      simulation.workMillis = 600_000;
+      simulation.submit(job("s", step(1, 4, List.of(), StepSpec.Trait.LASTS)));
+      simulation.run(3_000);
+      return simulation;
+    }
+
+    /** Times until the next incarnation is listed, in milliseconds. */
+    @DataProvider
+    public Object[][] restarts() {
+      return new Object[][] {{90L}, {600L}, {1_400L}, {3_000L}, {5_000L}, {8_000L}};
+    }
+
+    /**
+     * Guards against a long-running task that waits for the longest lease of an incarnation which
+     * cannot have its run, counted from when that is listed.
+     */
+    @Test(dataProvider = "restarts")
+    public void taskReturnsWhenLeasesOfEarlierIncarnationHaveEnded(long restart) {
+      JobSimulation simulation = withLongRunningTask();
+      final long lostMillis = simulation.now;
+      crashedForGood(simulation, restart);
+      simulation.run(lostMillis + MAX_ABSENCE_MILLIS - simulation.now);
+      assertTrue(simulation.workers.values().stream().anyMatch(other -> other.runs(TASK)));
+    }
+
+    /**
+     * Guards against a second run where the registry is wrong about a restart and the worker, which
+     * has the slowest clock, goes on without answering.
+     */
+    @Test
+    public void runsNoTaskTwiceWhereWorkerHasNotRestarted() {
+      JobSimulation simulation = restartingFleet(2);
+      simulation.workMillis = 600_000;
+      simulation.workers.values().forEach(worker -> worker.speed = WorkerClock.SLOWEST);
+      simulation.submit(job("s", step(1, 4, List.of(), StepSpec.Trait.LASTS)));
+      simulation.run(3_000);
+      SimulatedWorker worker =
+          simulation.workers.values().stream()
+              .filter(other -> other.runs(TASK))
+              .findFirst()
+              .orElseThrow();
+      worker.reachable = false;
+      WorkerIncarnation wrong = new WorkerIncarnation(worker.info.id(), simulation.now);
+      simulation.post(new JobEvent.WorkerSeen(worker.info.withIncarnation(wrong)));
+      simulation.run(20_000);
+      long running = simulation.workers.values().stream().filter(other -> other.runs(TASK)).count();
+      assertEquals(running, 1);
+    }
+  }
+
   /** Orders to one incarnation that reach the next. */
   public static class LateOrders {
 
