Draining workers: tasks that never ran keep no run there, and moves share the room that is left

Callers would see a long-running task away for 9 s and more although there is room for it, after a worker has left that announced it. Cause: a run was moved off a draining worker only while no begun long-running job had a waiting task. One task that never ran, because the reserve for short tasks refuses it or it fits nowhere, thus kept all long-running runs of all jobs on all draining workers until these left. If the leader changes then, the next one waits out the leases of a worker that it never reached: the failure that moves exist to prevent. Also, two draining workers stopped a run each for the same free place, and a task with an orphan elsewhere was stopped although placement passes it over until the orphan ends. Change: DrainMoves, split off Fleet, stops a run only if its task can be placed at once: not pinned, no orphan, and room beside moves in progress that no waiting task which has run before is about to take. Tasks that never ran hold nothing back.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -24,7 +24,7 @@
   private final Term term;
   private final Orders orders;
   private final LostWorkers lostWorkers;
-  private final WorkerSelector workerSelector;
+  private final DrainMoves drainMoves;
   private final WorkerHealth health;
 
   Fleet(
@@ -36,7 +36,7 @@
     this.term = term;
     this.orders = orders;
     this.lostWorkers = lostWorkers;
-    this.workerSelector = workerSelector;
+    this.drainMoves = new DrainMoves(term, orders, workerSelector);
     this.health = health;
   }
 
@@ -225,7 +225,7 @@
       orders.poll(worker, 0);
     }
     if (worker.info.draining() && !unreachable) {
-      moveLongRunningTask(worker);
+      drainMoves.move(worker);
     }
     worker.placed.values().stream()
         .filter(task -> task.order == Task.Order.RESEND)
@@ -252,38 +252,4 @@
     }
     worker.leaseWaitLogged = worker.awaitsLeaseEnd();
   }
-
-  /**
-   * Moves a long-running task off a worker that is about to leave. If the leader changed right
-   * after the worker left, the next leader would wait out the leases of a worker that it never
-   * reached, and the task would be absent for 9 s. Tasks move one at a time, and only while no
-   * other long-running task is waiting: a task for which there is no capacity elsewhere stays where
-   * it is.
-   */
-  private void moveLongRunningTask(Worker worker) {
-    boolean oneWaits =
-        term.jobsToPlace.stream().anyMatch(job -> job.spec.isLongRunning() && job.begun);
-    List<RunKey> stopping =
-        worker.placed.keySet().stream().filter(worker.stopsSent::containsKey).toList();
-    stopping.forEach(run -> orders.stop(worker, run));
-    if (oneWaits || !stopping.isEmpty()) {
-      return;
-    }
-    worker.placed.values().stream()
-        .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
-        .filter(task -> task.order == Task.Order.CONFIRMED && !task.job.phase.terminal())
-        .filter(task -> !task.pinned(term.now.mono()))
-        .filter(task -> findWorkerFor(task).isPresent())
-        .findFirst()
-        .ifPresent(
-            task -> {
-              term.logEvent("run.movedOff", task.key(), worker.info.id() + " drains");
-              orders.stop(worker, task.key());
-            });
-  }
-
-  private Optional<Worker> findWorkerFor(Task task) {
-    JobQueue queue = term.table.current(task.job.spec.queue());
-    return workerSelector.choose(task, queue, term.workers.values(), term.now.mono());
-  }
 }
