Stored starts: only where identifiers are reused; tests of runs that are not stored

Cause: a task on a worker whose identifier is never reused has no start that a later life could carry out, and the next leader asks for none; while orders are late its line was written anyway. That an expiry needs a run whose placement is stored had no test. Change: such lines are left out. StoredStartsTest$Written: a run that is released before its placement is stored has no expiry, as the next leader may use its number again; a refused save leaves nothing behind.

--- a/core/src/main/java/org/cottontack/core/job/StoredStarts.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredStarts.java
@@ -129,6 +129,7 @@
     StoredLeaseEnds.unreached(term, !term.ending)
         .flatMap(worker -> worker.placed.values().stream())
         .filter(task -> task.spec.is(StepSpec.Trait.LASTS))
+        .filter(task -> task.worker.identifierReusable())
         .filter(task -> task.order != Task.Order.UNSAVED && !task.job.phase.terminal())
         .forEach(
             task ->
--- a/core/src/test/java/org/cottontack/core/job/StoredStartsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/StoredStartsTest.java
@@ -11,11 +11,15 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.cottontack.core.Moment;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.load.LoadControl;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -249,6 +253,57 @@
     }
   }
 
+  /** Runs whose expiry is written. */
+  public static class Written {
+
+    private StoredStarts starts;
+    private Term term;
+
+    @BeforeMethod
+    void begin() {
+      Moment now = new Moment(1_000, 1_000);
+      starts = new StoredStarts();
+      term = new Term(JobTiming.STANDARD, LoadControl.OFF, JobTable.EMPTY, now, 0);
+    }
+
+    private Task waitingTask() {
+      Job job = new Job(job("a", step(1, 2, List.of(), StepSpec.Trait.LASTS)), 0);
+      term.jobs.put(job.spec.id(), job);
+      job.advance(0);
+      Task task = job.tasks().findFirst().orElseThrow();
+      task.place(new WorkerIncarnation(FIRST, 7), 1_000);
+      task.sent(1_000);
+      task.unanswered();
+      term.release(task);
+      return task;
+    }
+
+    /** Guards against an expiry that is taken for that of a later run with the same number. */
+    @Test
+    public void needsRunThatIsStored() {
+      Task task = waitingTask();
+      assertEquals(
+          starts.beginSave(term), Map.of(task.key(), new StartExpiry(1_000 + 8_500, 13_000)));
+      starts.saved();
+      assertFalse(starts.due(term));
+      // This run is released before its placement is stored; the next leader may use its number.
+      task.place(new WorkerIncarnation(FIRST, 8), 1_100);
+      term.release(task);
+      assertTrue(starts.due(term));
+      assertEquals(starts.beginSave(term), Map.of());
+    }
+
+    /** Guards against starts that a refused save would keep from being sent. */
+    @Test
+    public void nothingOfRefusedSaves() {
+      final Task task = waitingTask();
+      starts.beginSave(term);
+      starts.refused();
+      assertTrue(starts.due(term));
+      assertTrue(starts.expiry(task.key()).isEmpty());
+    }
+  }
+
   /** A store that is away when a start is seen to be ignored. */
   public static class StoreAway {
 
