Leaders: grants are announced while the tables are read

Cause: where inherited leases end within 4.5 s, a new leader waited for one more write before it polled. Change: such a leader writes the row when it begins to read the tables.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -200,6 +200,7 @@
     if (stopped) {
       return;
     }
+    leadership.announceGrants();
     Runnable onCurrent = () -> onTableRead(found);
     List<String> parts = JobTables.intakeParts();
     watchers.add(new TableWatcher(store, timers, JobTables.JOBS, parts, this::onJobRow, onCurrent));
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leadership.java
@@ -113,6 +113,9 @@
 
   private Moment grantRenewal;
 
+  /** Whether renewals state that this leader grants leases, although it may not have begun. */
+  private boolean announced;
+
   /** Whether this leader has granted leases beyond those that it inherited. */
   private boolean grants;
 
@@ -203,6 +206,17 @@
     return leading && lease.mayStart(timers.now());
   }
 
+  /**
+   * Lets the row state already that this leader grants leases, if the inherited ones end soon.
+   * Workers would otherwise wait for this write until their leases are renewed.
+   */
+  void announceGrants() {
+    if (leftMillis(timers.now()) < MIN_GRANT_MILLIS) {
+      announced = true;
+      sendRenewal(epoch);
+    }
+  }
+
   /**
    * Records that this leader has taken over and is about to grant leases to workers. Leases that
    * end no later than the inherited ones may be granted at once. Once these end soon, a renewal has
@@ -215,8 +229,10 @@
     begun = Optional.of(now);
     if (leftMillis(now) >= MIN_GRANT_MILLIS) {
       ready.run();
-    } else {
-      onGrant = Optional.of(ready);
+      return;
+    }
+    onGrant = Optional.of(ready);
+    if (!announced) {
       sendRenewal(epoch);
     }
   }
@@ -228,10 +244,10 @@
 
   /** Returns whether a renewal that is sent now has to state that this leader grants leases. */
   private boolean statesGrant(Moment now) {
-    return begun.isPresent()
-        && (grants
-            || now.longestSince(begun.get()) >= INHERITED_GRANTS_MILLIS
-            || leftMillis(now) < MIN_GRANT_MILLIS + RENEW_MILLIS);
+    boolean early =
+        begun.filter(since -> now.longestSince(since) < INHERITED_GRANTS_MILLIS).isPresent();
+    boolean endSoon = leftMillis(now) < MIN_GRANT_MILLIS + RENEW_MILLIS;
+    return announced || grants || (begun.isPresent() && (endSoon || !early));
   }
 
   /** Returns when the last renewal of this term that was stored was sent. */
@@ -422,6 +438,7 @@
     onGrant = Optional.empty();
     grantRenewal = leaseRow.inheritedRenewal();
     grants = false;
+    announced = false;
     epoch = won;
     electionVersion = version;
     leaseVersion = version;
