Tests: long-running tasks wait while short tasks take all free capacity

Callers see a long-running task that was lost with its worker away for as long as short tasks wait, on a fleet that is full of them. Cause: a long-running task is tried first in each pass, and finds no worker with room for it; short tasks, which need less, are then placed on what has become free. Nothing holds capacity back.

--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
@@ -117,6 +118,10 @@
 
   boolean fails;
   long workMillis = 500;
+
+  /** How long runs of a job take, in milliseconds, where that differs from {@link #workMillis}. */
+  final Map<JobId, LongSupplier> workMillisOf = new HashMap<>();
+
   long now = 1_000;
   long epoch = 1;
   private final PriorityQueue<ScheduledAction> due =
@@ -472,7 +477,7 @@
                     ? StartResult.UNKNOWN
                     : refused.test(order)
                         ? StartResult.UNHEALTHY
-                        : there.start(order, token, now, workMillis, need);
+                        : there.start(order, token, now, workMillis(order), need);
             Long survives = fatal.get(order.run().task());
             if (survives != null && result == StartResult.STARTED) {
               after(survives, () -> crashIfRunning(there, order.run()));
@@ -489,6 +494,10 @@
     }
   }
 
+  private long workMillis(JobEffect.StartRun order) {
+    return workMillisOf.getOrDefault(order.run().task().step().job(), () -> workMillis).getAsLong();
+  }
+
   private void crashIfRunning(SimulatedWorker worker, RunKey run) {
     if (worker.runs().contains(run)) {
       crash(worker);
