Moves: the place of a task that moves is held until its run has ended

Callers see a long-running task that is stopped in order to move, and then does not run for seconds. Cause: a run on a worker that drains is stopped because another worker has room for it. Until the stop has ended, up to half a second later, short tasks may take that room. The task then waits for the next place of its size. Change: the target holds the task's place for 3 s, or until it is placed there. Test: RestartPlacesTest.movedTaskKeepsItsPlace, away for 4,660 ms without the hold, passes with it.

--- a/core/src/main/java/org/cottontack/core/job/DrainMoves.java
+++ b/core/src/main/java/org/cottontack/core/job/DrainMoves.java
@@ -12,8 +12,8 @@
  * the worker left, the next leader would wait out the leases of a worker that it never reached, and
  * the task would be absent for 9 s. A run is stopped only if its task can be placed at once: not
  * while it is pinned or has an orphan, and only for room that no earlier move and no task that has
- * run before is about to take. Tasks that never ran hold no run back. From each worker, one task
- * moves at a time.
+ * run before is about to take. That room is held for it until its run has ended. Tasks that never
+ * ran hold no run back. From each worker, one task moves at a time.
  */
 final class DrainMoves {
 
@@ -53,6 +53,7 @@
       if (target.isPresent()) {
         moves.put(task.key(), new Move(task, worker.incarnation(), target.get().info.id()));
         term.logEvent("run.movedOff", task.key(), worker.info.id() + " drains");
+        target.get().holdPlace(task, term.now.mono());
         orders.stop(worker, task.key());
         return;
       }
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -41,6 +41,12 @@
    */
   private static final long FAILURES_KEPT_MILLIS = 32_000;
 
+  /**
+   * How long a place is held for a task that moves, in milliseconds: longer than a stop and the
+   * report of its end take.
+   */
+  private static final long PLACE_HELD_MILLIS = 3_000;
+
   WorkerInfo info;
   final WorkerClock clock = new WorkerClock();
   final Map<RunKey, Task> placed = new HashMap<>();
@@ -52,6 +58,7 @@
   final Map<RunKey, Long> stopsSent = new HashMap<>();
   final List<ResidualLoad> residualLoads = new ArrayList<>();
   private final Map<StepId, Integer> tasksOfSteps = new HashMap<>();
+  private final Map<TaskName, HeldPlace> heldPlaces = new HashMap<>();
   private List<Task> services = List.of();
   private Optional<ContentionSnapshot> contention = Optional.empty();
 
@@ -119,6 +126,14 @@
    */
   record ResidualLoad(String image, double load, long endedMillis) {}
 
+  /**
+   * Capacity that is held for a task.
+   *
+   * @param need what the task reserves
+   * @param untilMillis until when it is held, on our steady clock
+   */
+  private record HeldPlace(Resources need, long untilMillis) {}
+
   /**
    * Creates the state of a worker that has not been polled yet.
    *
@@ -276,6 +291,25 @@
     return leftAlone.isEmpty() ? unreserved : unreserved.min(Resources.NONE);
   }
 
+  /**
+   * Returns the capacity that is left for a task: what is held for tasks that move here is left
+   * only to these.
+   */
+  Resources freeFor(Task task, long nowMillis) {
+    return heldPlaces.entrySet().stream()
+        .filter(place -> !place.getKey().equals(task.name))
+        .map(Map.Entry::getValue)
+        .filter(place -> nowMillis < place.untilMillis())
+        .map(HeldPlace::need)
+        .reduce(free(), Resources::minus);
+  }
+
+  /** Holds capacity for a task that is stopped elsewhere in order to run here. */
+  void holdPlace(Task task, long nowMillis) {
+    heldPlaces.values().removeIf(place -> nowMillis >= place.untilMillis());
+    heldPlaces.put(task.name, new HeldPlace(task.spec.reserved(), nowMillis + PLACE_HELD_MILLIS));
+  }
+
   /**
    * Records that a run failed here. If one job fails, the job may be at fault. If a second one
    * fails without a success in between, the worker is suspected. It would otherwise use up the
@@ -359,6 +393,7 @@
 
   void add(Task task) {
     placed.put(task.key(), task);
+    heldPlaces.remove(task.name);
     tasksOfSteps.merge(task.name.step(), 1, Integer::sum);
     count(task.spec, 1);
     listServices();
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -148,7 +148,7 @@
   private static boolean hasRoom(Task task, JobQueue queue, Worker worker, long nowMillis) {
     StepSpec spec = task.spec;
     return worker.info.pool().equals(queue.pool())
-        && worker.free().holds(spec.reserved())
+        && worker.freeFor(task, nowMillis).holds(spec.reserved())
         && task.mayStartOn(worker.incarnation(), nowMillis)
         && worker.admits(spec, nowMillis)
         && mayTry(task, worker, nowMillis)
--- a/core/src/test/java/org/cottontack/core/job/RestartPlacesTest.java
+++ b/core/src/test/java/org/cottontack/core/job/RestartPlacesTest.java
@@ -20,6 +20,7 @@
   private static final TaskName RESTARTED = TaskName.parse("service.0.0.0");
   private static final long SHORTEST_MILLIS = 300;
   private static final long LONGEST_MILLIS = 1_000;
+  private static final long STOP_MILLIS = 500;
 
   /** Seeds of the durations of short tasks. */
   @DataProvider
@@ -87,4 +88,21 @@
     long leases = LeaderLease.GRANT_MILLIS + 500;
     assertTrue(absence <= leases + 2 * LONGEST_MILLIS, "away for " + absence + " ms");
   }
+
+  /** Guards against a move that ends a run whose place elsewhere short tasks take meanwhile. */
+  @Test
+  public void movedTaskKeepsItsPlace() {
+    JobSimulation simulation =
+        simulation(new SimulatedWorker("w0", CORES), new SimulatedWorker("w1", CORES));
+    simulation.workMillisOf.put(SERVICE, () -> 600_000);
+    simulation.workMillis = 10_000;
+    simulation.submit(job("service", step(1, 12, List.of(), StepSpec.Trait.LASTS)));
+    simulation.run(500);
+    simulation.delay = effect -> effect instanceof JobEffect.StopRun ? STOP_MILLIS : 0;
+    simulation.post(JobSimulation.draining(worker(simulation)));
+    simulation.run(STOP_MILLIS / 2);
+    simulation.submit(job("short", step(8, 2, List.of())));
+    long absence = longestAbsence(simulation, 5_000);
+    assertTrue(absence <= LONGEST_MILLIS, "away for " + absence + " ms");
+  }
 }
--- a/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
+++ b/core/src/test/java/org/cottontack/core/job/RestartedWorkerTest.java
@@ -202,6 +202,45 @@
       assertTrue(simulation.workers.values().stream().anyMatch(other -> other.runs(TASK)));
     }
 
+    private static boolean isTarget(JobSimulation simulation, SimulatedWorker worker) {
+      return simulation.effects.stream()
+          .filter(JobEffect.StartRun.class::isInstance)
+          .map(JobEffect.StartRun.class::cast)
+          .anyMatch(start -> start.target().incarnation().equals(worker.info.incarnation()));
+    }
+
+    /** Delays of a start that is in flight when its worker is lost, in milliseconds. */
+    @DataProvider
+    public Object[][] delays() {
+      return new Object[][] {{2_000L}, {4_000L}, {6_000L}, {8_000L}};
+    }
+
+    /**
+     * Guards against a second run where a start in flight begins the first one on the next
+     * incarnation, with a lease that outlasts those of the earlier one.
+     */
+    @Test(dataProvider = "delays")
+    public void runsNoTaskTwiceWhereLateStartArrives(long delay) {
+      JobSimulation simulation = restartingFleet(2);
+      simulation.workMillis = 600_000;
+      simulation.delay = effect -> effect instanceof JobEffect.StartRun ? delay : 0;
+      simulation.submit(job("s", step(1, 4, List.of(), StepSpec.Trait.LASTS)));
+      simulation.run(20);
+      simulation.delay = effect -> 0;
+      SimulatedWorker worker =
+          simulation.workers.values().stream()
+              .filter(other -> isTarget(simulation, other))
+              .findFirst()
+              .orElseThrow();
+      simulation.restartMillis = 600;
+      simulation.crash(worker);
+      simulation.run(simulation.restartMillis);
+      simulation.workers.get(worker.info.id()).reachable = false;
+      simulation.run(30_000);
+      long running = simulation.workers.values().stream().filter(other -> other.runs(TASK)).count();
+      assertEquals(running, 1);
+    }
+
     /**
      * Guards against a second run where the registry is wrong about a restart and the worker, which
      * has the slowest clock, goes on without answering.
