Placement: workers without held places are not searched for them

The check of a worker's room goes through its held places for each task and worker of a pass. Where there are none, which is the usual case, it now reads the free capacity alone.

--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -296,6 +296,10 @@
    * only to these.
    */
   Resources freeFor(Task task, long nowMillis) {
+    // Each placement pass asks this of hundreds of workers for hundreds of tasks.
+    if (heldPlaces.isEmpty()) {
+      return free();
+    }
     return heldPlaces.entrySet().stream()
         .filter(place -> !place.getKey().equals(task.name))
         .map(Map.Entry::getValue)
