Starts: their time to arrive counts from when they leave

Callers could see a long-running task run twice where a next leader waits for a start in doubt by its stored expiry. Not seen; found by a review of the stored expiries, by reading. Cause: a start waits for its connection for up to a second after it was decided, longer in a process that is suspended. Its expiry was counted from the decision, and since it is stored a next leader waits for no longer. A start that still waited could also leave after its expiry had been stored. Change: the check right before the first byte refuses a start while an expiry or an end of leases of its worker may be in the store, as resends do, and records when the start leaves; its expiry counts from then. A start that never left no longer counts as one of two (it stayed in doubt although its run was listed). Tests: BoundedStartsTest$Sending, three new ones; each fails without its part (sent although stored; 14,220 for 13,900 ms; pinned).

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -202,14 +202,31 @@
   /**
    * Returns whether a start order may still be sent to a worker. While the order waited for its
    * connection, its job may have been cancelled, its task may have been taken off the worker, the
-   * worker may have begun to drain, or the evacuation of its data centre may have begun.
+   * worker may have begun to drain, the evacuation of its data centre may have begun, or what the
+   * next leader may rely on was stored: when the worker's leases end and its starts expire.
    */
   public boolean maySend(WorkerIncarnation worker, RunKey run) {
     Task task = term.find(run.task());
     return task != null
         && task.runsAs(worker, run.run())
         && !task.obsolete()
-        && term.worker(worker).filter(Worker::closed).isEmpty();
+        && term.worker(worker).filter(on -> on.closed() || on.leaseLimited()).isEmpty();
+  }
+
+  /**
+   * Records that a start order leaves now. The time within which it may be carried out counts from
+   * then: its connection may have taken a second.
+   *
+   * @param moment the present time
+   * @param worker the worker to which it is sent
+   * @param run the run to start
+   */
+  public void startSent(Moment moment, WorkerIncarnation worker, RunKey run) {
+    Task task = term.find(run.task());
+    if (task != null && task.runsAs(worker, run.run())) {
+      task.startLeft(moment.mono());
+      term.worker(worker).ifPresent(on -> on.lateLeases.startSent(run, moment.mono()));
+    }
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/LateStart.java
+++ b/core/src/main/java/org/cottontack/core/job/LateStart.java
@@ -37,6 +37,11 @@
     return new LateStart(next, sentMillis + pinMillis, sentMillis + LATEST_MILLIS);
   }
 
+  /** Returns the same start, sent by some milliseconds later. */
+  LateStart delayed(long millis) {
+    return new LateStart(firstRefusing, minPinEndMillis + millis, expiresMillis + millis);
+  }
+
   /**
    * Returns a start that an earlier leader may have sent. Its fencing token is out of date.
    *
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -157,6 +157,9 @@
     if (!event.result().certain()) {
       task.unanswered();
     }
+    if (event.result() == StartResult.NOT_SENT) {
+      task.startNotSent();
+    }
     if (event.result() != StartResult.STARTED) {
       term.logEvent("start.refused", event.run(), event.worker().worker() + " " + event.result());
     }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -254,6 +254,20 @@
             .map(to -> new PendingStart(to, run, LateStart.sent(to, spec, nowMillis)));
   }
 
+  /** Records that the start which was sent last leaves only now. */
+  void startLeft(long nowMillis) {
+    long delayMillis = nowMillis - sentMillis;
+    sentMillis = nowMillis;
+    pendingStart =
+        pendingStart.map(
+            sent -> new PendingStart(sent.to(), sent.run(), sent.start().delayed(delayMillis)));
+  }
+
+  /** Records that the start which was sent last never left this process. */
+  void startNotSent() {
+    startsSent--;
+  }
+
   /** Returns whether this leader has sent the start of the present run. */
   boolean sentByUs() {
     return sentByUs;
--- a/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/BoundedStartsTest.java
@@ -1,6 +1,7 @@
 package org.cottontack.core.job;
 
 import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.restartingFleet;
 import static org.cottontack.core.job.JobFixtures.simulation;
 import static org.cottontack.core.job.JobFixtures.step;
 import static org.testng.Assert.assertEquals;
@@ -8,6 +9,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.cottontack.core.id.WorkerId;
 import org.testng.annotations.Test;
 
 /** Tests of what prevents start orders from being sent, and runs from beginning, too late. */
@@ -24,6 +26,10 @@
     return simulation;
   }
 
+  private static SimulatedWorker worker(JobSimulation simulation) {
+    return simulation.workers.values().iterator().next();
+  }
+
   private static List<JobEffect.StartRun> starts(JobSimulation simulation) {
     return simulation.effects.stream()
         .filter(JobEffect.StartRun.class::isInstance)
@@ -53,6 +59,52 @@
       simulation.post(new JobEvent.StartEnded(worker, start.run(), StartResult.UNHEALTHY));
       assertFalse(simulation.maySend(start));
     }
+
+    /** Guards against a start that leaves after the next leader was told when it expires. */
+    @Test
+    public void sendsNothingWhoseExpiryIsStored() {
+      JobSimulation simulation = simulation(new SimulatedWorker("w1", 8));
+      simulation.delay = effect -> effect instanceof JobEffect.StartRun ? 60_000 : 0;
+      simulation.submit(job(ID.value(), step(1, 2, List.of(), StepSpec.Trait.LASTS)));
+      simulation.run(300);
+      JobEffect.StartRun start = starts(simulation).get(0);
+      assertTrue(simulation.maySend(start));
+      worker(simulation).dead = true;
+      simulation.run(3_000);
+      assertTrue(simulation.facts.starts().containsKey(start.run()));
+      assertFalse(simulation.maySend(start));
+    }
+
+    /** Guards against a stored expiry that is shorter than the time in which a start may arrive. */
+    @Test
+    public void startsExpireCountedFromSending() {
+      JobSimulation simulation = restartingFleet(1);
+      simulation.delay = effect -> effect instanceof JobEffect.StartRun ? 60_000 : 0;
+      simulation.submit(job(ID.value(), step(1, 2, List.of(), StepSpec.Trait.LASTS)));
+      simulation.run(700);
+      JobEffect.StartRun start = starts(simulation).get(0);
+      simulation.startSent(start);
+      final long leftMillis = simulation.now;
+      worker(simulation).dead = true;
+      simulation.run(4_000);
+      assertEquals(
+          simulation.facts.starts().get(start.run()).expiresMillis(),
+          leftMillis + LateStart.LATEST_MILLIS);
+    }
+
+    /** Guards against a start that counts as one of two because the first one never left. */
+    @Test
+    public void startsThatNeverLeftAreNotInDoubt() {
+      Task task = TestWorker.serving("s", "image");
+      task.place(new WorkerIncarnation(new WorkerId("w"), 7), 1_000);
+      task.sent(1_000);
+      task.startEnded(task.worker, task.run, true);
+      task.startNotSent();
+      task.sent(1_100);
+      task.unanswered();
+      task.recordStartArrived();
+      assertFalse(task.pinned(1_200));
+    }
   }
 
   /** Orders that stay in flight. */
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -642,6 +642,11 @@
     return leader.maySend(start.target().incarnation(), start.run());
   }
 
+  /** Lets an order that waited for its connection leave now. */
+  void startSent(JobEffect.StartRun start) {
+    leader.startSent(moment(), start.target().incarnation(), start.run());
+  }
+
   /** Returns whether the leader may yield leadership to an instance of a data centre. */
   boolean mayYieldLeadershipTo(String dataCentre) {
     return leader.mayYieldLeadershipTo(new DataCentreId(dataCentre));
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -517,12 +517,13 @@
   }
 
   /**
-   * Returns whether a start order may be sent now, and if so records the age of the cancellation
-   * updates.
+   * Returns whether a start order may be sent now, and if so records that it is, and the age of the
+   * cancellation updates.
    */
   private boolean allowStart(JobEffect.StartRun start) {
     boolean may = mayStart(start);
     if (may) {
+      scheduler.startSent(timers.now(), start.target().incarnation(), start.run());
       metrics.started(gate.ageMillis(FreshnessLimit.CANCELLATIONS));
     }
     return may;
