Leader: log what its time goes to and how far it is behind

A leader short of processor time could not be told from one that waits for capacity. leader.work, each 2 s, has the time in events, decisions and effects, the latest tick, and the operations of placement; the same are metrics. Operations are counted in the scheduler, so tests can bound them without a clock. No decision changes.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -229,6 +229,11 @@
     }
   }
 
+  /** Returns how much work placement has done in this term. */
+  public PlacementWork placementWork() {
+    return placementPass.work();
+  }
+
   /**
    * Returns a job's phase and the number of its placed runs, for a log line. Empty for a job that
    * this term does not know, such as one that ended before the term began.
--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -18,6 +18,8 @@
   private final Urgency urgency;
   private final boolean recordsWaits;
   private final ShortTaskReserve shortTaskReserve = new ShortTaskReserve();
+  private long passes;
+  private long placed;
 
   /** Tasks with an orphan on some worker. A new run of such a task would run beside the orphan. */
   private Set<TaskName> tasksWithOrphans = Set.of();
@@ -34,6 +36,7 @@
       return;
     }
     term.capacityChanged = false;
+    passes++;
     workerSelector.beginPass(term.workers.values());
     shortTaskReserve.beginPass(
         term.workers.values(), term.jobsToPlace, term.table, term.now.mono());
@@ -162,7 +165,13 @@
     }
   }
 
+  /** Returns how much work placement has done in this term. */
+  PlacementWork work() {
+    return new PlacementWork(passes, workerSelector.searches(), workerSelector.examined(), placed);
+  }
+
   private void placeTask(Task task, Worker worker) {
+    placed++;
     task.place(worker.incarnation(), term.now.mono());
     worker.add(task);
     term.dirty.add(task.job);
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -57,6 +57,8 @@
   private static final int OTHER_IMAGES = 0;
   private final Interference interference;
   private final Set<String> lightlyReservedPools = new HashSet<>();
+  private long searches;
+  private long examined;
 
   WorkerSelector(Interference interference) {
     this.interference = interference;
@@ -118,6 +120,8 @@
 
   /** Returns the worker for a task, or empty when none has enough free capacity. */
   Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
+    searches++;
+    examined += workers.size();
     return workers.stream()
         .filter(worker -> worker.usable(nowMillis))
         .filter(worker -> fits(task, queue, worker, nowMillis))
@@ -126,6 +130,16 @@
         .map(Candidate::worker);
   }
 
+  /** Returns how many searches for a worker were made in this term. */
+  long searches() {
+    return searches;
+  }
+
+  /** Returns how many workers these searches examined. */
+  long examined() {
+    return examined;
+  }
+
   /**
    * Returns whether some worker would take a task but for restrictions of its own or of its job: a
    * suspect needs a worker without another one, and a spread limit counts the tasks of one step.
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobEvent;
+import org.cottontack.core.job.PlacementWork;
 import org.cottontack.daemon.metrics.MetricsText;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
@@ -67,6 +68,19 @@
     timer("leader.decision").update(nanos, TimeUnit.NANOSECONDS);
   }
 
+  /** Records how late a tick of the leader was, because other work occupied the thread. */
+  void late(long millis) {
+    timer("leader.late").update(millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Counts the work of placement. */
+  void placed(PlacementWork work) {
+    registry.counter("placement.passes").inc(work.passes());
+    registry.counter("placement.searches").inc(work.searches());
+    registry.counter("placement.examined").inc(work.examined());
+    registry.counter("placement.placed").inc(work.placed());
+  }
+
   /** Records the age of the cancellation data when a start order was sent. */
   void started(long ageMillis) {
     timer("leader.newsAge").update(ageMillis, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -90,6 +90,7 @@
   private int unreadTables;
   private boolean decisionScheduled;
   private long pauseMillis;
+  private final LeaderWork work;
   private Optional<Runnable> onEnd = Optional.empty();
   private boolean ended;
 
@@ -117,6 +118,7 @@
     this.progressStore = new ProgressStore(store, timers, epoch, leadership::stepDown);
     this.leaseEnds = new LeaseEnds(leadership.storeClock());
     this.waitingRows = new WaitingRows(store, timers);
+    this.work = new LeaderWork(timers, metrics);
   }
 
   long epoch() {
@@ -406,6 +408,7 @@
 
   private void tick() {
     if (!stopped) {
+      work.ticked(TICK_MILLIS, scheduler.placementWork());
       timers.after(TICK_MILLIS, this::tick);
       cancellationWatcher.refreshAfterClockJump();
       workerWatcher.refreshAfterClockJump();
@@ -436,7 +439,9 @@
     leadership.renewIfDue();
     updateStartDeadline();
     metrics.event(event);
-    scheduler.handle(timers.now(), event).forEach(this::run);
+    List<JobEffect> effects =
+        work.spent(LeaderWork.Activity.EVENTS, () -> scheduler.handle(timers.now(), event));
+    carryOut(effects);
     if (!decisionScheduled) {
       decisionScheduled = true;
       timers.after(pauseMillis, this::decide);
@@ -468,12 +473,23 @@
     leadership.renewIfDue();
     updateStartDeadline();
     long began = timers.nanoTime();
-    scheduler.decide(timers.now()).forEach(this::run);
+    List<JobEffect> effects =
+        work.spent(LeaderWork.Activity.DECISIONS, () -> scheduler.decide(timers.now()));
+    carryOut(effects);
     long took = timers.nanoTime() - began;
     metrics.decided(took);
     pauseMillis = Math.min(MAX_PAUSE_MILLIS, PAUSE_FACTOR * TimeUnit.NANOSECONDS.toMillis(took));
   }
 
+  private void carryOut(List<JobEffect> effects) {
+    work.spent(
+        LeaderWork.Activity.EFFECTS,
+        () -> {
+          effects.forEach(this::run);
+          return effects;
+        });
+  }
+
   private void run(JobEffect effect) {
     metrics.effect(effect);
     if (effect instanceof JobEffect.SaveProgress save) {
