Placement: a pass searches only workers that have changed

Cause: each report of a worker asked for a placement pass, and a pass searched the whole fleet again for each step that waits: waiting steps times workers, whatever had changed. On a host three times slower a pass outgrows its longest pause and everything else waits behind it. Inside the search, each landing had added conditions that were evaluated for each pair.

Change: a failed search is remembered with its pass, and the next one for the step examines only workers that have changed since: reports, runs, registry entries, ratings, pauses, places. What a search asks of every worker is evaluated once. A pass examines 50,000 workers at most and leaves the rest, least urgent first, to the next one, which is due at once; the starts decided so far leave before it.

Why decisions stay the same: a worker that has not changed refuses again. The exception are weights of best-effort images learned from other workers' reports, which now count with a worker's own next report.

Before, PlacementCostTest failed: examined 3,000, 14,700 and 28,200 workers for one report on 50, 245 and 470 workers where 60 may be; and 1,410,000 in one pass where 50,470 may be.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -53,6 +53,9 @@
    */
   boolean waitsForPlace;
 
+  /** The searches for a worker that failed. */
+  final FailedSearches failedSearches = new FailedSearches();
+
   /** The rows of its progress. */
   final ProgressRows rows;
 
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -229,6 +229,14 @@
     }
   }
 
+  /**
+   * Returns whether the last decision has left waiting tasks to the next one, which is then due
+   * without a further event.
+   */
+  public boolean placementUnfinished() {
+    return placementPass.unfinished();
+  }
+
   /** Returns how much work placement has done in this term. */
   public PlacementWork placementWork() {
     return placementPass.work();
--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -1,6 +1,5 @@
 package org.cottontack.core.job;
 
-import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +12,16 @@
 /** Places the waiting tasks: the most urgent job first, each task on the best worker. */
 final class PlacementPass {
 
+  /**
+   * Number of workers examined after which a pass leaves the rest to the next one: what the
+   * smallest instances examine in a fifth of the tightest objective. The most urgent jobs come
+   * first, and their starts leave before the others are looked at.
+   */
+  static final long MAX_EXAMINED = 50_000;
+
+  /** Pass after which all workers count as changed. */
+  private static final long ALL = 0;
+
   private final Term term;
   private final WorkerSelector workerSelector;
   private final Urgency urgency;
@@ -21,6 +30,9 @@
   private long passes;
   private long placed;
 
+  private long maxExamined;
+  private boolean unfinished;
+
   /** Tasks with an orphan on some worker. A new run of such a task would run beside the orphan. */
   private Set<TaskName> tasksWithOrphans = Set.of();
 
@@ -32,12 +44,14 @@
   }
 
   void place() {
+    unfinished = false;
     if (term.jobsToPlace.isEmpty() || !term.capacityChanged) {
       return;
     }
     term.capacityChanged = false;
     passes++;
-    workerSelector.beginPass(term.workers.values());
+    workerSelector.beginPass(term.workers.values(), passes, term.now.mono());
+    maxExamined = workerSelector.examined() + MAX_EXAMINED;
     shortTaskReserve.beginPass(
         term.workers.values(), term.jobsToPlace, term.table, term.now.mono());
     tasksWithOrphans =
@@ -45,7 +59,6 @@
             .flatMap(worker -> worker.orphans.keySet().stream())
             .map(RunKey::task)
             .collect(Collectors.toSet());
-    term.jobsToPlace.forEach(job -> job.waitsForPlace = false);
     UnplaceableSteps unplaceableSteps = new UnplaceableSteps();
     inOrder().stream()
         .collect(
@@ -53,6 +66,8 @@
                 job -> job.spec.queue().priority(), TreeMap::new, Collectors.toList()))
         .values()
         .forEach(jobs -> placeJobs(jobs, unplaceableSteps));
+    unfinished = exhausted();
+    term.capacityChanged |= unfinished;
   }
 
   private List<Job> inOrder() {
@@ -72,11 +87,15 @@
     jobs.forEach(job -> ready.put(job, job.ready().toList()));
     List<Task> missed =
         ready.values().stream().flatMap(List::stream).filter(Task::isMissed).toList();
-    missed.forEach(task -> placeIfPossible(task, unplaceableSteps));
+    missed.stream()
+        .takeWhile(task -> !exhausted())
+        .forEach(task -> placeIfPossible(task, unplaceableSteps));
     ready.forEach(
         (job, tasks) -> {
+          job.waitsForPlace &= exhausted();
           tasks.stream()
               .filter(task -> task.phase == Task.Phase.WAITING && !task.isMissed())
+              .takeWhile(task -> !exhausted())
               .forEach(task -> placeIfPossible(task, unplaceableSteps));
           if (tasks.stream().allMatch(task -> task.phase == Task.Phase.PLACED)) {
             term.jobsToPlace.remove(job);
@@ -116,20 +135,31 @@
       unplaceableSteps.addRefusedByReserve(task);
       return Optional.empty();
     }
+    boolean ignoresContention = workerSelector.mayIgnoreContention(task.job, queue);
     // A pinned task may go to a suspect worker that has its trial run; the others may not.
     boolean unplaceable =
         unplaceableSteps.covers(task.spec, queue)
             && !task.pinned(term.now.mono())
-            && !workerSelector.mayIgnoreContention(task.job, queue);
+            && !ignoresContention;
     if (unplaceable) {
       unplaceableSteps.add(task, queue, false);
       return Optional.empty();
     }
-    Collection<Worker> workers = term.workers.values();
-    Optional<Worker> worker = workerSelector.choose(task, queue, workers, term.now.mono());
-    if (worker.isEmpty() && !blockedOnItsOwn(task)) {
-      unplaceableSteps.add(
-          task, queue, workerSelector.isRefusedByItself(task, queue, workers, term.now.mono()));
+    if (blockedOnItsOwn(task)) {
+      return workerSelector.chooseChanged(task, queue, ALL, term.now.mono());
+    }
+    Optional<FailedSearches.Failure> before =
+        task.job.failedSearches.last(task, term.table, ignoresContention);
+    long since = before.map(FailedSearches.Failure::pass).orElse(ALL);
+    Optional<Worker> worker = workerSelector.chooseChanged(task, queue, since, term.now.mono());
+    if (worker.isEmpty()) {
+      boolean byItself =
+          before.filter(FailedSearches.Failure::byItself).isPresent()
+              || workerSelector.isRefusedByItself(task, queue, since, term.now.mono());
+      task.job.failedSearches.add(
+          task,
+          new FailedSearches.Failure(passes, term.table.version(), ignoresContention, byItself));
+      unplaceableSteps.add(task, queue, byItself);
     }
     return worker;
   }
@@ -165,6 +195,16 @@
     }
   }
 
+  /** Returns whether the present pass has examined as many workers as it may. */
+  private boolean exhausted() {
+    return workerSelector.examined() >= maxExamined;
+  }
+
+  /** Returns whether the last pass has left waiting tasks to the next one. */
+  boolean unfinished() {
+    return unfinished;
+  }
+
   /** Returns how much work placement has done in this term. */
   PlacementWork work() {
     return new PlacementWork(passes, workerSelector.searches(), workerSelector.examined(), placed);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -421,6 +421,9 @@
    * begins another run beside it.
    */
   boolean mayStartOn(WorkerIncarnation incarnation, long nowMillis) {
+    if (lateStart.isEmpty() && pendingStart.isEmpty()) {
+      return true;
+    }
     // A pinned task has only one worker left. If it failed there or is a crash suspect, it would
     // use up its attempts, or be blamed for that worker's crashes.
     boolean eligible = !failedOn.contains(incarnation) && !CrashBlame.suspect(this);
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.cottontack.core.health.WorkerRating;
@@ -61,6 +62,15 @@
   private final Map<TaskName, HeldPlace> heldPlaces = new HashMap<>();
   private List<Task> services = List.of();
   private Optional<ContentionSnapshot> contention = Optional.empty();
+  private OptionalLong leftoverCpu = OptionalLong.empty();
+
+  /** Whether something has changed since the last placement pass. */
+  private boolean changed = true;
+
+  private boolean usableInLastPass;
+
+  /** The last placement pass before which something changed that may let a task be placed here. */
+  private long changedPass;
 
   /**
    * The worker's latest registry entry, if it describes an incarnation that started before the one
@@ -207,7 +217,7 @@
    * Returns whether the completions of a number of runs fit into a report behind the withheld ones.
    * Those that do not fit are not listed in this term.
    */
-  private boolean reportHolds(int runs) {
+  boolean reportHolds(int runs) {
     long withheld = deferredAcknowledgements.withheld(lastSeenCompletion);
     return withheld == 0 || withheld + runs <= WorkerReport.MAX_COMPLETIONS;
   }
@@ -341,6 +351,13 @@
    * slowed best-effort task may not use is left to others.
    */
   long leftoverCpu() {
+    if (leftoverCpu.isEmpty()) {
+      leftoverCpu = OptionalLong.of(computeLeftoverCpu());
+    }
+    return leftoverCpu.getAsLong();
+  }
+
+  private long computeLeftoverCpu() {
     long bestEffortCpu =
         bestEffort()
             .mapToLong(task -> task.spec.need().cpuMillis() * task.pace / Task.FULL_PACE)
@@ -390,9 +407,41 @@
     return contention.get();
   }
 
-  /** Records that loads, paces or the set of runs on this worker have changed. */
+  /**
+   * Records that loads, paces, the set of runs on this worker or its registry entry have changed.
+   */
   void changed() {
     contention = Optional.empty();
+    leftoverCpu = OptionalLong.empty();
+    changed = true;
+  }
+
+  /** Begins a placement pass: records whether something has changed since the last one. */
+  void beginPass(long pass, long nowMillis) {
+    boolean usable = usable(nowMillis);
+    // Held places and restrictions by suppressed completions end by themselves.
+    boolean restricted = !heldPlaces.isEmpty() || !suppressedCompletions.none();
+    if (changed || restricted || usable != usableInLastPass) {
+      changedPass = pass;
+    }
+    changed = false;
+    usableInLastPass = usable;
+  }
+
+  /** Returns the last pass before which something changed that may let a task be placed here. */
+  long changedPass() {
+    return changedPass;
+  }
+
+  /** Returns whether the worker was usable at the beginning of the present placement pass. */
+  boolean usableInPass() {
+    return usableInLastPass;
+  }
+
+  /** Updates what is expected of the worker. */
+  void rate(WorkerRating next) {
+    changed |= !next.equals(rating);
+    rating = next;
   }
 
   void add(Task task) {
--- a/core/src/main/java/org/cottontack/core/job/WorkerHealth.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerHealth.java
@@ -216,7 +216,7 @@
                     change.suspect() ? "worker.doubted" : "worker.trusted",
                     change.worker(),
                     change.reason()));
-    term.workers.values().forEach(worker -> worker.rating = scores.rating(worker.info.id()));
+    term.workers.values().forEach(worker -> worker.rate(scores.rating(worker.info.id())));
     pendingMoves.values().removeIf(move -> !move.pending());
     pendingMoves.values().stream()
         .map(Move::task)
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -3,9 +3,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Chooses a worker for a task. The workload mixes short tasks, which should start immediately,
@@ -57,6 +60,10 @@
   private static final int OTHER_IMAGES = 0;
   private final Interference interference;
   private final Set<String> lightlyReservedPools = new HashSet<>();
+
+  /** The usable workers of each pool; those that changed in the latest pass come first. */
+  private Map<String, List<Worker>> usableByPool = Map.of();
+
   private long searches;
   private long examined;
 
@@ -85,8 +92,14 @@
       long affinity,
       long tieBreak) {}
 
-  /** Records how much of each pool is reserved, before a placement pass. */
-  void beginPass(Collection<Worker> workers) {
+  /** Records which workers are usable and how much of each pool is reserved, before a pass. */
+  void beginPass(Collection<Worker> workers, long pass, long nowMillis) {
+    workers.forEach(worker -> worker.beginPass(pass, nowMillis));
+    usableByPool =
+        workers.stream()
+            .filter(Worker::usableInPass)
+            .sorted(Comparator.comparingLong(Worker::changedPass).reversed())
+            .collect(Collectors.groupingBy(worker -> worker.info.pool()));
     lightlyReservedPools.clear();
     workers.stream()
         .filter(Worker::countsForPool)
@@ -118,14 +131,59 @@
     return lightlyReservedPools.contains(queue.pool()) && !job.onWorkers();
   }
 
+  /**
+   * What a search for a worker asks of every worker, evaluated once.
+   *
+   * @param task the task
+   * @param need what it reserves
+   * @param queue its queue as the rules in force have it
+   * @param suspect whether it needs a worker without another suspect
+   * @param nowMillis the present time, on our steady clock
+   */
+  private record Search(
+      Task task, Resources need, JobQueue queue, boolean suspect, long nowMillis) {
+
+    static Search of(Task task, JobQueue queue, long nowMillis) {
+      return new Search(task, task.spec.reserved(), queue, CrashBlame.suspect(task), nowMillis);
+    }
+
+    /** Returns whether restrictions of the task or of its job exclude workers with room for it. */
+    boolean restricted() {
+      return suspect || task.spec.maxPerWorker() > 0;
+    }
+  }
+
   /** Returns the worker for a task, or empty when none has enough free capacity. */
   Optional<Worker> choose(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
+    return best(
+        Search.of(task, queue, nowMillis),
+        workers.stream().filter(worker -> worker.usable(nowMillis)));
+  }
+
+  /**
+   * Returns the worker for a task in the present pass, or empty when none of those that have
+   * changed since an earlier pass has enough free capacity.
+   *
+   * @param task the task
+   * @param queue its queue as the rules in force have it
+   * @param sincePass the earlier pass; 0 to examine all workers
+   * @param nowMillis the present time, on our steady clock
+   */
+  Optional<Worker> chooseChanged(Task task, JobQueue queue, long sincePass, long nowMillis) {
+    return best(Search.of(task, queue, nowMillis), changed(queue, sincePass));
+  }
+
+  private Stream<Worker> changed(JobQueue queue, long sincePass) {
+    return usableByPool.getOrDefault(queue.pool(), List.of()).stream()
+        .takeWhile(worker -> worker.changedPass() > sincePass)
+        .filter(worker -> worker.reportHolds(worker.placed.size() + 1));
+  }
+
+  private Optional<Worker> best(Search search, Stream<Worker> workers) {
     searches++;
-    examined += workers.size();
-    return workers.stream()
-        .filter(worker -> worker.usable(nowMillis))
-        .filter(worker -> fits(task, queue, worker, nowMillis))
-        .flatMap(worker -> candidate(task, queue, worker, nowMillis).stream())
+    return workers
+        .filter(worker -> fits(search, worker))
+        .flatMap(worker -> candidate(search, worker).stream())
         .max(BEST)
         .map(Candidate::worker);
   }
@@ -135,38 +193,47 @@
     return searches;
   }
 
-  /** Returns how many workers these searches examined. */
+  /** Returns how many workers were examined in these searches. */
   long examined() {
     return examined;
   }
 
   /**
-   * Returns whether some worker would take a task but for restrictions of its own or of its job: a
-   * suspect needs a worker without another one, and a spread limit counts the tasks of one step.
+   * Returns whether some worker that has changed since an earlier pass would take a task but for
+   * restrictions of its own or of its job: a suspect needs a worker without another one, and a
+   * spread limit counts the tasks of one step.
    */
-  boolean isRefusedByItself(Task task, JobQueue queue, Collection<Worker> workers, long nowMillis) {
-    return (CrashBlame.suspect(task) || task.spec.maxPerWorker() > 0)
-        && workers.stream()
-            .filter(worker -> worker.usable(nowMillis))
-            .filter(worker -> hasRoom(task, queue, worker, nowMillis))
-            .anyMatch(worker -> candidate(task, queue, worker, nowMillis).isPresent());
+  boolean isRefusedByItself(Task task, JobQueue queue, long sincePass, long nowMillis) {
+    Search search = Search.of(task, queue, nowMillis);
+    return search.restricted()
+        && changed(queue, sincePass)
+            .filter(worker -> hasRoom(search, worker))
+            .anyMatch(worker -> candidate(search, worker).isPresent());
   }
 
-  private static boolean fits(Task task, JobQueue queue, Worker worker, long nowMillis) {
-    int limit = task.spec.maxPerWorker();
-    return hasRoom(task, queue, worker, nowMillis)
-        && (limit == 0 || worker.tasksOf(task.name.step()) < limit)
-        && (!CrashBlame.suspect(task) || worker.hasNoSuspect());
+  private boolean fits(Search search, Worker worker) {
+    int limit = search.task().spec.maxPerWorker();
+    return hasRoom(search, worker)
+        && (limit == 0 || worker.tasksOf(search.task().name.step()) < limit)
+        && (!search.suspect() || worker.hasNoSuspect());
   }
 
-  private static boolean hasRoom(Task task, JobQueue queue, Worker worker, long nowMillis) {
+  private boolean hasRoom(Search search, Worker worker) {
+    examined++;
+    Task task = search.task();
     StepSpec spec = task.spec;
-    return worker.info.pool().equals(queue.pool())
-        && worker.freeFor(task, nowMillis).holds(spec.reserved())
+    long nowMillis = search.nowMillis();
+    return worker.info.pool().equals(search.queue().pool())
+        && worker.freeFor(task, nowMillis).holds(search.need())
         && task.mayStartOn(worker.incarnation(), nowMillis)
         && worker.admits(spec, nowMillis)
         && mayTry(task, worker, nowMillis)
-        && spec.requiredLabel().stream().allMatch(worker.info.labels()::contains);
+        && inLabels(spec.requiredLabel(), worker);
+  }
+
+  /** Returns whether a worker has a label, if one is asked for. */
+  private static boolean inLabels(Optional<String> label, Worker worker) {
+    return label.isEmpty() || worker.info.labels().contains(label.get());
   }
 
   /**
@@ -193,14 +260,15 @@
     return -Math.round(SLOWDOWN_STEPS * (worker.rating.slowdown() - 1));
   }
 
-  private Optional<Candidate> candidate(Task task, JobQueue queue, Worker worker, long nowMillis) {
-    boolean dataLocal = task.spec.rack().stream().allMatch(worker.info.labels()::contains);
+  private Optional<Candidate> candidate(Search search, Worker worker) {
+    Task task = search.task();
+    boolean dataLocal = inLabels(task.spec.rack(), worker);
     boolean notFailedHere = !task.failedOn.contains(worker.incarnation());
     if (task.spec.is(StepSpec.Trait.FILLS)) {
       return bestEffortCandidate(
           task,
-          queue,
-          worker.contention(interference, nowMillis),
+          search.queue(),
+          worker.contention(interference, search.nowMillis()),
           worker,
           dataLocal,
           notFailedHere);
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -656,6 +656,11 @@
     return leader.longestLeaseWaitMillis(moment());
   }
 
+  /** Returns how much work placement has done in the present leader's term. */
+  PlacementWork placementWork() {
+    return leader.placementWork();
+  }
+
   JobPhase phase(JobId job) {
     StoredProgress progress = stored.get(job);
     return progress == null ? JobPhase.QUEUED : progress.phase();
--- /dev/null
+++ b/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
@@ -0,0 +1,126 @@
+package org.cottontack.core.job;
+
+import static org.cottontack.core.job.JobFixtures.job;
+import static org.cottontack.core.job.JobFixtures.simulation;
+import static org.cottontack.core.job.JobFixtures.step;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cottontack.core.Moment;
+import org.cottontack.core.id.WorkerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of the work that placement passes do, counted in operations. */
+public class PlacementCostTest {
+
+  private static final int CORES = 8;
+  private static final long LONG_MILLIS = 600_000;
+
+  /** Numbers of workers, up to the size to design for. */
+  @DataProvider
+  public static Object[][] fleets() {
+    return new Object[][] {{50}, {245}, {470}};
+  }
+
+  private static JobSimulation fleet(int workers) {
+    JobSimulation simulation =
+        simulation(
+            IntStream.range(0, workers)
+                .mapToObj(number -> new SimulatedWorker("w" + number, CORES))
+                .toArray(SimulatedWorker[]::new));
+    simulation.maxWaitMillis = 500;
+    simulation.workMillis = LONG_MILLIS;
+    return simulation;
+  }
+
+  private static JobSimulation fullFleet(int workers) {
+    JobSimulation simulation = fleet(workers);
+    simulation.submit(job("full", step(workers, CORES, List.of())));
+    simulation.run(400);
+    assertEquals(simulation.starts(), workers);
+    return simulation;
+  }
+
+  private static PlacementWork workOf(JobSimulation simulation, Runnable action) {
+    PlacementWork before = simulation.placementWork();
+    action.run();
+    return simulation.placementWork().since(before);
+  }
+
+  private static void report(JobSimulation simulation, String worker) {
+    SimulatedWorker from = simulation.workers.get(new WorkerId(worker));
+    simulation.post(
+        new JobEvent.WorkerReported(
+            from.info.incarnation(), simulation.now, from.report(simulation.now)));
+  }
+
+  /** Tasks that wait while the fleet is full. */
+  public static class Waiting {
+
+    private static final int STEPS = 60;
+
+    /** Submits jobs of which no worker has room for a task; each needs a search of its own. */
+    private static void submitWaiting(JobSimulation simulation) {
+      IntStream.range(0, STEPS)
+          .mapToObj(number -> job("waits" + number, step(4, 2, List.of(), 0, "image" + number, 0)))
+          .forEach(simulation::submit);
+    }
+
+    /** Guards against passes that search the whole fleet again for each step that waits. */
+    @Test(dataProviderClass = PlacementCostTest.class, dataProvider = "fleets")
+    public void examinesOnlyTheWorkerThatReported(int workers) {
+      JobSimulation simulation = fullFleet(workers);
+      submitWaiting(simulation);
+      PlacementWork work = workOf(simulation, () -> report(simulation, "w7"));
+      assertTrue(work.examined() <= STEPS, work.toString());
+    }
+
+    /** Guards against a pass that changes nothing but costs as much as the first one. */
+    @Test
+    public void costsLittleWhileNothingChanges() {
+      JobSimulation simulation = fullFleet(245);
+      long first = workOf(simulation, () -> submitWaiting(simulation)).examined();
+      assertTrue(first >= 245 * STEPS, "examined " + first);
+      PlacementWork work =
+          workOf(
+              simulation,
+              () -> simulation.post(new JobEvent.Tick(new Moment(simulation.now, simulation.now))));
+      assertEquals(work.passes(), 1);
+      assertTrue(work.examined() <= STEPS, work.toString());
+    }
+
+    /** Guards against tasks that are passed over because a worker is not examined again. */
+    @Test
+    public void startsWhereCapacityBecomesFree() {
+      JobSimulation simulation = fullFleet(50);
+      submitWaiting(simulation);
+      simulation.workMillis = 100;
+      SimulatedWorker worker = simulation.workers.get(new WorkerId("w7"));
+      worker.stop(worker.runs().iterator().next(), worker.token);
+      simulation.run(1_000);
+      assertTrue(simulation.starts() >= 50 + CORES / 2, "starts " + simulation.starts());
+    }
+  }
+
+  /** Tasks that wait while there is room for all of them. */
+  public static class Backlog {
+
+    private static final int WORKERS = 470;
+    private static final int TASKS = 3_000;
+
+    /** Guards against a decision that takes so long that starts wait for it. */
+    @Test
+    public void oneDecisionIsBounded() {
+      JobSimulation simulation = fleet(WORKERS);
+      PlacementWork work =
+          workOf(simulation, () -> simulation.submit(job("wide", step(TASKS, 1, List.of()))));
+      assertEquals(work.passes(), 1);
+      assertTrue(work.examined() < PlacementPass.MAX_EXAMINED + WORKERS, work.toString());
+      simulation.run(3_000);
+      assertEquals(simulation.starts(), TASKS);
+    }
+  }
+}
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -442,6 +442,10 @@
     List<JobEffect> effects =
         work.spent(LeaderWork.Activity.EVENTS, () -> scheduler.handle(timers.now(), event));
     carryOut(effects);
+    scheduleDecision();
+  }
+
+  private void scheduleDecision() {
     if (!decisionScheduled) {
       decisionScheduled = true;
       timers.after(pauseMillis, this::decide);
@@ -479,6 +483,9 @@
     long took = timers.nanoTime() - began;
     metrics.decided(took);
     pauseMillis = Math.min(MAX_PAUSE_MILLIS, PAUSE_FACTOR * TimeUnit.NANOSECONDS.toMillis(took));
+    if (scheduler.placementUnfinished()) {
+      scheduleDecision();
+    }
   }
 
   private void carryOut(List<JobEffect> effects) {
