--- a/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
+++ b/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
@@ -105,6 +105,54 @@
     }
   }
 
+  /** Workers that may take a task again although nothing is reported from them. */
+  public static class Resuming {
+
+    /** Longest time until a worker that may take tasks again gets one, in milliseconds. */
+    private static final long SOON_MILLIS = 200;
+
+    /** Guards against a worker that gets nothing after the pause that a refused start caused. */
+    @Test
+    public void workerIsExaminedAfterItsPause() {
+      JobSimulation simulation = fleet(1);
+      simulation.refused = effect -> true;
+      simulation.submit(job("refused", step(1, 2, List.of())));
+      simulation.run(200);
+      simulation.refused = effect -> false;
+      assertEquals(simulation.starts(), 0);
+      simulation.run(JobTiming.STANDARD.avoidMillis() + SOON_MILLIS);
+      assertEquals(simulation.starts(), 1);
+    }
+
+    /** Guards against a data centre that gets nothing after its evacuation. */
+    @Test
+    public void workersAreExaminedAfterAnEvacuation() {
+      JobSimulation simulation = fleet(3);
+      simulation.evacuate("dc");
+      simulation.submit(job("waits", step(3, 2, List.of())));
+      simulation.run(1_000);
+      assertEquals(simulation.starts(), 0);
+      simulation.evacuate();
+      simulation.run(SOON_MILLIS);
+      assertEquals(simulation.starts(), 3);
+    }
+
+    /** Guards against rules whose change of a queue's pool does not reach waiting tasks. */
+    @Test
+    public void newRulesAreSearchedAnew() {
+      JobSimulation simulation = fleet(3);
+      JobQueue elsewhere =
+          new JobQueue("queue", "host", "/jobs/", "elsewhere", 0, 2, 1.5, 250, false);
+      simulation.table(new JobTable(2, List.of(elsewhere), List.of()));
+      simulation.submit(job("waits", step(3, 2, List.of())));
+      simulation.run(1_000);
+      assertEquals(simulation.starts(), 0);
+      simulation.table(new JobTable(3, List.of(JobFixtures.QUEUE), List.of()));
+      simulation.run(SOON_MILLIS);
+      assertEquals(simulation.starts(), 3);
+    }
+  }
+
   /** Tasks that wait while there is room for all of them. */
   public static class Backlog {
 
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -53,6 +53,42 @@
     }
   }
 
+  /** What a leader says about its own work. */
+  public static class Work {
+
+    private static String metric(LeaderSimulation simulation, String name) {
+      return simulation
+          .entry
+          .metrics()
+          .text()
+          .lines()
+          .filter(line -> line.startsWith("cottontack_" + name + " "))
+          .map(line -> line.substring(line.indexOf(' ') + 1))
+          .findFirst()
+          .orElse("");
+    }
+
+    @Test
+    public void countsPlacements() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.submit("a");
+      simulation.time.run(500);
+      assertEquals(metric(simulation, "placement_placed_total"), "1");
+      assertEquals(metric(simulation, "placement_searches_total"), "1");
+    }
+
+    /** Guards against a leader whose thread is behind without a sign of it. */
+    @Test
+    public void showsHowFarItIsBehind() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.time.run(1_000);
+      simulation.process.lateMillis = 300;
+      simulation.time.run(2_000);
+      String late = metric(simulation, "leader_late_seconds{quantile=\"0.99\"}");
+      assertTrue(Double.parseDouble(late) >= 0.29, late);
+    }
+  }
+
   /** Starts while data centres are evacuated. */
   public static class Evacuating {
 
