Placement: the tasks of a step share one search

Cause: after failed searches were remembered, most of what was left were successful ones: each of the 1,700 tasks that are placed in two seconds examined all 245 workers, although the tasks of a step ask for the same and each placement changes only the worker that it chose.

Change: the workers that would take a task of a step are ranked once per pass; after a placement only the chosen one is examined again. A task with restrictions of its own (a suspect, one that failed somewhere, one with a start in flight) is searched for alone.

Before, PlacementCostTest examined 9,400 workers for 20 tasks on 470 workers where 490 may be (20 searches of the fleet).

--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -116,6 +116,7 @@
             : choose(task, queue, unplaceableSteps);
     if (worker.isPresent()) {
       placeTask(task, worker.get());
+      workerSelector.recordPlaced(task, worker.get());
       shortTaskReserve.recordPlaced(task, queue.pool());
     } else if (recordsWaits && !job.waitsForPlace && !blockedOnItsOwn(task)) {
       job.waitsForPlace = fitsSomewhere(task.spec, queue);
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -64,6 +65,7 @@
   /** The usable workers of each pool; those that changed in the latest pass come first. */
   private Map<String, List<Worker>> usableByPool = Map.of();
 
+  private Optional<Ranking> ranking = Optional.empty();
   private long searches;
   private long examined;
 
@@ -100,6 +102,7 @@
             .filter(Worker::usableInPass)
             .sorted(Comparator.comparingLong(Worker::changedPass).reversed())
             .collect(Collectors.groupingBy(worker -> worker.info.pool()));
+    ranking = Optional.empty();
     lightlyReservedPools.clear();
     workers.stream()
         .filter(Worker::countsForPool)
@@ -160,6 +163,41 @@
         workers.stream().filter(worker -> worker.usable(nowMillis)));
   }
 
+  /**
+   * The workers that would take a further task of a step, best first. A pass places the tasks of a
+   * step one after the other, and each placement changes only the worker that it chose.
+   */
+  private final class Ranking {
+    private final StepId step;
+    private final boolean ignoresContention;
+    private final PriorityQueue<Candidate> candidates = new PriorityQueue<>(BEST.reversed());
+    private Optional<Worker> chosen = Optional.empty();
+
+    Ranking(Search search, boolean ignoresContention, Stream<Worker> workers) {
+      this.step = search.task().name.step();
+      this.ignoresContention = ignoresContention;
+      workers.forEach(worker -> add(search, worker));
+    }
+
+    private void add(Search search, Worker worker) {
+      if (fits(search, worker)) {
+        candidate(search, worker).ifPresent(candidates::add);
+      }
+    }
+
+    boolean appliesTo(Task task, boolean ignores) {
+      return step.equals(task.name.step()) && ignoresContention == ignores;
+    }
+
+    Optional<Worker> choose(Search search) {
+      chosen
+          .filter(worker -> worker.reportHolds(worker.placed.size() + 1))
+          .ifPresent(worker -> add(search, worker));
+      chosen = Optional.ofNullable(candidates.poll()).map(Candidate::worker);
+      return chosen;
+    }
+  }
+
   /**
    * Returns the worker for a task in the present pass, or empty when none of those that have
    * changed since an earlier pass has enough free capacity.
@@ -170,7 +208,27 @@
    * @param nowMillis the present time, on our steady clock
    */
   Optional<Worker> chooseChanged(Task task, JobQueue queue, long sincePass, long nowMillis) {
-    return best(Search.of(task, queue, nowMillis), changed(queue, sincePass));
+    Search search = Search.of(task, queue, nowMillis);
+    boolean ownRestrictions =
+        search.suspect() || !task.failedOn.isEmpty() || task.startInFlight(nowMillis);
+    if (ownRestrictions) {
+      return best(search, changed(queue, sincePass));
+    }
+    searches++;
+    boolean ignores = task.spec.is(StepSpec.Trait.FILLS) && mayIgnoreContention(task.job, queue);
+    if (ranking.filter(last -> last.appliesTo(task, ignores)).isEmpty()) {
+      ranking = Optional.of(new Ranking(search, ignores, changed(queue, sincePass)));
+    }
+    return ranking.orElseThrow().choose(search);
+  }
+
+  /** Records that a task was placed in the present pass. */
+  void recordPlaced(Task task, Worker worker) {
+    ranking =
+        ranking.filter(
+            last ->
+                last.step.equals(task.name.step())
+                    && last.chosen.filter(worker::equals).isPresent());
   }
 
   private Stream<Worker> changed(JobQueue queue, long sincePass) {
--- a/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
+++ b/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.cottontack.core.Moment;
@@ -157,14 +158,29 @@
   public static class Backlog {
 
     private static final int WORKERS = 470;
+    private static final int STEPS = 300;
     private static final int TASKS = 3_000;
 
+    /** Returns steps of which each needs a search of its own. */
+    private static StepSpec[] narrowSteps() {
+      return Collections.nCopies(STEPS, step(TASKS / STEPS, 1, List.of())).toArray(StepSpec[]::new);
+    }
+
+    /** Guards against a search of the whole fleet for each of the equal tasks of a step. */
+    @Test
+    public void tasksOfOneStepShareTheirSearch() {
+      JobSimulation simulation = fleet(WORKERS);
+      PlacementWork work =
+          workOf(simulation, () -> simulation.submit(job("step", step(20, 1, List.of()))));
+      assertEquals(work.placed(), 20);
+      assertTrue(work.examined() <= WORKERS + 20, work.toString());
+    }
+
     /** Guards against a decision that takes so long that starts wait for it. */
     @Test
     public void oneDecisionIsBounded() {
       JobSimulation simulation = fleet(WORKERS);
-      PlacementWork work =
-          workOf(simulation, () -> simulation.submit(job("wide", step(TASKS, 1, List.of()))));
+      PlacementWork work = workOf(simulation, () -> simulation.submit(job("wide", narrowSteps())));
       assertEquals(work.passes(), 1);
       assertTrue(work.examined() < PlacementPass.MAX_EXAMINED + WORKERS, work.toString());
       simulation.run(3_000);
