Placement: pinned tasks examine one worker, held places keep their task

Found by reading the change: a pass that examines a bounded number of workers could spend all of it on pinned tasks, which are searched for anew in each pass, and never reach the others; and a step whose tasks share a search could pass over the place that is held for one of them. A pinned task has one worker left, so only that is examined; long-running tasks are searched for alone while places are held. Held places that are over are removed. No test of its own: neither was seen to happen.

--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cottontack.core.load.LoadPart;
 
 /** Places the waiting tasks: the most urgent job first, each task on the best worker. */
@@ -146,8 +147,8 @@
       unplaceableSteps.add(task, queue, false);
       return Optional.empty();
     }
-    if (blockedOnItsOwn(task)) {
-      return workerSelector.chooseChanged(task, queue, ALL, term.now.mono());
+    if (task.pinned(term.now.mono())) {
+      return workerSelector.choose(task, queue, workersFor(task), term.now.mono());
     }
     Optional<FailedSearches.Failure> before =
         task.job.failedSearches.last(task, term.table, ignoresContention);
@@ -165,6 +166,13 @@
     return worker;
   }
 
+  /** Returns the only worker to which a pinned task may go, if it is there. */
+  private List<Worker> workersFor(Task task) {
+    return task.firstRefusing().stream()
+        .flatMap(incarnation -> Stream.ofNullable(term.workers.get(incarnation.worker())))
+        .toList();
+  }
+
   /**
    * Returns whether a task is blocked for a reason of its own, which does not apply to the other
    * tasks of its step.
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -318,6 +318,11 @@
         .reduce(free(), Resources::minus);
   }
 
+  /** Returns whether capacity is, or was lately, held for tasks that move here. */
+  boolean holdsPlaces() {
+    return !heldPlaces.isEmpty();
+  }
+
   /** Holds capacity for a task that is stopped elsewhere in order to run here. */
   void holdPlace(Task task, long nowMillis) {
     heldPlaces.values().removeIf(place -> nowMillis >= place.untilMillis());
@@ -420,12 +425,13 @@
   void beginPass(long pass, long nowMillis) {
     boolean usable = usable(nowMillis);
     // Held places and restrictions by suppressed completions end by themselves.
-    boolean restricted = !heldPlaces.isEmpty() || !suppressedCompletions.none();
+    boolean restricted = holdsPlaces() || !suppressedCompletions.none();
     if (changed || restricted || usable != usableInLastPass) {
       changedPass = pass;
     }
     changed = false;
     usableInLastPass = usable;
+    heldPlaces.values().removeIf(place -> nowMillis >= place.untilMillis());
   }
 
   /** Returns the last pass before which something changed that may let a task be placed here. */
--- a/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerSelector.java
@@ -65,6 +65,9 @@
   /** The usable workers of each pool; those that changed in the latest pass come first. */
   private Map<String, List<Worker>> usableByPool = Map.of();
 
+  /** Whether places are held for long-running tasks that move, each for one task of a step. */
+  private boolean placesHeld;
+
   private Optional<Ranking> ranking = Optional.empty();
   private long searches;
   private long examined;
@@ -102,6 +105,7 @@
             .filter(Worker::usableInPass)
             .sorted(Comparator.comparingLong(Worker::changedPass).reversed())
             .collect(Collectors.groupingBy(worker -> worker.info.pool()));
+    placesHeld = workers.stream().anyMatch(Worker::holdsPlaces);
     ranking = Optional.empty();
     lightlyReservedPools.clear();
     workers.stream()
@@ -210,7 +214,10 @@
   Optional<Worker> chooseChanged(Task task, JobQueue queue, long sincePass, long nowMillis) {
     Search search = Search.of(task, queue, nowMillis);
     boolean ownRestrictions =
-        search.suspect() || !task.failedOn.isEmpty() || task.startInFlight(nowMillis);
+        search.suspect()
+            || !task.failedOn.isEmpty()
+            || task.startInFlight(nowMillis)
+            || (placesHeld && task.spec.is(StepSpec.Trait.LASTS));
     if (ownRestrictions) {
       return best(search, changed(queue, sincePass));
     }
