Test: pinned tasks examine one worker

Pinned tasks were searched for in the whole fleet in each pass. With that search put back, the test examines more than its 300.

--- a/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
+++ b/core/src/test/java/org/cottontack/core/job/PlacementCostTest.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.cottontack.core.Moment;
+import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
+import org.cottontack.core.load.LoadControl;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -106,6 +108,52 @@
     }
   }
 
+  /** Tasks that a start in flight pins to one worker, as after a change of leaders. */
+  public static class Pinned {
+
+    private static final int TASKS = 300;
+    private static final Moment NOW = new Moment(1_000, 1_000);
+
+    /** Adds a worker without room for any task. */
+    private static void addWorker(Term term, int number) {
+      WorkerIncarnation incarnation = new WorkerIncarnation(new WorkerId("w" + number), 500);
+      WorkerInfo info =
+          new WorkerInfo(
+              incarnation,
+              "pool",
+              "w" + number + ":1",
+              new DataCentreId("dc"),
+              new Resources(500, 100_000, 0),
+              List.of(),
+              false);
+      Worker worker = term.add(info, 0);
+      worker.registered = true;
+      worker.everAnswered = true;
+    }
+
+    /** Guards against passes that search the whole fleet for tasks that only one worker may run. */
+    @Test
+    public void examineOnlyTheirWorker() {
+      Term term = new Term(JobTiming.STANDARD, LoadControl.OFF, JobFixtures.TABLE, NOW, 0);
+      IntStream.range(0, 245).forEach(number -> addWorker(term, number));
+      Job job = new Job(job("pinned", step(TASKS, 1, List.of())), 0);
+      job.advance(0);
+      WorkerIncarnation first = term.workers.get(new WorkerId("w0")).incarnation();
+      job.tasks().forEach(t -> t.addLateStart(LateStart.sent(first, t.spec, 900), NOW.mono()));
+      assertTrue(job.tasks().allMatch(task -> task.pinned(NOW.mono())));
+      term.jobs.put(job.spec.id(), job);
+      term.jobsToPlace.add(job);
+      term.capacityChanged = true;
+      PlacementPass pass =
+          new PlacementPass(
+              term,
+              new WorkerSelector(new LearnedInterference()),
+              new Urgency(new DurationEstimates()));
+      pass.place();
+      assertTrue(pass.work().examined() <= TASKS, pass.work().toString());
+    }
+  }
+
   /** Workers that may take a task again although nothing is reported from them. */
   public static class Resuming {
 
