--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -111,6 +111,9 @@
 
   private int crashes;
 
+  /** Number of workers that crashed while a run of a task was there. */
+  private final Map<TaskName, Long> crashesUnder = new HashMap<>();
+
   boolean storeUnavailable;
 
   /** Whether the save in flight of a killed leader is carried out before the next one begins. */
@@ -509,6 +512,7 @@
    */
   void crash(SimulatedWorker worker) {
     crashes++;
+    worker.runs().forEach(run -> crashesUnder.merge(run.task(), 1L, Long::sum));
     worker.dead = true;
     after(
         restartMillis,
@@ -566,6 +570,15 @@
         .count();
   }
 
+  /** Returns the largest number of workers that crashed under one task of a job. */
+  long mostCrashesUnder(JobId job) {
+    return crashesUnder.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(job))
+        .mapToLong(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   private void started(JobScheduler from, JobEffect.StartRun order, StartResult result) {
     post(from, new JobEvent.StartEnded(order.target().incarnation(), order.run(), result));
   }
