Log on what evidence a run counts as lost in a crash

Cause: run.lost named neither how the loss of a worker was known nor what else was lost, so that unanswered starts, cut-off workers, racks and tasks that crash workers all looked alike. Change: WorkerLoss names how a loss is known, LostContacts keeps when contact with workers was lost. run.lost has the loss, the time from the worker's last answer to the start, and the number of workers that may have been lost at the same time. Decisions are as before.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -143,7 +143,7 @@
     Worker next = term.add(info, leaseEnd);
     List<Task> runs = List.copyOf(before.placed.values());
     runs.forEach(next::add);
-    lostWorkers.restarted(next, runs, LostWorkers.left(before), term.now.mono());
+    lostWorkers.restarted(before, next, runs, WorkerLoss.replaced(before), term.now.mono());
     return next;
   }
 
@@ -206,6 +206,7 @@
     worker.lateLeases.unanswered();
     if (!worker.silent) {
       term.logEvent("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
+      term.lostContacts.add(worker, term.now.mono());
       health.unanswered(worker);
     }
     worker.silent = true;
--- a/core/src/main/java/org/cottontack/core/job/LostWorkers.java
+++ b/core/src/main/java/org/cottontack/core/job/LostWorkers.java
@@ -20,7 +20,7 @@
   /** Handles that a worker's incarnation has ended, together with all its runs. */
   void replaced(Worker worker) {
     term.logEvent("worker.reborn", worker.info.id(), "runs=" + worker.placed.size());
-    releaseLost(worker, !left(worker));
+    releaseLost(worker, WorkerLoss.replaced(worker));
     // The process that has its address now refuses orders for another identifier.
     term.jobs.values().stream()
         .flatMap(Job::tasks)
@@ -43,25 +43,25 @@
                 worker.everAnswered ? term.now.mono() - worker.lastAnswerMillis : 0,
                 worker.answerDetails());
     term.logEvent("worker.lapsed", worker.info.id(), detail);
-    // A worker that is still listed may be alive and unreachable only for this leader.
-    releaseLost(worker, !worker.registered && !left(worker));
+    releaseLost(worker, WorkerLoss.expired(worker));
   }
 
   /**
    * Handles that a worker has restarted under its identifier.
    *
-   * @param worker the next incarnation, which already holds the runs
+   * @param before the incarnation that has ended
+   * @param next the next one, which already holds the runs
    * @param runs the runs that were placed on an earlier incarnation
-   * @param left whether that incarnation had announced that it was leaving
+   * @param loss how the earlier incarnation was lost
    * @param sinceMillis the time from which polls were sent to the next incarnation
    */
-  void restarted(Worker worker, List<Task> runs, boolean left, long sinceMillis) {
-    term.logEvent("worker.restarted", worker.incarnation(), "runs=" + runs.size());
-    List<Task> toAbandon = countLosses(worker, runs, !left);
+  void restarted(Worker before, Worker next, List<Task> runs, WorkerLoss loss, long sinceMillis) {
+    term.logEvent("worker.restarted", next.incarnation(), "runs=" + runs.size());
+    List<Task> toAbandon = countLosses(before, runs, loss);
     runs.forEach(
         task -> {
           if (task.mayHaveBegun()) {
-            task.mayRunOn(worker.incarnation(), sinceMillis);
+            task.mayRunOn(next.incarnation(), sinceMillis);
             term.dirty.add(task.job);
           } else {
             term.release(task);
@@ -70,9 +70,9 @@
     toAbandon.forEach(lifecycle::abandon);
   }
 
-  private void releaseLost(Worker worker, boolean crashed) {
+  private void releaseLost(Worker worker, WorkerLoss loss) {
     List<Task> lost = List.copyOf(worker.placed.values());
-    List<Task> toAbandon = countLosses(worker, lost, crashed);
+    List<Task> toAbandon = countLosses(worker, lost, loss);
     lost.forEach(term::release);
     lost.forEach(term::logPinned);
     toAbandon.forEach(lifecycle::abandon);
@@ -83,9 +83,11 @@
    * reports a crash. Without this count, a task that crashes every worker would be started on the
    * next one as soon as the last is back, and no other work beside it would complete.
    */
-  private List<Task> countLosses(Worker worker, List<Task> lost, boolean crashed) {
-    List<Task> toAbandon = crashed ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
-    lost.forEach(task -> logLost(worker, task));
+  private List<Task> countLosses(Worker worker, List<Task> lost, WorkerLoss loss) {
+    term.lostContacts.add(worker, term.now.mono());
+    List<Task> toAbandon =
+        loss.maybeCrashed() ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
+    lost.forEach(task -> logLost(worker, task, loss));
     lost.stream()
         .filter(task -> task.order == Task.Order.SENT)
         .forEach(
@@ -96,27 +98,32 @@
     return toAbandon;
   }
 
-  /**
-   * Returns whether a worker announced that it was leaving, which ends its runs without a crash. A
-   * worker that was gone before this leader's term announced nothing to this leader. If it were
-   * treated as having left, crashes that coincide with leader changes would never be counted and
-   * could go on indefinitely.
-   */
-  static boolean left(Worker worker) {
-    return worker.info.reachable() && worker.info.draining();
-  }
-
-  private void logLost(Worker worker, Task task) {
+  private void logLost(Worker worker, Task task, WorkerLoss loss) {
     boolean placedByUs = task.placedMillis > 0;
     String detail =
-        "%s order=%s placed=%d listed=%d crashes=%d blamed=%d"
+        ("%s loss=%s order=%s placed=%d listed=%d sentAfterAnswer=%s lostTogether=%d"
+                + " crashes=%d blamed=%d")
             .formatted(
                 worker.info.id(),
+                loss,
                 task.order,
                 placedByUs ? term.now.mono() - task.placedMillis : 0,
                 placedByUs && task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
+                sentAfterAnswer(worker, task),
+                term.lostContacts.lostTogetherWith(worker.incarnation()),
                 task.crashes,
                 task.blamed);
     term.logEvent("run.lost", task.key(), detail);
   }
+
+  /**
+   * Returns how long after the last answer of its worker the start of a run was last sent, in
+   * milliseconds; negative where the worker has answered since. A run whose start left long after
+   * that may never have begun.
+   */
+  private static String sentAfterAnswer(Worker worker, Task task) {
+    return worker.everAnswered && task.sentByUs()
+        ? String.valueOf(task.sentMillis() - worker.lastAnswerMillis)
+        : "unknown";
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -325,12 +325,10 @@
     long acknowledged = acknowledges && !leaseFirst ? worker.lastAcknowledgedCompletion : 0;
     worker.acknowledgements.pollSent(acknowledged, term.now.mono());
     worker.lateLeases.pollSent(leaseEnd > 0, term.now.mono());
+    worker.lastPollWaitMillis = ackOnly ? 0 : boundedWaitMillis(worker, waitMillis);
     term.effects.add(
         new JobEffect.LookAtWorker(
-            worker.target(),
-            leaseEnd,
-            acknowledged,
-            ackOnly ? 0 : boundedWaitMillis(worker, waitMillis)));
+            worker.target(), leaseEnd, acknowledged, worker.lastPollWaitMillis));
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/Term.java
+++ b/core/src/main/java/org/cottontack/core/job/Term.java
@@ -29,6 +29,7 @@
   final Map<JobId, Job> jobs = new LinkedHashMap<>();
   final Map<WorkerId, Worker> workers = new TreeMap<>();
   final Evacuations evacuations = new Evacuations();
+  final LostContacts lostContacts = new LostContacts();
   private final IncarnationHistory incarnations = new IncarnationHistory();
 
   /** Jobs with tasks that wait for a worker. */
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -85,6 +85,9 @@
   boolean leaseWaitLogged;
   long lastPollMillis = Long.MIN_VALUE / 2;
 
+  /** How long it may wait before it answers the last poll, in milliseconds. */
+  long lastPollWaitMillis;
+
   /** When its last answer arrived. */
   long lastAnswerMillis;
 
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -68,6 +68,7 @@
     // From this answer on, the worker refuses orders of earlier leaders.
     worker.everAnswered = true;
     worker.silent = false;
+    term.lostContacts.remove(worker.incarnation());
     worker.answered(event.sentMillis());
     worker.lastAnswerMillis = term.now.mono();
     worker.listsCompletions = !event.report().completions().isEmpty();
@@ -168,7 +169,7 @@
     List<Task> ended =
         runs.stream().filter(task -> !task.worker.equals(worker.incarnation())).toList();
     if (!ended.isEmpty()) {
-      lostWorkers.restarted(worker, ended, false, sentMillis);
+      lostWorkers.restarted(worker, worker, ended, WorkerLoss.GONE_BEFORE_TERM, sentMillis);
       worker.suppressedCompletions.suppressUpTo(SuppressedCompletions.ANY);
       worker.suppressedCompletions.leasedUntil(term.now.mono() + Fleet.MAX_LEASE_MILLIS);
     }
