Jobs fail only by evidence that their task crashes its workers

Callers saw: jobs shown as failed none of whose tasks had failed, among them long-running ones. Cause: what did not answer counted as crashed, and what may have been sent there as having run there. Unanswered starts to dead workers, workers that were gone before the term and racks that were lost together were counted against each task, and four or five such counts failed its job. Change: a loss only makes a suspect. Its starts leave only right after an answer of a worker without another suspect; the crash of such a worker, once known, is evidence by how likely it was for another reason; a common cause voids it; five points, reviewed, fail the job. job.givenUp names them. A start that its worker refused as another incarnation no longer counts as a loss. What clears a long-running task counts from when its run began, not from its placement. Why it holds: silence is never evidence, and what is inferred holds a task apart but ends nothing. CrashingTaskTest is unchanged and passes. CrashBlameTest: blame by comparison and the count of five are replaced by evidence; five losses alone no longer abandon a task (notForLossesAlone), three weak or two strong pieces do, which is as few starts.

--- a/core/src/main/java/org/cottontack/core/job/Fleet.java
+++ b/core/src/main/java/org/cottontack/core/job/Fleet.java
@@ -24,6 +24,7 @@
   private final Term term;
   private final Orders orders;
   private final LostWorkers lostWorkers;
+  private final CrashEvidence crashEvidence;
   private final DrainMoves drainMoves;
   private final WorkerHealth health;
 
@@ -31,11 +32,13 @@
       Term term,
       Orders orders,
       LostWorkers lostWorkers,
+      CrashEvidence crashEvidence,
       WorkerSelector workerSelector,
       WorkerHealth health) {
     this.term = term;
     this.orders = orders;
     this.lostWorkers = lostWorkers;
+    this.crashEvidence = crashEvidence;
     this.drainMoves = new DrainMoves(term, orders, workerSelector);
     this.health = health;
   }
@@ -54,6 +57,7 @@
       health.registered(present);
       return;
     }
+    crashEvidence.listed(info);
     othersAtAddress(info)
         .filter(other -> !other.registered)
         .toList()
@@ -206,10 +210,10 @@
     worker.lateLeases.unanswered();
     if (!worker.silent) {
       term.logEvent("worker.silent", worker.info.id(), "runs=" + worker.placed.size());
+      worker.silent = true;
       term.lostContacts.add(worker, term.now.mono());
       health.unanswered(worker);
     }
-    worker.silent = true;
   }
 
   void tick(Worker worker) {
@@ -219,6 +223,9 @@
       lostWorkers.leasesExpired(worker);
     }
     if (!worker.registered && worker.placed.isEmpty() && worker.orphans.isEmpty()) {
+      if (!WorkerLoss.left(worker)) {
+        term.lostContacts.add(worker, term.now.mono());
+      }
       term.forget(worker);
       return;
     }
--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -25,6 +25,7 @@
   private final Orders orders;
   private final Lifecycle lifecycle;
   private final WorkerReports workerReports;
+  private final CrashEvidence crashEvidence;
   private final LostWorkers lostWorkers;
   private final Fleet fleet;
   private final WorkerHealth health;
@@ -80,19 +81,21 @@
     term = new Term(timing, loadControl, table, start, inheritedLeaseEndMillis);
     orders = new Orders(term);
     lifecycle = new Lifecycle(term, orders, durationEstimates, urgency);
+    crashEvidence = new CrashEvidence(term, lifecycle);
+    lostWorkers = new LostWorkers(term, crashEvidence);
     WorkerSelector workerSelector = new WorkerSelector(interference);
-    lostWorkers = new LostWorkers(term, lifecycle);
     admission = new AdmissionDecisions(term, urgency);
     RunDurations runDurations = new RunDurations(term, durationEstimates, new DurationTails());
     WorkerScores scores = new WorkerScores();
     health = new WorkerHealth(term, orders, durationEstimates, workerSelector, scores);
-    fleet = new Fleet(term, orders, lostWorkers, workerSelector, health);
+    fleet = new Fleet(term, orders, lostWorkers, crashEvidence, workerSelector, health);
     workerReports =
         new WorkerReports(
             term,
             orders,
             lifecycle,
             lostWorkers,
+            crashEvidence,
             fleet,
             interference,
             runDurations,
@@ -331,6 +334,7 @@
     Collection<Worker> all = List.copyOf(term.workers.values());
     health.tick();
     all.forEach(fleet::tick);
+    crashEvidence.tick();
     term.unlistedSuppressions.expire(term.workers::containsKey, term.now.mono());
     admission.update();
     waitLog.tick();
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -159,10 +159,19 @@
     }
   }
 
-  /** Fails the job of a task that crashes its workers. */
-  void abandon(Task task) {
+  /**
+   * Fails the job of a task that crashes its workers.
+   *
+   * @param task the task
+   * @param evidence the crashes of this leader's term that show it, for a log line
+   */
+  void abandon(Task task, String evidence) {
     if (!task.job.phase.terminal()) {
-      term.logEvent("job.givenUp", task.job.spec.id(), task.name + " crashes=" + task.crashes);
+      String detail = "%s crashes=%d evidence=%d seen=%s";
+      term.logEvent(
+          "job.givenUp",
+          task.job.spec.id(),
+          detail.formatted(task.name, task.crashes, task.blamed, evidence));
       end(task.job, JobPhase.FAILED);
     }
   }
--- a/core/src/main/java/org/cottontack/core/job/LostWorkers.java
+++ b/core/src/main/java/org/cottontack/core/job/LostWorkers.java
@@ -4,17 +4,17 @@
 import java.util.Set;
 
 /**
- * Handles the runs of lost workers. Their tasks wait for another worker, except for a task that has
- * crashed its workers repeatedly.
+ * Handles the runs of lost workers. Their tasks wait for another worker, except for a task that is
+ * shown to crash its workers.
  */
 final class LostWorkers {
 
   private final Term term;
-  private final Lifecycle lifecycle;
+  private final CrashEvidence crashEvidence;
 
-  LostWorkers(Term term, Lifecycle lifecycle) {
+  LostWorkers(Term term, CrashEvidence crashEvidence) {
     this.term = term;
-    this.lifecycle = lifecycle;
+    this.crashEvidence = crashEvidence;
   }
 
   /** Handles that a worker's incarnation has ended, together with all its runs. */
@@ -57,7 +57,7 @@
    */
   void restarted(Worker before, Worker next, List<Task> runs, WorkerLoss loss, long sinceMillis) {
     term.logEvent("worker.restarted", next.incarnation(), "runs=" + runs.size());
-    List<Task> toAbandon = countLosses(before, runs, loss);
+    countLosses(before, runs, loss);
     runs.forEach(
         task -> {
           if (task.mayHaveBegun()) {
@@ -67,26 +67,23 @@
             term.release(task);
           }
         });
-    toAbandon.forEach(lifecycle::abandon);
   }
 
   private void releaseLost(Worker worker, WorkerLoss loss) {
     List<Task> lost = List.copyOf(worker.placed.values());
-    List<Task> toAbandon = countLosses(worker, lost, loss);
+    countLosses(worker, lost, loss);
     lost.forEach(term::release);
     lost.forEach(term::logPinned);
-    toAbandon.forEach(lifecycle::abandon);
   }
 
   /**
-   * Counts the loss of runs together with their worker and returns the tasks to abandon. Nothing
-   * reports a crash. Without this count, a task that crashes every worker would be started on the
-   * next one as soon as the last is back, and no other work beside it would complete.
+   * Counts the loss of runs together with their worker. Nothing reports a crash. Without this
+   * count, a task that crashes every worker would be started on the next one as soon as the last is
+   * back, and no other work beside it would complete.
    */
-  private List<Task> countLosses(Worker worker, List<Task> lost, WorkerLoss loss) {
+  private void countLosses(Worker worker, List<Task> lost, WorkerLoss loss) {
     term.lostContacts.add(worker, term.now.mono());
-    List<Task> toAbandon =
-        loss.maybeCrashed() ? CrashBlame.crashed(lost) : CrashBlame.endedUndone(lost);
+    crashEvidence.lost(worker, lost, loss);
     lost.forEach(task -> logLost(worker, task, loss));
     lost.stream()
         .filter(task -> task.order == Task.Order.SENT)
@@ -95,14 +92,13 @@
               task.unanswered();
               term.recordIgnoredStart(task);
             });
-    return toAbandon;
   }
 
   private void logLost(Worker worker, Task task, WorkerLoss loss) {
     boolean placedByUs = task.placedMillis > 0;
     String detail =
         ("%s loss=%s order=%s placed=%d listed=%d sentAfterAnswer=%s lostTogether=%d"
-                + " crashes=%d blamed=%d")
+                + " probation=%s crashes=%d evidence=%d")
             .formatted(
                 worker.info.id(),
                 loss,
@@ -111,6 +107,7 @@
                 placedByUs && task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
                 sentAfterAnswer(worker, task),
                 term.lostContacts.lostTogetherWith(worker.incarnation()),
+                task.probation,
                 task.crashes,
                 task.blamed);
     term.logEvent("run.lost", task.key(), detail);
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -31,7 +31,20 @@
   /** Minimum of that wait, in milliseconds. */
   private static final long MIN_LIMITED_WAIT_MILLIS = 100;
 
+  /**
+   * How long a worker with a suspect task may wait before it answers a poll, in milliseconds. The
+   * shorter it is, the better a crash is told from that of another worker.
+   */
+  private static final long PROBATION_POLL_WAIT_MILLIS = 100;
+
+  /** For how long after the placement of a suspect its worker is polled that often. */
+  private static final long PROBATION_POLL_MILLIS = 3_000;
+
+  /** Age of a worker's last answer up to which a suspect may be started, in milliseconds. */
+  private static final long PROOF_OF_LIFE_MILLIS = 20;
+
   private final Term term;
+  private final ProbationStarts probationStarts = new ProbationStarts();
 
   Orders(Term term) {
     this.term = term;
@@ -61,6 +74,11 @@
       term.release(task);
       return;
     }
+    if (awaitsProbation(worker, task)) {
+      task.order = Task.Order.RESEND;
+      poll(worker, 0);
+      return;
+    }
     sendStart(worker, task);
     if (!worker.pollInFlight) {
       poll(worker, pollWaitMillis(worker));
@@ -70,6 +88,10 @@
   private void sendStart(Worker worker, Task task) {
     task.shortLease |= worker.suppressedCompletions.appliesTo(task.spec) && !worker.renewsLeases();
     task.sent(term.now.mono());
+    task.probation = CrashBlame.suspect(task);
+    if (task.probation) {
+      probationStarts.sent(task, term.now.mono());
+    }
     worker.lateLeases.startSent(task.key(), term.now.mono());
     term.effects.add(
         new JobEffect.StartRun(
@@ -179,6 +201,7 @@
       case NO_ROOM, NO_TICKET, UNHEALTHY, INVALID -> placeElsewhere(worker, task);
       case FENCED -> fenced(worker);
       case REBORN -> {
+        task.order = Task.Order.RESEND;
         return true;
       }
       default -> throw new IllegalStateException("unknown start result: " + event.result());
@@ -206,6 +229,10 @@
       return;
     } else if (!worker.silent && mayBeListedSoon(task)) {
       return;
+    } else if (neverSent(task) && CrashBlame.suspect(task) && !worker.accepts(term.now.mono())) {
+      term.release(task);
+    } else if (!worker.silent && awaitsProbation(worker, task)) {
+      poll(worker, 0);
     } else if (!worker.silent && !task.duplicateStartPossible && task.pinned(term.now.mono())) {
       task.prepareResend();
       term.dirty.add(task.job);
@@ -225,6 +252,28 @@
     return task.spec.is(StepSpec.Trait.LASTS) && task.startInDoubt && !task.startIgnored();
   }
 
+  /**
+   * Returns whether the start of a suspect waits, for an answer of its worker or for its turn. A
+   * worker that was already dead would look as if the run had crashed it.
+   */
+  private boolean awaitsProbation(Worker worker, Task task) {
+    return CrashBlame.suspect(task)
+        && (term.now.mono() - worker.lastAnswerMillis > PROOF_OF_LIFE_MILLIS
+            || !probationStarts.mayStart(task, term.now.mono()));
+  }
+
+  private static boolean neverSent(Task task) {
+    return !task.sentByUs() && !task.startInDoubt && !task.inherited();
+  }
+
+  /** Sends the starts of suspects that waited for an answer of their worker, which has come. */
+  void retrySuspects(Worker worker) {
+    worker.placed.values().stream()
+        .filter(task -> task.order == Task.Order.RESEND && CrashBlame.suspect(task))
+        .toList()
+        .forEach(task -> retry(worker, task));
+  }
+
   void confirm(Task task) {
     if (!task.job.begun) {
       task.job.begun = true;
@@ -362,8 +411,17 @@
     return 0;
   }
 
+  private boolean hasNewSuspect(Worker worker) {
+    long since = term.now.mono() - PROBATION_POLL_MILLIS;
+    return worker.placed.values().stream()
+        .anyMatch(task -> CrashBlame.suspect(task) && task.placedMillis > since);
+  }
+
   /** Returns how long a worker may wait before it answers a poll, in milliseconds. */
   long pollWaitMillis(Worker worker) {
+    if (hasNewSuspect(worker)) {
+      return PROBATION_POLL_WAIT_MILLIS;
+    }
     if (worker.rating.suspect()) {
       return SUSPECT_POLL_WAIT_MILLIS;
     }
--- a/core/src/main/java/org/cottontack/core/job/PlacementPass.java
+++ b/core/src/main/java/org/cottontack/core/job/PlacementPass.java
@@ -85,7 +85,8 @@
    */
   private void placeJobs(List<Job> jobs, UnplaceableSteps unplaceableSteps) {
     Map<Job, List<Task>> ready = new LinkedHashMap<>();
-    jobs.forEach(job -> ready.put(job, job.ready().toList()));
+    jobs.forEach(
+        job -> ready.put(job, job.ready().filter(task -> !CrashBlame.proven(task)).toList()));
     List<Task> missed =
         ready.values().stream().flatMap(List::stream).filter(Task::isMissed).toList();
     missed.stream()
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -74,7 +74,7 @@
           task.run,
           task.failures,
           task.crashes,
-          task.blamed,
+          CrashBlame.stored(task),
           worker(task),
           task.phase == Task.Phase.DONE ? "" : task.checkpoint,
           task.duplicateStartPossible);
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -93,15 +93,18 @@
   int run;
   int failures;
 
-  /**
-   * Number of workers that crashed while a run of this task was or may have been there; from the
-   * third crash on, all runs that were not done are counted as well.
-   */
+  /** Number of workers that were lost, and may have crashed, while a run may have been there. */
   int crashes;
 
-  /** Number of these crashes for which this task is the likeliest cause. */
+  /** Evidence that this task crashes its workers, in units of {@link CrashBlame}. */
   int blamed;
 
+  /**
+   * Whether the present run is on probation: its task was a suspect when its start was sent, and
+   * its worker had just answered.
+   */
+  boolean probation;
+
   WorkerIncarnation worker;
   String checkpoint = "";
   Order order = Order.UNSAVED;
@@ -474,6 +477,7 @@
     order = Order.UNSAVED;
     startInDoubt = false;
     cancelLogged = false;
+    probation = false;
     sentByUs = false;
     startsSent = 0;
     absentMillis = nowMillis;
@@ -505,6 +509,7 @@
   void inherit(long nowMillis) {
     observedMillis = nowMillis;
     progressMillis = nowMillis;
+    probation = CrashBlame.suspect(this);
   }
 
   /**
@@ -516,6 +521,7 @@
     worker = next;
     order = Order.CONFIRMED;
     confirmedMillis = sinceMillis - 1;
+    probation = false;
     began = false;
     beganMillis = 0;
     measuredMillis = 0;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -15,6 +15,7 @@
   private final Orders orders;
   private final Lifecycle lifecycle;
   private final LostWorkers lostWorkers;
+  private final CrashEvidence crashEvidence;
   private final Fleet fleet;
   private final Interference interference;
   private final RunDurations durations;
@@ -30,6 +31,7 @@
       Orders orders,
       Lifecycle lifecycle,
       LostWorkers lostWorkers,
+      CrashEvidence crashEvidence,
       Fleet fleet,
       Interference interference,
       RunDurations durations,
@@ -39,6 +41,7 @@
     this.orders = orders;
     this.lifecycle = lifecycle;
     this.lostWorkers = lostWorkers;
+    this.crashEvidence = crashEvidence;
     this.fleet = fleet;
     this.interference = interference;
     this.durations = durations;
@@ -97,6 +100,7 @@
     if (busy && !toAcknowledge) {
       orders.poll(worker, orders.pollWaitMillis(worker));
     }
+    orders.retrySuspects(worker);
   }
 
   /** Logs what a worker that did not answer lists when it answers again. */
@@ -288,7 +292,7 @@
     worker.deferredAcknowledgements.listed(completion.number());
     RunKey key = new RunKey(completion.task(), completion.run());
     worker.removeOrphan(key);
-    worker.stopsSent.remove(key);
+    final boolean stopOrdered = worker.stopsSent.remove(key) != null;
     Task task = term.find(completion.task());
     if (isLeftAlone(completion.task())) {
       worker.deferredAcknowledgements.withhold(completion.number(), completion.task().job());
@@ -333,7 +337,11 @@
       // nothing, because some workers fail every run they are given.
       task.forgetCrashes();
     } else {
-      CrashBlame.endedUndone(List.of(task)).forEach(lifecycle::abandon);
+      if (completion.status() == WorkerReport.CompletionStatus.STOPPED
+          && !stopOrdered
+          && task.sentByUs()) {
+        crashEvidence.endedUndone(task);
+      }
       term.logPinned(task);
     }
     if (completion.status() == WorkerReport.CompletionStatus.FAILED) {
