Test: only failed runs count as attempts, each of them once

Cause looked for: jobs were shown as failed although none of their tasks had failed as often as its queue allows. One hypothesis was a failed end that is counted twice.

--- a/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
+++ b/core/src/test/java/org/cottontack/core/job/SimulatedWorker.java
@@ -88,6 +88,9 @@
   /** Runs that were done here, whether or not their completion was listed. */
   final Set<RunKey> done = new HashSet<>();
 
+  /** Runs that failed here, whether or not their completion was listed. */
+  final Set<RunKey> failed = new HashSet<>();
+
   /** Runs that were done since the lease last lapsed and are not acknowledged yet, by number. */
   private final TreeMap<Long, DoneRun> doneSinceLapse = new TreeMap<>();
 
@@ -299,6 +302,7 @@
               done.add(run.run);
               doneSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
             } else if (status == WorkerReport.CompletionStatus.FAILED) {
+              failed.add(run.run);
               failedSinceLapse.put(lastCompletion + 1, new DoneRun(run.run, now));
             }
             end(run.run, status);
