Attempts: the failure of an earlier run counts, once

Cause: an end as failed of a run that is not in force was acknowledged and not counted, so a task whose late duplicate start failed beside a later run got one attempt more than its queue allows. It was left out because the next leader could not tell such an end from one that was counted and not acknowledged. Change: a leader counts the failure of an earlier run if it placed that run itself and has not counted it yet, whichever incarnation lists it. Runs that an earlier leader placed count only while they are in force, as before: the run numbers of all restored tasks are recorded as inherited, also of tasks without a worker.

--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -70,7 +70,6 @@
    * term ended, so the start may still be carried out late.
    */
   private void inherit(Task task) {
-    task.recordRestored();
     if (task.worker.identifierReusable()) {
       task.addLateStart(inheritedStart(task), term.now.mono());
     }
@@ -167,8 +166,9 @@
     }
   }
 
-  void failed(Task task) {
-    task.failures++;
+  /** Counts the failure of a run, which may be an earlier one of its task. */
+  void failed(Task task, int run) {
+    task.countFailure(run);
     if (task.failures >= term.table.current(task.job.spec.queue()).maxAttempts()) {
       end(task.job, JobPhase.FAILED);
     }
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -372,6 +372,7 @@
     Task task = job.task(new TaskName(step, line.index()));
     task.phase = line.phase();
     task.run = line.run();
+    task.recordRestored();
     task.failures = line.failures();
     task.crashes = line.crashes();
     task.blamed = line.blamed();
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -166,6 +166,10 @@
   int progress;
   long progressMillis;
   final Set<WorkerIncarnation> failedOn = new HashSet<>();
+
+  /** Runs whose failure this leader has counted. */
+  private final Set<Integer> failedRuns = new HashSet<>(0);
+
   int pace = FULL_PACE;
   long pacedMillis;
 
@@ -273,11 +277,27 @@
     return sentByUs;
   }
 
-  /** Records that the present run was read from the store. */
+  /** Records that the task was read from the store. */
   void recordRestored() {
     restoredRun = run;
   }
 
+  /** Counts the failure of a run, which may be an earlier one. */
+  void countFailure(int failed) {
+    failures++;
+    failedRuns.add(failed);
+  }
+
+  /**
+   * Returns whether the failure of a run that is not in force is still to be counted. An end is
+   * listed until it is acknowledged, and a run may fail on several incarnations of its worker. The
+   * store does not tell which runs of earlier leaders are counted, so those count only while they
+   * are in force.
+   */
+  boolean failureUncounted(int failed) {
+    return failed > restoredRun && failed <= run && !failedRuns.contains(failed);
+  }
+
   /** Returns whether the present run is known to be stored, so that its number is never reused. */
   boolean runStored() {
     return sentByUs || run == restoredRun;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -355,17 +355,28 @@
       term.jobsToPlace.add(task.job);
       lifecycle.completeIfFinished(task.job);
     } else if (completion.status() == WorkerReport.CompletionStatus.FAILED) {
-      lifecycle.failed(task);
+      lifecycle.failed(task, completion.run());
     }
   }
 
   /**
    * Handles a completion of a run that is not in force. If that run was done, the task's current
    * run, on whichever worker, is redundant: it is stopped, and the completion becomes final only
-   * when the current run is over.
+   * when the current run is over. If it failed, it counts as an attempt unless it is counted
+   * already.
    */
   private void handleEarlierCompletion(
       Worker worker, Task task, WorkerReport.Completion completion) {
+    if (completion.status() == WorkerReport.CompletionStatus.FAILED
+        && !task.spec.is(StepSpec.Trait.LASTS)
+        && task.phase != Task.Phase.DONE
+        && !task.obsolete()
+        && task.failureUncounted(completion.run())) {
+      logCompletion(worker, task, completion);
+      term.dirty.add(task.job);
+      lifecycle.failed(task, completion.run());
+      return;
+    }
     boolean counts =
         completion.status() == WorkerReport.CompletionStatus.DONE
             && !task.spec.is(StepSpec.Trait.LASTS);
--- a/core/src/test/java/org/cottontack/core/job/FailedEndsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/FailedEndsTest.java
@@ -414,6 +414,55 @@
     }
   }
 
+  /** Runs that fail after a later run of their task was placed. */
+  public static class EarlierRuns {
+
+    private static final long DELAY_MILLIS = 8_000;
+    private static final long BACK_BEFORE_MILLIS = 20;
+
+    /** Whether the leader changes before it acknowledges the counted failure. */
+    @DataProvider
+    public static Object[][] changes() {
+      return new Object[][] {{false}, {true}};
+    }
+
+    /**
+     * Guards against the failure of an earlier run that is not counted, or that the next leader
+     * counts once more because it is not acknowledged yet.
+     */
+    @Test(dataProvider = "changes")
+    public void countOnce(boolean changesLeader) {
+      JobSimulation simulation = restartingFleet(1);
+      simulation.listsCrashedWorkers = true;
+      simulation.run(1_000);
+      AttemptsChecker checker = new AttemptsChecker(simulation, 2);
+      final long arrives = simulation.now + DELAY_MILLIS;
+      simulation.delay = effect -> effect instanceof JobEffect.StartRun ? DELAY_MILLIS : 0;
+      simulation.submit(failing());
+      checker.run(100);
+      simulation.delay = effect -> 0;
+      simulation.workMillis = LONG_MILLIS;
+      simulation.crash(only(simulation));
+      checker.run(arrives - BACK_BEFORE_MILLIS - RESTART_MILLIS - simulation.now);
+      assertEquals(only(simulation).count(), 1);
+      simulation.workMillis = SHORT_MILLIS;
+      simulation.fails = true;
+      simulation.crash(only(simulation));
+      simulation.delay = effect -> effect instanceof JobEffect.LookAtWorker ? DELAY_MILLIS : 0;
+      checker.run(RESTART_MILLIS + 300);
+      assertEquals(only(simulation).failed, Set.of(new RunKey(TASK, 1)));
+      simulation.fails = false;
+      simulation.delay = effect -> 0;
+      checker.runUntil(() -> checker.stored(TASK.job()) == 1);
+      if (changesLeader) {
+        assertTrue(only(simulation).listsCompletions());
+        checker.changeLeader();
+      }
+      checker.run(60_000);
+      assertEquals(simulation.phase(TASK.job()), JobPhase.COMPLETE);
+    }
+  }
+
   /** Rules that change between two failures. */
   public static class ChangedRules {
 
