Skip progress rows whose key names no job

Symptom: with a row in the table "progress" whose key is blank, or in "progressTasks" whose key is " /1", no instance leads any more: each one that takes over stays the leader, renews its lease and starts nothing. Nothing is logged.

Cause: ProgressStore reads all keys as job identifiers. JobId rejects a blank one with an exception, which ends the callback of the scan, so the takeover never ends.

--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -6,7 +6,10 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Stream;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.cottontack.core.job.JobEffect;
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.ProgressRowId;
@@ -21,6 +24,8 @@
  */
 final class ProgressStore {
 
+  private static final Logger LOG = LogManager.getLogger(ProgressStore.class);
+
   /** Longest timeout of one call, in milliseconds: enough for a store that is 60 times slower. */
   private static final long MAX_TIMEOUT_MILLIS = 2_400;
 
@@ -160,7 +165,7 @@
       } else if (row.at().equals(JobTables.LEASE_ENDS)) {
         facts = facts(LeaseEndsText.parse(row.text()), lastEpoch);
       } else if (!row.at().equals(JobTables.FENCE)) {
-        jobs.put(new JobId(row.key()), row.text());
+        read(row, JobId::new).ifPresent(id -> jobs.put(id, row.text()));
       }
     }
     Map<JobId, Map<Integer, String>> parts = parts(tasks);
@@ -186,7 +191,8 @@
   private static Map<JobId, Map<Integer, String>> parts(List<Row> tasks) {
     Map<JobId, Map<Integer, String>> parts = new HashMap<>();
     for (Row row : tasks) {
-      ProgressRowId.parsePart(row.key())
+      read(row, ProgressRowId::parsePart)
+          .flatMap(Function.identity())
           .ifPresent(
               id ->
                   parts
@@ -196,6 +202,19 @@
     return parts;
   }
 
+  /**
+   * Returns what the key of a row stands for, or empty if it cannot be read: another program may
+   * have written the row, and an exception would end the takeover without a result.
+   */
+  private static <T> Optional<T> read(Row row, Function<String, T> parser) {
+    try {
+      return Optional.of(parser.apply(row.key()));
+    } catch (IllegalArgumentException e) {
+      LOG.error("skipping row {}: its key names no job", row.at(), e);
+      return Optional.empty();
+    }
+  }
+
   private Payload row(RecoveryFacts facts) {
     return Payload.of(new LeaseEndsText(epoch, facts).text(store.limits().sharedRowBytes()));
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -269,4 +270,39 @@
       assertEquals(leaders.next().facts().leaseEnds(), ENDS);
     }
   }
+
+  /** Rows that another program wrote. */
+  public static class ForeignRows {
+
+    private static final JobId JOB = new JobId("0123456789abcdef");
+
+    /** Tables, and keys that name no job. */
+    @DataProvider
+    public Object[][] keys() {
+      return new Object[][] {
+        {JobTables.PROGRESS, ""},
+        {JobTables.PROGRESS, " "},
+        {JobTables.PROGRESS, "\n"},
+        {JobTables.PROGRESS_TASKS, ""},
+        {JobTables.PROGRESS_TASKS, " /1"},
+        {JobTables.PROGRESS_TASKS, "/1"},
+      };
+    }
+
+    /** Guards against a row that keeps every instance from ever leading. */
+    @Test(dataProvider = "keys")
+    public void areSkipped(String table, String key) {
+      Leaders leaders = new Leaders();
+      leaders.store.writeAll(
+          Map.of(
+              new RowKey(table, JobTables.PROGRESS_PART, key),
+              Payload.of("odd"),
+              JobTables.progress(JOB),
+              Payload.of("1")));
+      ProgressStore.Found found = leaders.next();
+      assertNotNull(found, "the takeover does not end");
+      assertEquals(found.jobs().keySet(), Set.of(JOB));
+      assertEquals(found.stray(), Map.of());
+    }
+  }
 }
