--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.ArrayDeque;
@@ -42,7 +43,12 @@
  */
 public final class HttpClient {
 
-  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+  /**
+   * Largest response, in bytes: three times the largest page of the platform's store. Reading a
+   * response takes five times its size, and an instance has 96 MB.
+   */
+  public static final int MAX_RESPONSE_BYTES = 4 << 20;
+
   private static final int CONNECT_MILLIS = 1_000;
   private static final int MAX_IDLE = 64;
 
@@ -379,6 +385,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (cause instanceof TooLongHttpContentException) {
+        end(HttpResult.tooLarge());
+      }
       context.close();
     }
   }
--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpResult.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpResult.java
@@ -20,7 +20,9 @@
     /** No byte of the request was sent. */
     NOT_SENT,
     /** Part of the request may have been sent, and no complete response was received. */
-    LOST
+    LOST,
+    /** The response is larger than {@link HttpClient#MAX_RESPONSE_BYTES}, and was not read. */
+    TOO_LARGE
   }
 
   static HttpResult notSent() {
@@ -31,6 +33,10 @@
     return new HttpResult(Outcome.LOST, 0, Map.of(), Payload.EMPTY);
   }
 
+  static HttpResult tooLarge() {
+    return new HttpResult(Outcome.TOO_LARGE, 0, Map.of(), Payload.EMPTY);
+  }
+
   /** Returns whether a complete response with this status was received. */
   public boolean is(int wanted) {
     return outcome == Outcome.ANSWERED && status == wanted;
