Test: late starts clear no fatal long-running task (red)

By reading, CrashBlame.cleared counts from the placement, so that a run that has just begun counts as listed for over a second, which resets the count.

Change: Orders plays fatal long-running tasks whose starts are late.

--- a/core/src/test/java/org/cottontack/core/job/FatalTasksTest.java
+++ b/core/src/test/java/org/cottontack/core/job/FatalTasksTest.java
@@ -500,6 +500,28 @@
       scenario.submitFatal(Shape.ONE_TASK, survives);
       scenario.assertOnlyFatalJobsFail();
     }
+
+    @DataProvider
+    static Iterator<Object[]> late() {
+      return withSeeds(
+          product(
+              List.of(10, 40),
+              List.of(Load.values()),
+              List.of(Restart.NEW_ID, Restart.KEPT_ID),
+              List.of(10L, 150L, 300L, 600L)));
+    }
+
+    /** Guards against clearing a long-running task by the time that its late start took. */
+    @Test(dataProvider = "late")
+    public void fatalLongRunningTasksThatStartLateEnd(
+        int percent, Load load, Restart restart, long survives, int seed) {
+      Scenario scenario = new Scenario(seed, load).restarts(3_000, restart);
+      final Random random = new Random(seed);
+      scenario.simulation.late =
+          effect -> effect instanceof JobEffect.StartRun && random.nextInt(100) < percent;
+      scenario.submitFatal(Shape.ONE_TASK, survives, StepSpec.Trait.LASTS);
+      scenario.assertOnlyFatalJobsFail();
+    }
   }
 
   /** Leaders that are killed around crashes. */
