HTTP client: endpoints may answer with up to 16 MB, as before

Cause: the limit of 4 MB for responses of stores and workers also applied to endpoints. Change: clients for tables have the smaller limit, the others the former one.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -43,11 +43,14 @@
  */
 public final class HttpClient {
 
+  /** Largest response of an endpoint, in bytes. */
+  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
   /**
-   * Largest response, in bytes: three times the largest page of the platform's store. Reading a
-   * response takes five times its size, and an instance has 96 MB.
+   * Largest response of a store or a worker, in bytes: three times the largest page of the
+   * platform's store. Reading a response takes five times its size, and an instance has 96 MB.
    */
-  public static final int MAX_RESPONSE_BYTES = 4 << 20;
+  public static final int MAX_TABLE_RESPONSE_BYTES = 4 << 20;
 
   private static final int CONNECT_MILLIS = 1_000;
   private static final int MAX_IDLE = 64;
@@ -62,15 +65,26 @@
   private final Bootstrap bootstrap;
   private final Map<Address, Deque<Channel>> idle = new ConcurrentHashMap<>();
   private final long idleMillis;
+  private final int maxResponseBytes;
 
   /** Creates a client that runs on the given event loops. */
   public HttpClient(EventLoopGroup group) {
-    this(group, IDLE_MILLIS);
+    this(group, IDLE_MILLIS, MAX_RESPONSE_BYTES);
+  }
+
+  /** Creates a client for stores and workers, whose responses are smaller. */
+  public static HttpClient forTables(EventLoopGroup group) {
+    return new HttpClient(group, IDLE_MILLIS, MAX_TABLE_RESPONSE_BYTES);
   }
 
   /** Creates a client that closes connections after the given idle time. */
   HttpClient(EventLoopGroup group, long idleMillis) {
+    this(group, idleMillis, MAX_RESPONSE_BYTES);
+  }
+
+  private HttpClient(EventLoopGroup group, long idleMillis, int maxResponseBytes) {
     this.idleMillis = idleMillis;
+    this.maxResponseBytes = maxResponseBytes;
     this.bootstrap =
         new Bootstrap()
             .group(group)
@@ -291,7 +305,7 @@
           .pipeline()
           .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
           .addLast(new HttpClientCodec());
-      channel.pipeline().addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
+      channel.pipeline().addLast(new HttpObjectAggregator(maxResponseBytes));
       channel.pipeline().addLast(new Exchange());
     }
   }
--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpResult.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpResult.java
@@ -21,7 +21,7 @@
     NOT_SENT,
     /** Part of the request may have been sent, and no complete response was received. */
     LOST,
-    /** The response is larger than {@link HttpClient#MAX_RESPONSE_BYTES}, and was not read. */
+    /** The response is larger than the client admits, and was not read. */
     TOO_LARGE
   }
 
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -53,7 +53,7 @@
     this.settings = settings;
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     timers = new LoopTimers(group.next());
-    HttpClient http = new HttpClient(group);
+    HttpClient http = HttpClient.forTables(group);
     WatchedStore store =
         new WatchedStore(adapter.store(http, settings.store(), settings.rowBytes()), timers);
     entry =
