explain: on what evidence a job was given up

Cause: a failed job showed neither the task that crashes its workers nor what the verdict rests on. Change: explain prints job.givenUp and the run.lost lines of its task. Result: ExplainCommandTest, 12 tests pass.

--- a/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
+++ b/adapters/src/main/java/org/cottontack/adapters/http/HttpClient.java
@@ -72,11 +72,6 @@
     this(group, IDLE_MILLIS, MAX_RESPONSE_BYTES);
   }
 
-  /** Creates a client for stores and workers, whose responses are smaller. */
-  public static HttpClient forTables(EventLoopGroup group) {
-    return new HttpClient(group, IDLE_MILLIS, MAX_TABLE_RESPONSE_BYTES);
-  }
-
   /** Creates a client that closes connections after the given idle time. */
   HttpClient(EventLoopGroup group, long idleMillis) {
     this(group, idleMillis, MAX_RESPONSE_BYTES);
@@ -94,6 +89,11 @@
             .handler(new Pipeline());
   }
 
+  /** Creates a client for stores and workers, whose responses are smaller. */
+  public static HttpClient forTables(EventLoopGroup group) {
+    return new HttpClient(group, IDLE_MILLIS, MAX_TABLE_RESPONSE_BYTES);
+  }
+
   /**
    * A request to send.
    *
--- a/ctl/src/main/java/org/cottontack/ctl/explain/ExplainCommand.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/ExplainCommand.java
@@ -69,6 +69,9 @@
     out.printf(
         "%s of queue %s: %s after %d ms, objective %d ms%n",
         id, job.queue, job.outcome, job.elapsedMillis(), job.objectiveMillis);
+    if (!job.givenUp.isEmpty()) {
+      explainGivenUp(job);
+    }
     CriticalPath.of(job, histories)
         .forEach(
             span ->
@@ -80,4 +83,17 @@
                     span.subject()));
     return true;
   }
+
+  /** Prints on what evidence a task was found to crash its workers, and what was lost under it. */
+  private void explainGivenUp(JobHistory job) {
+    String task = job.givenUp.split(" ", 2)[0];
+    out.printf("  crashes its workers: %s%n", job.givenUp);
+    job.losses.stream()
+        .filter(line -> line.subject().startsWith(task + "#"))
+        .forEach(
+            line ->
+                out.printf(
+                    "  %+8d ms lost %s: %s%n",
+                    line.millis() - job.submittedMillis, line.subject(), line.detail()));
+  }
 }
--- a/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/Histories.java
@@ -108,6 +108,8 @@
       case "job.ended" -> ended(line);
       case "run.ended" -> runEnded(line);
       case "run.missing" -> runMissing(line);
+      case "run.lost" -> runLost(line);
+      case "job.givenUp" -> job(line.subject()).givenUp = line.detail();
       case "worker.lapsed", "worker.reborn" -> workerLost(line);
       case "evacuation.seen", "evacuation.left" -> evacuationSeen(line);
       case "evacuation.ended" -> evacuationEnded(line);
@@ -158,6 +160,13 @@
     job.outcome = line.detail();
   }
 
+  private void runLost(LogLine line) {
+    Matcher name = RUN.matcher(line.subject());
+    if (name.matches()) {
+      job(name.group(1)).losses.add(line);
+    }
+  }
+
   private void runEnded(LogLine line) {
     Matcher name = RUN.matcher(line.subject());
     String[] words = line.detail().split(" ", -1);
--- a/ctl/src/main/java/org/cottontack/ctl/explain/JobHistory.java
+++ b/ctl/src/main/java/org/cottontack/ctl/explain/JobHistory.java
@@ -51,6 +51,12 @@
   long endMillis;
   String outcome = "";
 
+  /** Which task the leader found to crash its workers, and on what evidence; empty if none. */
+  String givenUp = "";
+
+  /** The losses of runs together with their workers, as logged by the leader. */
+  final List<LogLine> losses = new ArrayList<>();
+
   JobHistory(String id) {
     this.id = id;
   }
--- a/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/cottontack/ctl/explain/ExplainCommandTest.java
@@ -5,8 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -234,6 +236,31 @@
       assertTrue(text.lines().anyMatch(line -> line.matches(".* 3008 ms  waited for a place .*")));
     }
 
+    /** Guards against a failed job of which nothing says on what evidence it failed. */
+    @Test
+    public void namesEvidenceOfGivenUpJob() throws IOException {
+      Log log =
+          new Log()
+              .accepted(1_000, "a", step(1, "", ""))
+              .line(2_000, "run.lost", "a.0.0.0#4", "w1 loss=REPLACED probation=true")
+              .line(2_000, "run.lost", "a.0.0.1#1", "w1 loss=REPLACED probation=false")
+              .line(3_000, "job.givenUp", "a", "a.0.0.0 crashes=4 evidence=6 seen=[#4@w1]")
+              .line(3_000, "job.ended", "a", "FAILED");
+      Path file = Files.createTempFile("explain", ".log");
+      try {
+        Files.write(file, log.lines);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
+        assertTrue(new ExplainCommand(out).run(List.of(file), "a"));
+        String text = bytes.toString(StandardCharsets.UTF_8);
+        assertTrue(text.contains("crashes its workers: a.0.0.0 crashes=4 evidence=6"), text);
+        assertTrue(text.contains("lost a.0.0.0#4: w1 loss=REPLACED"), text);
+        assertFalse(text.contains("a.0.0.1"), text);
+      } finally {
+        Files.delete(file);
+      }
+    }
+
     /** Truncated lines and lines of other programs are ignored. */
     @Test
     public void skipsOtherLines() {
