run.lost keeps its first fields; tests of silence and of evidence without review

Two safeguards, silence-is-no-evidence and unreviewed-evidence-is-no-proof, were noticed by no test of crashes when taken out. Change: loss follows listed; CrashBlameTest has a test for each of the two.

--- a/core/src/main/java/org/cottontack/core/job/LostWorkers.java
+++ b/core/src/main/java/org/cottontack/core/job/LostWorkers.java
@@ -97,14 +97,14 @@
   private void logLost(Worker worker, Task task, WorkerLoss loss) {
     boolean placedByUs = task.placedMillis > 0;
     String detail =
-        ("%s loss=%s order=%s placed=%d listed=%d sentAfterAnswer=%s lostTogether=%d"
+        ("%s order=%s placed=%d listed=%d loss=%s sentAfterAnswer=%s lostTogether=%d"
                 + " probation=%s crashes=%d evidence=%d")
             .formatted(
                 worker.info.id(),
-                loss,
                 task.order,
                 placedByUs ? term.now.mono() - task.placedMillis : 0,
                 placedByUs && task.listedMillis > 0 ? task.listedMillis - task.placedMillis : 0,
+                loss,
                 sentAfterAnswer(worker, task),
                 term.lostContacts.lostTogetherWith(worker.incarnation()),
                 task.probation,
--- a/core/src/test/java/org/cottontack/core/job/CrashBlameTest.java
+++ b/core/src/test/java/org/cottontack/core/job/CrashBlameTest.java
@@ -108,6 +108,14 @@
       assertEquals(task.crashes, 5);
     }
 
+    /** Guards against blame for a worker that is cut off and may be alive. */
+    @Test
+    public void silenceIsNoCrash() {
+      assertFalse(WorkerLoss.UNLISTED.crashed());
+      assertFalse(WorkerLoss.UNREACHABLE.crashed());
+      assertFalse(WorkerLoss.LEFT.crashed());
+    }
+
     /** Guards against blame for crashes that are as frequent without the suspect. */
     @Test
     public void weighsLessWhereWorkersAreOftenLost() {
@@ -152,6 +160,17 @@
       assertFalse(CrashBlame.proven(other));
     }
 
+    /** Guards against a next leader that fails a job although the evidence was not reviewed. */
+    @Test
+    public void notByTheNextLeaderWithoutReview() {
+      Task task = onProbation(placed("a", 2));
+      crashed(task);
+      crashed(task);
+      Task recovered = placed("a", 4);
+      recovered.blamed = CrashBlame.stored(task);
+      assertFalse(CrashBlame.proven(recovered));
+    }
+
     /** Guards against further starts of a fatal task whose runs end before they crash a worker. */
     @Test
     public void afterRunsThatEndUndoneOnceThereIsEvidence() {
