leader.work tells what each event loop does and how late starts leave

Cause: of the leader's one thread, leader.work named events, decisions and effects; the rest of 2 s was either idle or went to connections, and nothing said how long after its placement a start left. A leader that is behind could not be told from a fleet without room.

Change: effects are split into orders, saves and logs; the line has the processor time of the event loop and of the process, the number of reports and starts, and the mean and the longest time from placement to the start (leader_startDelay).

Test: LeaderTest$Work.showsHowLateStartsLeave.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -223,13 +223,16 @@
    * @param moment the present time
    * @param worker the worker to which it is sent
    * @param run the run to start
+   * @return how long ago the run was placed, in milliseconds
    */
-  public void startSent(Moment moment, WorkerIncarnation worker, RunKey run) {
+  public long startSent(Moment moment, WorkerIncarnation worker, RunKey run) {
     Task task = term.find(run.task());
-    if (task != null && task.runsAs(worker, run.run())) {
-      task.startLeft(moment.mono());
-      term.worker(worker).ifPresent(on -> on.lateLeases.startSent(run, moment.mono()));
+    if (task == null || !task.runsAs(worker, run.run())) {
+      return 0;
     }
+    task.startLeft(moment.mono());
+    term.worker(worker).ifPresent(on -> on.lateLeases.startSent(run, moment.mono()));
+    return moment.mono() - task.placedMillis;
   }
 
   /**
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -73,6 +73,11 @@
     timer("leader.late").update(millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Records how long a start order left after its run had been placed. */
+  void startDelayed(long millis) {
+    timer("leader.startDelay").update(millis, TimeUnit.MILLISECONDS);
+  }
+
   /** Counts the work of placement. */
   void placed(PlacementWork work) {
     registry.counter("placement.passes").inc(work.passes());
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobProcess.java
@@ -1,5 +1,6 @@
 package org.cottontack.daemon.job;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -52,7 +53,8 @@
     this.file = file;
     this.settings = settings;
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    timers = new LoopTimers(group.next());
+    EventLoop loop = group.next();
+    timers = new LoopTimers(loop, Map.of("loop", loop));
     HttpClient http = HttpClient.forTables(group);
     WatchedStore store =
         new WatchedStore(adapter.store(http, settings.store(), settings.rowBytes()), timers);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -175,7 +175,7 @@
       endTerm();
       return;
     }
-    scheduler.prepareEnd(timers.now()).forEach(this::run);
+    carryOut(scheduler.prepareEnd(timers.now()));
     if (scheduler.readyToEnd()) {
       endTerm();
     }
@@ -500,16 +500,21 @@
   }
 
   private void carryOut(List<JobEffect> effects) {
-    work.spent(
-        LeaderWork.Activity.EFFECTS,
-        () -> {
-          effects.forEach(this::run);
-          return effects;
+    effects.forEach(
+        effect -> {
+          metrics.effect(effect);
+          work.spend(activity(effect), () -> run(effect));
         });
   }
 
+  private static LeaderWork.Activity activity(JobEffect effect) {
+    if (effect instanceof JobEffect.SaveProgress) {
+      return LeaderWork.Activity.SAVES;
+    }
+    return effect instanceof JobEffect.Note ? LeaderWork.Activity.LOGS : LeaderWork.Activity.ORDERS;
+  }
+
   private void run(JobEffect effect) {
-    metrics.effect(effect);
     if (effect instanceof JobEffect.SaveProgress save) {
       save(save);
     } else if (effect instanceof JobEffect.StartRun start) {
@@ -557,7 +562,7 @@
   private boolean allowStart(JobEffect.StartRun start) {
     boolean may = mayStart(start);
     if (may) {
-      scheduler.startSent(timers.now(), start.target().incarnation(), start.run());
+      work.started(scheduler.startSent(timers.now(), start.target().incarnation(), start.run()));
       metrics.started(gate.ageMillis(FreshnessLimit.CANCELLATIONS));
     }
     return may;
@@ -580,7 +585,14 @@
 
   private void poll(JobEffect.LookAtWorker poll) {
     long sent = timers.now().mono();
-    workers.poll(poll, epoch, () -> !stopped, result -> post(pollEvent(poll, sent, result)));
+    workers.poll(
+        poll,
+        epoch,
+        () -> !stopped,
+        result -> {
+          work.reported();
+          post(pollEvent(poll, sent, result));
+        });
   }
 
   private JobEvent pollEvent(
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaderWork.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaderWork.java
@@ -10,8 +10,9 @@
 import org.cottontack.core.job.PlacementWork;
 
 /**
- * Measures what a leader's thread spends its time on and how far it is behind, and logs both as one
- * line every two seconds.
+ * Measures what a leader's thread spends its time on, how far it is behind and how late starts
+ * leave, and logs all of it as one line every two seconds. A line also has the processor time of
+ * each event loop and of the whole process, which includes compilation and garbage collection.
  */
 final class LeaderWork {
 
@@ -21,8 +22,12 @@
     EVENTS("eventsMillis"),
     /** Placing tasks and choosing what to save. */
     DECISIONS("decisionsMillis"),
-    /** Sending orders and saves, and writing logs. */
-    EFFECTS("effectsMillis");
+    /** Sending orders to workers and polling them. */
+    ORDERS("ordersMillis"),
+    /** Sending saves. */
+    SAVES("savesMillis"),
+    /** Writing logs. */
+    LOGS("logsMillis");
 
     private final String field;
 
@@ -37,11 +42,16 @@
   private final Timers timers;
   private final JobMetrics metrics;
   private final Map<Activity, Long> spentNanos = new EnumMap<>(Activity.class);
+  private Map<String, Long> processorNanos = Map.of();
   private PlacementWork counted = PlacementWork.NONE;
   private PlacementWork logged = PlacementWork.NONE;
   private long dueMillis;
   private long latestMillis;
   private long loggedMillis;
+  private long reports;
+  private long starts;
+  private long startDelayMillis;
+  private long longestStartDelayMillis;
 
   LeaderWork(Timers timers, JobMetrics metrics) {
     this.timers = timers;
@@ -56,6 +66,30 @@
     return result;
   }
 
+  /** Does some work, and adds the time that it takes to an activity. */
+  void spend(Activity activity, Runnable work) {
+    long began = timers.nanoTime();
+    work.run();
+    spentNanos.merge(activity, timers.nanoTime() - began, Long::sum);
+  }
+
+  /** Counts a report of a worker. */
+  void reported() {
+    reports++;
+  }
+
+  /**
+   * Records that a start leaves.
+   *
+   * @param millis how long ago its run was placed, in milliseconds
+   */
+  void started(long millis) {
+    starts++;
+    startDelayMillis += millis;
+    longestStartDelayMillis = Math.max(longestStartDelayMillis, millis);
+    metrics.startDelayed(millis);
+  }
+
   /**
    * Records a tick, and how late it is.
    *
@@ -80,16 +114,33 @@
   private void log(PlacementWork placement) {
     StringMapMessage line = new StringMapMessage().with("event", "leader.work");
     for (Activity activity : Activity.values()) {
-      line.with(
-          activity.field, TimeUnit.NANOSECONDS.toMillis(spentNanos.getOrDefault(activity, 0L)));
+      line.with(activity.field, millis(spentNanos.getOrDefault(activity, 0L)));
     }
+    Map<String, Long> processor = timers.processorNanos();
+    processor.forEach(
+        (name, nanos) ->
+            line.with(
+                name + "CpuMillis", millis(nanos - processorNanos.getOrDefault(name, nanos))));
+    processorNanos = processor;
     LOG.info(
         line.with("latestMillis", latestMillis)
+            .with("reports", reports)
+            .with("starts", starts)
+            .with("startDelayMillis", starts == 0 ? 0 : startDelayMillis / starts)
+            .with("longestStartDelayMillis", longestStartDelayMillis)
             .with("passes", placement.passes())
             .with("searches", placement.searches())
             .with("examined", placement.examined())
             .with("placed", placement.placed()));
     spentNanos.clear();
     latestMillis = 0;
+    reports = 0;
+    starts = 0;
+    startDelayMillis = 0;
+    longestStartDelayMillis = 0;
+  }
+
+  private static long millis(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
   }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
@@ -1,5 +1,6 @@
 package org.cottontack.daemon.job;
 
+import java.util.Map;
 import org.cottontack.core.Moment;
 
 /** A clock and timers; all tasks run one after the other on a single thread. */
@@ -20,4 +21,12 @@
   default long nanoTime() {
     return System.nanoTime();
   }
+
+  /**
+   * Returns the processor time that parts of this process have used since its start, in
+   * nanoseconds, by name; empty where it is not measured.
+   */
+  default Map<String, Long> processorNanos() {
+    return Map.of();
+  }
 }
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -94,6 +94,17 @@
       assertEquals(metric(simulation, "placement_placed_total"), "50");
     }
 
+    /** Guards against starts that leave late without a sign of it. */
+    @Test
+    public void showsHowLateStartsLeave() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.connectMillis = 200;
+      simulation.submit("a");
+      simulation.time.run(1_000);
+      String delay = metric(simulation, "leader_startDelay_seconds{quantile=\"0.99\"}");
+      assertTrue(Double.parseDouble(delay) >= 0.2, delay);
+    }
+
     /** Guards against a leader whose thread is behind without a sign of it. */
     @Test
     public void showsHowFarItIsBehind() {
