Starts leave between rounds of reports

What callers saw: short jobs start late on a leader that is behind.

Cause: answers to polls were handled in the order in which they arrived, on the thread that also gets the answers of the store. A start whose placement was stored waited until the reports of all workers that had answered by then were handled: a wait that grows with the fleet, and with the slowness of the host.

Change: answers to polls wait in a queue that is handled in rounds of 25. The event loop reads its connections between two rounds, so saves, answers to orders and callers are handled there. Before a term ends, all answers that have arrived are handled as before.

Test: LeaderTest$Work.startsBetweenReportsOfManyWorkers counts the reports that are handled before the start is ordered, with 50, 245 and 470 workers.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -93,12 +93,16 @@
   private JobTable table = JobTable.EMPTY;
   private Set<DataCentreId> evacuated = Set.of();
   private JobScheduler scheduler;
-  private boolean stopped;
+
+  /** Read by the loop that sends polls as well. */
+  private volatile boolean stopped;
+
   private int unreadTables;
   private boolean decisionScheduled;
   private long pauseMillis;
   private long decidedMillis;
   private final LeaderWork work;
+  private final ReportQueue reports;
   private Optional<Runnable> onEnd = Optional.empty();
   private boolean ended;
 
@@ -127,6 +131,7 @@
     this.leaseEnds = new LeaseEnds(leadership.storeClock());
     this.waitingRows = new WaitingRows(store, timers);
     this.work = new LeaderWork(timers, metrics);
+    this.reports = new ReportQueue(timers, this::handleAnswer);
   }
 
   long epoch() {
@@ -164,6 +169,7 @@
    * @param done called once that is stored, or after {@link #MAX_END_MILLIS}
    */
   void end(Runnable done) {
+    reports.handleAll();
     onEnd = Optional.of(done);
     workers.abandonPolls();
     timers.after(MAX_END_MILLIS, this::endTerm);
@@ -585,14 +591,14 @@
 
   private void poll(JobEffect.LookAtWorker poll) {
     long sent = timers.now().mono();
-    workers.poll(
-        poll,
-        epoch,
-        () -> !stopped,
-        result -> {
-          work.reported();
-          post(pollEvent(poll, sent, result));
-        });
+    workers.poll(poll, epoch, () -> !stopped, result -> reports.add(pollEvent(poll, sent, result)));
+  }
+
+  private void handleAnswer(JobEvent answer) {
+    if (answer instanceof JobEvent.WorkerReported) {
+      work.reported();
+    }
+    post(answer);
   }
 
   private JobEvent pollEvent(
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
 import org.cottontack.core.id.WorkerId;
@@ -24,7 +25,10 @@
 import org.cottontack.core.job.WorkerReport;
 import org.cottontack.core.peer.Payload;
 
-/** One instance over a fake store, with one worker whose runs never end. */
+/**
+ * One instance over a fake store, with one worker whose runs never end, and idle workers that
+ * report when the test lets them.
+ */
 final class LeaderSimulation implements WorkerRegistry, WorkerClient {
   private static final long POLL_TIMEOUT_MILLIS = 800;
 
@@ -73,14 +77,33 @@
   /** Called after a poll has been answered. */
   Runnable onAnswered = () -> {};
 
+  /** Called when a start is ordered. */
+  Runnable onStart = () -> {};
+
+  private static final WorkerId WORKER = new WorkerId("w");
+  private final int idleWorkers;
+  private final List<Runnable> heldReports = new ArrayList<>();
+
   private final List<WorkerReport.Completion> completions = new ArrayList<>();
 
   JobEntry entry;
 
   LeaderSimulation() {
+    this(0);
+  }
+
+  LeaderSimulation(int idleWorkers) {
+    this.idleWorkers = idleWorkers;
     restart();
   }
 
+  /** Lets all idle workers that were polled report at the same time. */
+  void reportTogether(long afterMillis) {
+    List<Runnable> reports = List.copyOf(heldReports);
+    heldReports.clear();
+    reports.forEach(report -> process.after(afterMillis, report));
+  }
+
   /** Kills the process of the instance and starts another. */
   void restart() {
     process.killed = true;
@@ -142,16 +165,21 @@
 
   @Override
   public void replay(Consumer<JobEvent> listener) {
-    listener.accept(
-        new JobEvent.WorkerSeen(
-            new WorkerInfo(
-                WorkerIncarnation.withUniqueIdentifier(new WorkerId("w")),
-                "pool",
-                "w:1",
-                new DataCentreId("dc"),
-                new Resources(32_000, 10_000, 0),
-                List.of(),
-                draining)));
+    listener.accept(new JobEvent.WorkerSeen(info(WORKER, new Resources(32_000, 10_000, 0))));
+    IntStream.range(0, idleWorkers)
+        .mapToObj(number -> info(new WorkerId("idle" + number), Resources.NONE))
+        .forEach(idle -> listener.accept(new JobEvent.WorkerSeen(idle)));
+  }
+
+  private WorkerInfo info(WorkerId id, Resources capacity) {
+    return new WorkerInfo(
+        WorkerIncarnation.withUniqueIdentifier(id),
+        "pool",
+        id.value() + ":1",
+        new DataCentreId("dc"),
+        capacity,
+        List.of(),
+        draining);
   }
 
   /** Lets the worker announce that it leaves. */
@@ -163,6 +191,7 @@
   @Override
   public void start(
       JobEffect.StartRun start, long epoch, BooleanSupplier allowed, Consumer<StartResult> done) {
+    onStart.run();
     process.after(connectMillis, () -> connected(start, allowed, done));
   }
 
@@ -191,6 +220,10 @@
   @Override
   public void poll(
       JobEffect.LookAtWorker poll, long epoch, BooleanSupplier allowed, Consumer<PollResult> done) {
+    if (!poll.target().incarnation().worker().equals(WORKER)) {
+      heldReports.add(() -> done.accept(answer(List.of(), List.of())));
+      return;
+    }
     if (workerLost) {
       process.after(
           POLL_TIMEOUT_MILLIS, () -> done.accept(PollResult.of(PollResult.Outcome.SILENT)));
@@ -204,21 +237,24 @@
             done.accept(PollResult.of(PollResult.Outcome.SILENT));
             return;
           }
-          long clock = process.now().mono();
           completeRuns();
           List<WorkerReport.Running> list =
               running.keySet().stream()
                   .map(run -> new WorkerReport.Running(run.task(), run.run(), "", 100, 0))
                   .toList();
-          done.accept(
-              new PollResult(
-                  PollResult.Outcome.ANSWERED,
-                  new WorkerReport(
-                      WorkerIncarnation.UNKNOWN_START_TIME, clock, list, completions)));
+          done.accept(answer(list, completions));
           onAnswered.run();
         });
   }
 
+  private PollResult answer(
+      List<WorkerReport.Running> list, List<WorkerReport.Completion> completed) {
+    return new PollResult(
+        PollResult.Outcome.ANSWERED,
+        new WorkerReport(
+            WorkerIncarnation.UNKNOWN_START_TIME, process.now().mono(), list, completed));
+  }
+
   @Override
   public void abandonPolls() {
     abandoned++;
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -94,6 +94,38 @@
       assertEquals(metric(simulation, "placement_placed_total"), "50");
     }
 
+    /** Numbers of workers, up to the size to design for. */
+    @DataProvider
+    public Object[][] fleets() {
+      return new Object[][] {{50}, {245}, {470}};
+    }
+
+    /** Guards against a start that waits until the reports of all workers are handled. */
+    @Test(dataProvider = "fleets")
+    public void startsBetweenReportsOfManyWorkers(int workers) {
+      LeaderSimulation simulation = new LeaderSimulation(workers);
+      long[] reportsBeforeStart = {-1};
+      simulation.onStart = () -> reportsBeforeStart[0] = reports(simulation);
+      simulation.store.commitBehaviour =
+          transaction -> {
+            if (transaction.writes().containsKey(JobTables.progress(new JobId("a")))) {
+              simulation.reportTogether(simulation.store.transactionMillis);
+            }
+            return FakeTableStore.CommitBehaviour.GOOD;
+          };
+      final long before = reports(simulation);
+      simulation.submit("a");
+      simulation.time.run(500);
+      assertTrue(
+          reportsBeforeStart[0] - before <= ReportQueue.ROUND_SIZE,
+          "reports before the start: " + (reportsBeforeStart[0] - before));
+      assertTrue(reports(simulation) - before >= workers);
+    }
+
+    private static long reports(LeaderSimulation simulation) {
+      return Long.parseLong(metric(simulation, "events_workerreported_total"));
+    }
+
     /** Guards against starts that leave late without a sign of it. */
     @Test
     public void showsHowLateStartsLeave() {
