Pacing estimates each effect once for a report

What callers saw: short jobs start late on a leader that is behind.

Cause: with each report of a worker, pacing sorted its best-effort tasks by what they take from the services there, and estimated that again for each comparison, for each pace and for each deduction.

Change: the effects of a task are estimated once and kept for the report.

Test: PacingTest.estimatesEachEffectOnce. With 1 service and 2 best-effort tasks, 3 and 8, 4 and 16: 6, 90 and 248 estimates before; 2, 24 and 64 since.

--- a/core/src/main/java/org/cottontack/core/job/Pacing.java
+++ b/core/src/main/java/org/cottontack/core/job/Pacing.java
@@ -124,17 +124,52 @@
         .services()
         .forEach(task -> headroom.put(task, availableHeadroom(task, nowMillis + LOOKAHEAD_MILLIS)));
     bestEffort.stream()
-        .sorted(Comparator.comparingDouble(task -> headroomPerCore(worker, task)))
+        .map(task -> Claim.of(worker, task, interference))
+        .sorted(Comparator.comparingDouble(Claim::headroomPerCore))
         .forEach(
-            task -> {
-              int pace = pace(worker, task, headroom);
+            claim -> {
+              int pace = claim.pace(headroom);
               headroom.replaceAll(
-                  (serving, left) ->
-                      left - interference.effect(worker, serving, task) * pace / Task.FULL_PACE);
-              changePace(worker, task, pace, nowMillis, orders);
+                  (serving, left) -> left - claim.effects().get(serving) * pace / Task.FULL_PACE);
+              changePace(worker, claim.task(), pace, nowMillis, orders);
             });
   }
 
+  /**
+   * What a best-effort task takes from the services on its worker at full pace, evaluated once.
+   *
+   * @param task the task
+   * @param effects headroom that it takes from each service
+   * @param headroomPerCore headroom that it takes from the worst-off service, for each core that it
+   *     asks for
+   */
+  private record Claim(Task task, Map<Task, Double> effects, double headroomPerCore) {
+
+    static Claim of(Worker worker, Task task, Interference interference) {
+      Map<Task, Double> effects = new HashMap<>();
+      worker
+          .services()
+          .forEach(serving -> effects.put(serving, interference.effect(worker, serving, task)));
+      double most = effects.values().stream().mapToDouble(effect -> effect).max().orElse(0);
+      return new Claim(task, effects, most / Math.max(1, task.spec.need().cpuMillis()));
+    }
+
+    /** Returns the pace at which the task takes no more than the headroom that is left. */
+    int pace(Map<Task, Double> headroom) {
+      double minShare =
+          headroom.entrySet().stream()
+              .mapToDouble(entry -> share(entry.getValue(), effects.get(entry.getKey())))
+              .min()
+              .orElse(1);
+      int pace = (int) (Math.min(1, minShare) * Task.FULL_PACE);
+      return pace / PACE_STEP * PACE_STEP;
+    }
+
+    private static double share(double headroom, double effect) {
+      return effect < ContentionSnapshot.NEGLIGIBLE_EFFECT ? 1 : Math.max(0, headroom) / effect;
+    }
+  }
+
   /** Returns how much of a service's headroom may be taken at a time. */
   private double availableHeadroom(Task serving, long millis) {
     if (ratio(serving) > FAR_OVER) {
@@ -144,34 +179,6 @@
         - Math.max(0, serving.headroomShortfall - PREDICTION_ERROR);
   }
 
-  /**
-   * Returns the headroom that a task takes from the worst-off service, for each core that it asks
-   * for.
-   */
-  private double headroomPerCore(Worker worker, Task bestEffort) {
-    return worker.services().stream()
-            .mapToDouble(serving -> interference.effect(worker, serving, bestEffort))
-            .max()
-            .orElse(0)
-        / Math.max(1, bestEffort.spec.need().cpuMillis());
-  }
-
-  private int pace(Worker worker, Task bestEffort, Map<Task, Double> headroom) {
-    double minShare =
-        headroom.entrySet().stream()
-            .mapToDouble(
-                entry -> {
-                  double effect = interference.effect(worker, entry.getKey(), bestEffort);
-                  return effect < ContentionSnapshot.NEGLIGIBLE_EFFECT
-                      ? 1
-                      : Math.max(0, entry.getValue()) / effect;
-                })
-            .min()
-            .orElse(1);
-    int pace = (int) (Math.min(1, minShare) * Task.FULL_PACE);
-    return pace / PACE_STEP * PACE_STEP;
-  }
-
   private static void changePace(
       Worker worker, Task task, int pace, long nowMillis, List<JobEffect> orders) {
     boolean extreme = pace == 0 || pace == Task.FULL_PACE;
@@ -206,7 +213,9 @@
         .filter(task -> !task.pinned(nowMillis))
         .filter(Pacing::losesLittle)
         .filter(task -> task.missedMillis(nowMillis) > MOVE_MILLIS + task.unsavedMillis(nowMillis))
-        .max(Comparator.comparingDouble(task -> headroomPerCore(worker, task)));
+        .map(task -> Claim.of(worker, task, interference))
+        .max(Comparator.comparingDouble(Claim::headroomPerCore))
+        .map(Claim::task);
   }
 
   private static boolean losesLittle(Task task) {
