Cheaper keys and look-ups in placement and reports

What callers saw: short jobs start late on a leader that is behind.

A step that waits was compared as a whole with each step that found no worker.

Change: incarnations, data centres and the subjects of failed searches compare and hash themselves; JobTable indexes its queues by name; steps are compared as a whole only where a label is required, as equal steps meet the other condition as well; a task without a start in flight is not pinned, at no further cost; counters of events and effects are kept by type. Decisions are the same.

--- a/core/src/main/java/org/cottontack/core/id/DataCentreId.java
+++ b/core/src/main/java/org/cottontack/core/id/DataCentreId.java
@@ -21,4 +21,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof DataCentreId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/core/src/main/java/org/cottontack/core/job/FailedSearches.java
+++ b/core/src/main/java/org/cottontack/core/job/FailedSearches.java
@@ -25,6 +25,16 @@
     static Subject of(Task task) {
       return new Subject(task.name.step(), CrashBlame.suspect(task));
     }
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Subject that && suspect == that.suspect && step.equals(that.step);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * Boolean.hashCode(suspect) + step.hashCode();
+    }
   }
 
   /**
--- a/core/src/main/java/org/cottontack/core/job/JobTable.java
+++ b/core/src/main/java/org/cottontack/core/job/JobTable.java
@@ -2,24 +2,53 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
-/**
- * The rules in force: the queues and the pools that serve them.
- *
- * @param version increases with each accepted edit
- * @param queues the queues
- * @param idlePools pools whose machines are switched off
- */
-public record JobTable(long version, List<JobQueue> queues, List<String> idlePools) {
+/** The rules in force: the queues and the pools that serve them. */
+public final class JobTable {
 
   /** The table before any rules are known. */
   public static final JobTable EMPTY = new JobTable(-1, List.of(), List.of());
 
-  /** Keeps the lists immutable. */
-  public JobTable {
-    queues = List.copyOf(queues);
-    idlePools = List.copyOf(idlePools);
+  private final long version;
+  private final List<JobQueue> queues;
+  private final List<String> idlePools;
+  private final Map<String, JobQueue> queuesByName;
+
+  /**
+   * Creates a table.
+   *
+   * @param version increases with each accepted edit
+   * @param queues the queues; of several with one name, the first one counts
+   * @param idlePools pools whose machines are switched off
+   */
+  public JobTable(long version, List<JobQueue> queues, List<String> idlePools) {
+    this.version = version;
+    this.queues = List.copyOf(queues);
+    this.idlePools = List.copyOf(idlePools);
+    this.queuesByName =
+        queues.stream()
+            .collect(
+                Collectors.toUnmodifiableMap(
+                    JobQueue::name, Function.identity(), (first, second) -> first));
+  }
+
+  /** Returns the version of the rules, which increases with each accepted edit. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the queues. */
+  public List<JobQueue> queues() {
+    return queues;
+  }
+
+  /** Returns the pools whose machines are switched off. */
+  public List<String> idlePools() {
+    return idlePools;
   }
 
   /** Returns the queue with the longest prefix that the path starts with. */
@@ -34,9 +63,6 @@
    * rules no longer have it.
    */
   public JobQueue current(JobQueue accepted) {
-    return queues.stream()
-        .filter(queue -> queue.name().equals(accepted.name()))
-        .findFirst()
-        .orElse(accepted);
+    return queuesByName.getOrDefault(accepted.name(), accepted);
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/Task.java
+++ b/core/src/main/java/org/cottontack/core/job/Task.java
@@ -423,7 +423,11 @@
 
   /** Returns whether a start in flight pins the task to one worker. */
   boolean pinned(long nowMillis) {
-    return pinnedForMillis(nowMillis).isPresent();
+    return mayHaveStartInFlight() && pinnedForMillis(nowMillis).isPresent();
+  }
+
+  private boolean mayHaveStartInFlight() {
+    return lateStart.isPresent() || pendingStart.isPresent();
   }
 
   /** Returns for how long a start in flight pins the task to one worker; empty if none does. */
@@ -444,7 +448,7 @@
    * begins another run beside it.
    */
   boolean mayStartOn(WorkerIncarnation incarnation, long nowMillis) {
-    if (lateStart.isEmpty() && pendingStart.isEmpty()) {
+    if (!mayHaveStartInFlight()) {
       return true;
     }
     // A pinned task has only one worker left. If it failed there or is a crash suspect, it would
--- a/core/src/main/java/org/cottontack/core/job/UnplaceableSteps.java
+++ b/core/src/main/java/org/cottontack/core/job/UnplaceableSteps.java
@@ -66,7 +66,17 @@
   /** Returns whether a task of the same step, restricted no more than this one, found no worker. */
   boolean coversStepOf(Task task) {
     List<Restrictions> found = restricted.getOrDefault(task.name.step(), List.of());
-    return !found.isEmpty() && found.stream().anyMatch(Restrictions.of(task)::include);
+    if (found.isEmpty()) {
+      return false;
+    }
+    // Each placement pass asks this for thousands of tasks.
+    Restrictions restrictions = Restrictions.of(task);
+    for (Restrictions other : found) {
+      if (restrictions.include(other)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns whether the search for a worker can be skipped for a step's tasks. */
@@ -76,14 +86,13 @@
   }
 
   private static boolean needsAtLeastAsMuch(StepSpec step, StepSpec other) {
-    if (step.equals(other)) {
-      return true;
+    if (!other.requiredLabel().isEmpty()) {
+      return step.equals(other);
     }
-    return other.requiredLabel().isEmpty()
+    return step.need().holds(other.need())
         && step.image().equals(other.image())
         && step.is(StepSpec.Trait.FILLS) == other.is(StepSpec.Trait.FILLS)
         && (other.is(StepSpec.Trait.LASTS) || !step.is(StepSpec.Trait.LASTS))
-        && SuppressedCompletions.restrictAtLeastAsMuch(step, other)
-        && step.need().holds(other.need());
+        && SuppressedCompletions.restrictAtLeastAsMuch(step, other);
   }
 }
--- a/core/src/main/java/org/cottontack/core/job/WorkerIncarnation.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerIncarnation.java
@@ -36,4 +36,16 @@
   public String toString() {
     return worker + "/" + startTimeMillis;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof WorkerIncarnation that
+        && startTimeMillis == that.startTimeMillis
+        && worker.equals(that.worker);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(startTimeMillis) + worker.hashCode();
+  }
 }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -1,9 +1,12 @@
 package org.cottontack.daemon.job;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cottontack.core.job.JobEffect;
@@ -20,6 +23,7 @@
 
   private final MetricRegistry registry = new MetricRegistry();
   private final Set<String> rejectedQueues = new HashSet<>();
+  private final Map<Class<?>, Counter> countersByType = new HashMap<>();
 
   /** Registers the gauges of an instance. */
   JobMetrics(JobEntry entry) {
@@ -49,7 +53,7 @@
     if (event instanceof JobEvent.StartEnded start) {
       count("starts." + start.result().name());
     }
-    count("events." + event.getClass().getSimpleName());
+    count("events.", event.getClass());
   }
 
   /**
@@ -60,7 +64,7 @@
     if (effect instanceof JobEffect.Note note) {
       count("events." + note.name());
     }
-    count("effects." + effect.getClass().getSimpleName());
+    count("effects.", effect.getClass());
   }
 
   /** Records how long a scheduling decision took. */
@@ -96,6 +100,16 @@
     timer("leader.save").update(millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Counts an event or effect by its type; there are thousands a second. */
+  private void count(String prefix, Class<?> type) {
+    Counter counter = countersByType.get(type);
+    if (counter == null) {
+      counter = registry.counter((prefix + type.getSimpleName()).toLowerCase(Locale.ROOT));
+      countersByType.put(type, counter);
+    }
+    counter.inc();
+  }
+
   private Timer timer(String name) {
     return registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()));
   }
