--- a/core/src/test/java/org/cottontack/core/job/PacingTest.java
+++ b/core/src/test/java/org/cottontack/core/job/PacingTest.java
@@ -53,24 +53,28 @@
     }
   }
 
-  /** Numbers of services and of best-effort tasks on a worker. */
-  @DataProvider
-  public Object[][] workers() {
-    return new Object[][] {{1, 2}, {3, 8}, {4, 16}};
-  }
+  /** What a report costs. */
+  public static class Cost {
+
+    /** Numbers of services and of best-effort tasks on a worker. */
+    @DataProvider
+    public Object[][] workers() {
+      return new Object[][] {{1, 2}, {3, 8}, {4, 16}};
+    }
 
-  /** Guards against a report that costs more than each pair on its worker once. */
-  @Test(dataProvider = "workers")
-  public void estimatesEachEffectOnce(int services, int bestEffort) {
-    Task[] tasks =
-        Stream.concat(
-                IntStream.range(0, services)
-                    .mapToObj(n -> TestWorker.serving("s" + n, "serving" + n)),
-                IntStream.range(0, bestEffort)
-                    .mapToObj(n -> TestWorker.bestEffort("f" + n, "image" + n)))
-            .toArray(Task[]::new);
-    CountingInterference interference = new CountingInterference();
-    new Pacing(interference).adjust(TestWorker.with(tasks), 1_000);
-    assertEquals(interference.effects, services * bestEffort);
+    /** Guards against a report that costs more than each pair on its worker once. */
+    @Test(dataProvider = "workers")
+    public void estimatesEachEffectOnce(int services, int bestEffort) {
+      Task[] tasks =
+          Stream.concat(
+                  IntStream.range(0, services)
+                      .mapToObj(n -> TestWorker.serving("s" + n, "serving" + n)),
+                  IntStream.range(0, bestEffort)
+                      .mapToObj(n -> TestWorker.bestEffort("f" + n, "image" + n)))
+              .toArray(Task[]::new);
+      CountingInterference interference = new CountingInterference();
+      new Pacing(interference).adjust(TestWorker.with(tasks), 1_000);
+      assertEquals(interference.effects, services * bestEffort);
+    }
   }
 }
