--- a/daemon/src/main/java/org/cottontack/daemon/job/BusyTime.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/BusyTime.java
@@ -50,12 +50,12 @@
     }
 
     @Override
-    public int run(IoHandlerContext of) {
+    public int run(IoHandlerContext loopContext) {
       if (hasRun) {
         nanos.add(System.nanoTime() - lastRunEndNanos);
       }
       hasRun = true;
-      context.of = of;
+      context.delegate = loopContext;
       int handled = handler.run(context);
       lastRunEndNanos = System.nanoTime();
       return handled;
@@ -95,21 +95,21 @@
   /** Adds the time that a run spends on connections; the rest of a run is spent waiting. */
   private final class MeasuringContext implements IoHandlerContext {
 
-    private IoHandlerContext of;
+    private IoHandlerContext delegate;
 
     @Override
     public boolean canBlock() {
-      return of.canBlock();
+      return delegate.canBlock();
     }
 
     @Override
     public long delayNanos(long currentTimeNanos) {
-      return of.delayNanos(currentTimeNanos);
+      return delegate.delayNanos(currentTimeNanos);
     }
 
     @Override
     public long deadlineNanos() {
-      return of.deadlineNanos();
+      return delegate.deadlineNanos();
     }
 
     @Override
@@ -120,8 +120,8 @@
     @Override
     public void reportActiveIoTime(long activeNanos) {
       nanos.add(activeNanos);
-      if (of.shouldReportActiveIoTime()) {
-        of.reportActiveIoTime(activeNanos);
+      if (delegate.shouldReportActiveIoTime()) {
+        delegate.reportActiveIoTime(activeNanos);
       }
     }
   }
--- a/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobMetrics.java
@@ -100,6 +100,14 @@
     timer("leader.save").update(millis, TimeUnit.MILLISECONDS);
   }
 
+  private Timer timer(String name) {
+    return registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()));
+  }
+
+  private void count(String name) {
+    registry.counter(name.toLowerCase(Locale.ROOT)).inc();
+  }
+
   /** Counts an event or effect by its type; there are thousands a second. */
   private void count(String prefix, Class<?> type) {
     Counter counter = countersByType.get(type);
@@ -110,14 +118,6 @@
     counter.inc();
   }
 
-  private Timer timer(String name) {
-    return registry.timer(name, () -> new Timer(new HdrHistogramResetOnSnapshotReservoir()));
-  }
-
-  private void count(String name) {
-    registry.counter(name.toLowerCase(Locale.ROOT)).inc();
-  }
-
   /** Returns all metrics as text, one sample per line. */
   public String text() {
     return MetricsText.of(registry);
