Polls that waited through a pause are given up

What callers saw: nothing yet; found by reading the change.

Whether a poll may be sent was asked again before it left, but only whether the term had ended. A poll that waited for its connection, or since for the loop that sends polls, while the process was suspended left seconds later than it was counted from, and could acknowledge completions of a later incarnation after nobody expected it any more. A loop of their own makes it likelier that polls wait.

Change: a poll that has waited for longer than a leader's lease lasts, by the steady clock or by the time of day, is not sent, and counts as unanswered. Waiting for a connection takes 1 s at most and is not affected.

Test: LeaderTest$Polling.givesPollsUpThatWaitedThroughPause, where the steady clock stops and where it goes on: a poll left 4,000 ms after it was decided before; none does since.

--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -24,6 +24,7 @@
 import org.cottontack.core.job.JobSpec;
 import org.cottontack.core.job.JobTable;
 import org.cottontack.core.job.JobTiming;
+import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.job.ProgressRowId;
 import org.cottontack.core.job.ProgressText;
 import org.cottontack.core.job.StoredProgress;
@@ -590,8 +591,21 @@
   }
 
   private void poll(JobEffect.LookAtWorker poll) {
-    long sent = timers.now().mono();
-    workers.poll(poll, epoch, () -> !stopped, result -> reports.add(pollEvent(poll, sent, result)));
+    Moment decided = timers.now();
+    workers.poll(
+        poll,
+        epoch,
+        () -> maySendPoll(decided),
+        result -> reports.add(pollEvent(poll, decided.mono(), result)));
+  }
+
+  /**
+   * Returns whether a poll may still be sent. Until when it may be carried out late counts from its
+   * decision, so one that waited for longer than a leader's lease, as through a pause of the
+   * process, is given up. Called on the loop that sends polls.
+   */
+  private boolean maySendPoll(Moment decided) {
+    return !stopped && timers.now().longestSince(decided) < LeaderLease.LEASE_MILLIS;
   }
 
   private void handleAnswer(JobEvent answer) {
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -56,6 +56,17 @@
   /** How long a start order waits for its connection, in milliseconds. */
   long connectMillis;
 
+  /** How long a poll waits for its connection, in milliseconds. */
+  long pollConnectMillis;
+
+  /** Called when a poll begins to wait for its connection. */
+  Runnable onPoll = () -> {};
+
+  /** The longest time from the decision of a poll until it was sent, in milliseconds. */
+  long longestPollDelayMillis;
+
+  int pollsSent;
+
   /** Whether the worker answers no more polls. */
   boolean workerLost;
 
@@ -224,6 +235,26 @@
       heldReports.add(() -> done.accept(answer(List.of(), List.of())));
       return;
     }
+    long decided = time.now();
+    if (pollConnectMillis == 0) {
+      sendPoll(poll, done, decided);
+      return;
+    }
+    onPoll.run();
+    process.after(
+        pollConnectMillis,
+        () -> {
+          if (allowed.getAsBoolean()) {
+            sendPoll(poll, done, decided);
+          } else {
+            done.accept(PollResult.of(PollResult.Outcome.SILENT));
+          }
+        });
+  }
+
+  private void sendPoll(JobEffect.LookAtWorker poll, Consumer<PollResult> done, long decided) {
+    pollsSent++;
+    longestPollDelayMillis = Math.max(longestPollDelayMillis, time.now() - decided);
     if (workerLost) {
       process.after(
           POLL_TIMEOUT_MILLIS, () -> done.accept(PollResult.of(PollResult.Outcome.SILENT)));
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderTest.java
@@ -12,6 +12,7 @@
 import org.cottontack.core.job.JobId;
 import org.cottontack.core.job.JobPhase;
 import org.cottontack.core.job.JobSpec;
+import org.cottontack.core.job.LeaderLease;
 import org.cottontack.core.job.StoredProgress;
 import org.cottontack.core.peer.Payload;
 import org.cottontack.wire.JobCodec;
@@ -53,6 +54,45 @@
     }
   }
 
+  /** Polls of workers. */
+  public static class Polling {
+
+    /** Clocks that stop while the process is suspended, or go on. */
+    @DataProvider
+    public Object[][] clocks() {
+      return new Object[][] {{true}, {false}};
+    }
+
+    /** Guards against acknowledgements that leave so late that nobody expects them any more. */
+    @Test(dataProvider = "clocks")
+    public void givesPollsUpThatWaitedThroughPause(boolean clockStops) {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.submit("a");
+      simulation.time.run(1_000);
+      simulation.pollConnectMillis = 20;
+      simulation.onPoll =
+          () -> {
+            simulation.onPoll = () -> {};
+            simulation.process.pause(4_000, clockStops);
+          };
+      simulation.time.run(10_000);
+      assertTrue(simulation.pollsSent > 0);
+      assertTrue(
+          simulation.longestPollDelayMillis <= LeaderLease.LEASE_MILLIS,
+          "delay " + simulation.longestPollDelayMillis);
+    }
+
+    /** Guards against polls that are given up although they waited only for a connection. */
+    @Test
+    public void sendsPollsThatWaitedForTheirConnection() {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.pollConnectMillis = 1_000;
+      simulation.submit("a");
+      simulation.time.run(10_000);
+      assertTrue(simulation.pollsSent >= 4, "polls " + simulation.pollsSent);
+    }
+  }
+
   /** What a leader says about its own work. */
   public static class Work {
 
