How late a start leaves is a question of its own

Cause: startSent recorded a departure and returned a duration as well, for which its lines on late leases were moved; LeaderWork measured time in two places.

Measured: nothing; the metric and its test are the same.

--- a/core/src/main/java/org/cottontack/core/job/JobScheduler.java
+++ b/core/src/main/java/org/cottontack/core/job/JobScheduler.java
@@ -223,16 +223,21 @@
    * @param moment the present time
    * @param worker the worker to which it is sent
    * @param run the run to start
-   * @return how long ago the run was placed, in milliseconds
    */
-  public long startSent(Moment moment, WorkerIncarnation worker, RunKey run) {
+  public void startSent(Moment moment, WorkerIncarnation worker, RunKey run) {
     Task task = term.find(run.task());
-    if (task == null || !task.runsAs(worker, run.run())) {
-      return 0;
+    if (task != null && task.runsAs(worker, run.run())) {
+      task.startLeft(moment.mono());
+      term.worker(worker).ifPresent(on -> on.lateLeases.startSent(run, moment.mono()));
     }
-    task.startLeft(moment.mono());
-    term.worker(worker).ifPresent(on -> on.lateLeases.startSent(run, moment.mono()));
-    return moment.mono() - task.placedMillis;
+  }
+
+  /** Returns for how long a run has been placed, in milliseconds; 0 if it is not any more. */
+  public long placedForMillis(Moment moment, WorkerIncarnation worker, RunKey run) {
+    return Optional.ofNullable(term.find(run.task()))
+        .filter(task -> task.runsAs(worker, run.run()))
+        .map(task -> moment.mono() - task.placedMillis)
+        .orElse(0L);
   }
 
   /**
--- a/core/src/test/java/org/cottontack/core/job/PlacementBenchmark.java
+++ b/core/src/test/java/org/cottontack/core/job/PlacementBenchmark.java
@@ -39,7 +39,7 @@
     IntStream.range(0, jobCount).forEach(this::addJob);
   }
 
-  /** Runs the benchmark; it takes no arguments. */
+  /** Prints the times; takes no arguments. */
   public static void main(String[] args) {
     long reference = median(WORKERS, JOBS, REPORTS);
     print(WORKERS, JOBS, REPORTS, reference, reference);
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -569,7 +569,10 @@
   private boolean allowStart(JobEffect.StartRun start) {
     boolean may = mayStart(start);
     if (may) {
-      work.started(scheduler.startSent(timers.now(), start.target().incarnation(), start.run()));
+      Moment now = timers.now();
+      WorkerIncarnation worker = start.target().incarnation();
+      scheduler.startSent(now, worker, start.run());
+      work.started(scheduler.placedForMillis(now, worker, start.run()));
       metrics.started(gate.ageMillis(FreshnessLimit.CANCELLATIONS));
     }
     return may;
--- a/daemon/src/main/java/org/cottontack/daemon/job/LeaderWork.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/LeaderWork.java
@@ -69,9 +69,12 @@
 
   /** Does some work, and adds the time that it takes to an activity. */
   void spend(Activity activity, Runnable work) {
-    long began = timers.nanoTime();
-    work.run();
-    spentNanos.merge(activity, timers.nanoTime() - began, Long::sum);
+    spent(
+        activity,
+        () -> {
+          work.run();
+          return activity;
+        });
   }
 
   /** Counts a report of a worker. */
--- a/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Timers.java
@@ -23,8 +23,8 @@
   }
 
   /**
-   * Returns the times that the event loops of this process and the process itself have spent so
-   * far, in nanoseconds, by name; empty where they are not measured.
+   * Returns for how long the event loops of this process and the process itself have been busy, in
+   * nanoseconds, by name. None by default.
    */
   default Map<String, Long> spentNanos() {
     return Map.of();
