--- a/review/common-2/Runner.java
+++ b/review/common-2/Runner.java
@@ -180,6 +180,7 @@
     int number = (int) Json.number(body, "run");
     if (unhealthy) {
       Rec.log(id + " refuses " + task + " run " + number + " with 503");
+      Starts.refuse(task);
       return new Web.Reply(503, "");
     }
     lapse();
--- a/review/common-2/Starts.java
+++ b/review/common-2/Starts.java
@@ -13,8 +13,19 @@
   private static final List<Start> STARTS = new ArrayList<>();
   private static final List<Done> ENDS = new ArrayList<>();
 
+  private static final List<String> REFUSED = new ArrayList<>();
+
   private Starts() {}
 
+  static synchronized void refuse(String task) {
+    REFUSED.add(task);
+  }
+
+  /** Returns whether a runner has refused a start of a job. */
+  static synchronized boolean refused(String job) {
+    return REFUSED.stream().anyMatch(task -> task.startsWith(job));
+  }
+
   static synchronized void started(String task, int run, String runner) {
     STARTS.add(new Start(task, run, runner, Rec.millis()));
   }
