--- a/review/4/Starved.java
+++ b/review/4/source/Starved.java
@@ -52,12 +52,12 @@
       leader.kill();
       Thread.sleep(3_300);
       rack.forEach(Runner::expire);
-      Thread.sleep(200);
       leader.start();
-      Thread.sleep(900);
+      Thread.sleep(700);
       for (Runner runner : rack) {
         runner.start();
       }
+      Rec.log("the rack is back");
     }
     Thread.sleep(4_000);
     List<String> jobs = new ArrayList<>();
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -d target/review-2 review/common-2/*.java review/[4-7]/*.java
+javac -d target/review-2 review/common-2/*.java review/[4-7]/source/*.java
--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -1,3 +1,4 @@
+import java.io.File;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** A small deployment: the store, runners, entry processes, and the calls of clients. */
 final class Deployment implements AutoCloseable {
@@ -208,8 +210,14 @@
     return String.format("%016x", 0x5c0e7a2100000000L + number);
   }
 
+  /** Ends all processes and removes the temporary folder. */
   @Override
   public void close() {
     entries.forEach(Entry::close);
+    File[] files = folder.toFile().listFiles();
+    if (files != null) {
+      Stream.of(files).forEach(File::delete);
+    }
+    folder.toFile().delete();
   }
 }
--- a/review/common-2/Entry.java
+++ b/review/common-2/Entry.java
@@ -98,9 +98,11 @@
     return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
   }
 
+  /** Kills the process and waits until it has ended. */
   void close() {
     if (process != null) {
       process.destroyForcibly();
+      process.onExit().completeOnTimeout(process, 2, TimeUnit.SECONDS).join();
     }
   }
 
