Short tasks can show that a worker lists completions

Cause: a worker that restarts soon after a change of leaders may have been told to drop its first completions. Until it lists one, the leader starts only runs that end by a lease of 200 ms, and only of tasks expected to take 400 ms. Where only shorter tasks wait, no run begins, so none ends, so the state never ends.

Change: the lease of such a run is half of the expected duration, 25 to 200 ms. A worker with such a run answers polls after 200 ms, as a dropped completion ends no longer wait.

Why it holds: every task can bring about the event that ends the state, or time does. The assumption that a run is not done in half of its expected duration is the one that was made before.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -115,8 +115,8 @@
    */
   private long startDeadline(Worker worker, Task task) {
     if (task.shortLease) {
-      return Math.min(
-          term.now.mono() + SuppressedCompletions.SHORT_LEASE_MILLIS, term.startDeadlineMillis);
+      long lease = SuppressedCompletions.shortLeaseMillis(task.spec);
+      return Math.min(term.now.mono() + lease, term.startDeadlineMillis);
     }
     long lease = startLeaseEnd(worker);
     boolean leaseConfirmed =
@@ -422,6 +422,10 @@
     if (hasNewSuspect(worker)) {
       return PROBATION_POLL_WAIT_MILLIS;
     }
+    if (worker.hasShortLeaseRun()) {
+      // A suppressed completion ends no poll that waits for one.
+      return SuppressedCompletions.SHORT_LEASE_MILLIS;
+    }
     if (worker.rating.suspect()) {
       return SUSPECT_POLL_WAIT_MILLIS;
     }
--- a/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
+++ b/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
@@ -1,5 +1,7 @@
 package org.cottontack.core.job;
 
+import java.util.stream.Stream;
+
 /**
  * Completions that one incarnation of a worker may never list. A worker drops completions up to the
  * number that an acknowledgement names. An acknowledgement without an answer may reach the next
@@ -14,6 +16,10 @@
  * time. The lease that the start of a short-lease run brings is its only one, so the run ends by
  * itself before it can be done. This needs no later order, so it also works when stops are lost or
  * the leader is.
+ *
+ * <p>The end of any short-lease run can be that first completion, so tasks of any duration may have
+ * one: its lease is a part of the expected duration. Tasks for which such a lease would be too
+ * short to begin at all wait for longer ones, but not for long, because there may be none.
  */
 final class SuppressedCompletions {
 
@@ -21,16 +27,65 @@
   static final long ANY = Long.MAX_VALUE;
 
   /**
-   * Lease of a short-lease run, in milliseconds. A run is assumed not to be done within this time
-   * after its start.
+   * Longest lease of a short-lease run, in milliseconds. A run is assumed not to be done within its
+   * lease.
    */
   static final long SHORT_LEASE_MILLIS = 200;
 
-  /** Minimum expected duration of a task that may get a short-lease run, in milliseconds. */
-  private static final long MIN_ESTIMATE_MILLIS = 2 * SHORT_LEASE_MILLIS;
+  /** Shortest lease of a short-lease run, in milliseconds: a start takes some of it to arrive. */
+  private static final long MIN_LEASE_MILLIS = 25;
+
+  /** Ratio of the expected duration of a task to the lease of a short-lease run. */
+  private static final int DURATION_PER_LEASE = 2;
+
+  /** How a short-lease run of a task ends before it can be done. */
+  private enum ShortRun {
+    /** By its lease, or by a stop that its leader sends at once. */
+    BY_LEASE_OR_STOP(DURATION_PER_LEASE * SHORT_LEASE_MILLIS) {
+      @Override
+      boolean mayBegin(boolean onlyLease) {
+        return true;
+      }
+    },
+    /** By its lease only: a stop may come too late. */
+    BY_LEASE(DURATION_PER_LEASE * MIN_LEASE_MILLIS) {
+      @Override
+      boolean mayBegin(boolean onlyLease) {
+        return onlyLease;
+      }
+    },
+    /** By neither for certain. */
+    IN_DOUBT(0) {
+      @Override
+      boolean mayBegin(boolean onlyLease) {
+        return false;
+      }
+    };
+
+    private final long minDurationMillis;
+
+    ShortRun(long minDurationMillis) {
+      this.minDurationMillis = minDurationMillis;
+    }
+
+    /**
+     * Returns whether such a run is certain to end before it can be done.
+     *
+     * @param onlyLease whether the lease of its start is the only one on its worker
+     */
+    abstract boolean mayBegin(boolean onlyLease);
+
+    static ShortRun of(StepSpec spec) {
+      return Stream.of(values())
+          .filter(run -> spec.estimateMillis() >= run.minDurationMillis)
+          .findFirst()
+          .orElse(IN_DOUBT);
+    }
+  }
 
   private long suppressed;
   private long leasedUntilMillis;
+  private long awaitsLongTasksUntilMillis;
 
   /**
    * Returns the suppressed completions of an incarnation that is known from the previous leader.
@@ -54,6 +109,14 @@
     leasedUntilMillis = Math.max(leasedUntilMillis, millis);
   }
 
+  /**
+   * Records until when, on our clock, only runs begin that are certain to end before they can be
+   * done. If none of them has shown a completion by then, no such task may be there.
+   */
+  void awaitLongTasksUntil(long millis) {
+    awaitsLongTasksUntilMillis = Math.max(awaitsLongTasksUntilMillis, millis);
+  }
+
   /** Returns whether every run that ends from now on will be listed. */
   boolean none() {
     return suppressed == 0;
@@ -74,9 +137,14 @@
    * @param shortLeaseAllowed whether a short-lease run may begin: either nothing else is there and
    *     no lease that this leader gave is in force, or a service is there, whose end cannot be
    *     waited for
+   * @param besideService whether a service is there, whose leases the run would share
    */
   boolean admits(
-      StepSpec spec, boolean hasShortLeaseRun, boolean shortLeaseAllowed, long nowMillis) {
+      StepSpec spec,
+      boolean hasShortLeaseRun,
+      boolean shortLeaseAllowed,
+      boolean besideService,
+      long nowMillis) {
     if (none()) {
       return true;
     }
@@ -84,7 +152,14 @@
       return !hasShortLeaseRun;
     }
     boolean leased = !shortLeaseAllowed || nowMillis < leasedUntilMillis;
-    return !leased && spec.estimateMillis() >= MIN_ESTIMATE_MILLIS;
+    return !leased
+        && (nowMillis >= awaitsLongTasksUntilMillis || ShortRun.of(spec).mayBegin(!besideService));
+  }
+
+  /** Returns the lease of a short-lease run of a task, in milliseconds. */
+  static long shortLeaseMillis(StepSpec spec) {
+    long part = spec.estimateMillis() / DURATION_PER_LEASE;
+    return Math.max(MIN_LEASE_MILLIS, Math.min(SHORT_LEASE_MILLIS, part));
   }
 
   /**
@@ -115,9 +190,7 @@
    */
   static boolean restrictAtLeastAsMuch(StepSpec step, StepSpec other) {
     return !mustNotRepeat(other)
-        || (mustNotRepeat(step)
-            && (step.estimateMillis() < MIN_ESTIMATE_MILLIS
-                || other.estimateMillis() >= MIN_ESTIMATE_MILLIS));
+        || (mustNotRepeat(step) && ShortRun.of(step).compareTo(ShortRun.of(other)) >= 0);
   }
 
   /** Returns whether a task must not run again after it was done. */
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -252,7 +252,17 @@
     // as long as it runs there.
     boolean besideService = renewsLeases() && !hasShortLeaseRun;
     return suppressedCompletions.admits(
-        spec, hasShortLeaseRun, besideService || (placed.isEmpty() && !leased), nowMillis);
+        spec,
+        hasShortLeaseRun,
+        besideService || (placed.isEmpty() && !leased),
+        besideService,
+        nowMillis);
+  }
+
+  /** Returns whether a short-lease run is here. */
+  boolean hasShortLeaseRun() {
+    return !suppressedCompletions.none()
+        && placed.values().stream().anyMatch(task -> task.shortLease);
   }
 
   /** Returns whether the runs on this worker are to continue when their leases end. */
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -140,6 +140,7 @@
         || suppressedUpTo == SuppressedCompletions.ANY) {
       worker.suppressedCompletions.leasedUntil(leaseEnd);
     }
+    worker.suppressedCompletions.awaitLongTasksUntil(term.now.mono() + LateStart.LATEST_MILLIS);
     if (!worker.suppressedCompletions.none()) {
       term.incarnationsUnsaved = true;
       term.logEvent("worker.hidesEnds", worker.incarnation(), "");
