Suspects of ended jobs no longer count as waiting to start

Cause: a suspect whose start waits for its turn keeps the order RESEND when its job ends, and ProbationStarts told by that order alone what still waits. From ten such tasks on the gap between starts of suspects shrinks for the rest of the term, so that their crashes look like the loss of a rack.

Change: only placed tasks wait. ProbationStartsTest failed before (a start 1 ms early beside 29 ended suspects) and passes.

--- a/core/src/main/java/org/cottontack/core/job/ProbationStarts.java
+++ b/core/src/main/java/org/cottontack/core/job/ProbationStarts.java
@@ -20,11 +20,17 @@
 
   /** Returns whether the start of a suspect may be sent now; it waits for its turn otherwise. */
   boolean mayStart(Task task, long nowMillis) {
-    waiting.removeIf(other -> other.order != Task.Order.RESEND || !CrashBlame.suspect(other));
+    waiting.removeIf(other -> !waits(other));
     waiting.add(task);
     return nowMillis - sentMillis >= Math.min(MAX_GAP_MILLIS, SPREAD_MILLIS / waiting.size());
   }
 
+  private static boolean waits(Task task) {
+    return task.phase == Task.Phase.PLACED
+        && task.order == Task.Order.RESEND
+        && CrashBlame.suspect(task);
+  }
+
   /** Records that the start of a suspect is sent. */
   void sent(Task task, long nowMillis) {
     waiting.remove(task);
