Occurrences of a large schedule are opened as their tasks can start

Cause: Job.advance created all due occurrences in one call on the event loop, and each decision passed over all of them, with a search and a record of its failure for each. Ended occurrences stayed until the job's end. Limits on rows, bodies and decisions count the tasks of one occurrence.

Change: due occurrences are counted. Of a job with more than 1,000 tasks over all occurrences they are opened in order while fewer than 200 tasks are ready and wait, and dropped once they have ended; an occurrence that was opened and is not open is done. A late run of a dropped task counts with what its step reserves, not with its whole worker.

Why it holds: memory, rows and decisions depend on what runs or may start next. Tasks that run do not count, so a schedule still takes all free places.

--- a/core/src/main/java/org/cottontack/core/job/FailedSearches.java
+++ b/core/src/main/java/org/cottontack/core/job/FailedSearches.java
@@ -58,6 +58,11 @@
     failures.put(Subject.of(task), failure);
   }
 
+  /** Forgets the searches for tasks of an occurrence. */
+  void remove(int occurrence) {
+    failures.keySet().removeIf(subject -> subject.step().occurrence() == occurrence);
+  }
+
   /**
    * Returns the last failed search for a task like this one, if it says something about the next
    * one.
--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -1,14 +1,33 @@
 package org.cottontack.core.job;
 
-import java.util.ArrayList;
-import java.util.BitSet;
+import java.util.Collection;
 import java.util.List;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
-/** The progress of a job; confined to {@link JobScheduler}. */
+/**
+ * The progress of a job; confined to {@link JobScheduler}.
+ *
+ * <p>The occurrences of a schedule are opened in their order as they become due. Those of a large
+ * schedule are opened only while few tasks are ready and wait, and are dropped once they have
+ * ended, so what a job costs its leader depends on the tasks that run or may start next and not on
+ * how many occurrences are due or done.
+ */
 final class Job {
 
+  /** Number of tasks up to which all occurrences of a job are kept, whether due or done. */
+  private static final long MAX_TASKS_KEPT = 1_000;
+
+  /**
+   * Number of ready tasks of a large schedule from which no further occurrence is opened: more than
+   * a leader starts between two ticks.
+   */
+  static final int MAX_READY = 200;
+
+  /** Number of tasks in the open occurrences of a large schedule, unless a single one has more. */
+  static final int MAX_OPEN_TASKS = 20_000;
+
   /** One repetition of a job. */
   static final class Occurrence {
     final int number;
@@ -29,6 +48,14 @@
           .toList();
     }
 
+    boolean done() {
+      return tasks().allMatch(task -> task.phase == Task.Phase.DONE);
+    }
+
+    Stream<Task> tasks() {
+      return steps.stream().flatMap(List::stream);
+    }
+
     boolean done(int step) {
       return steps.get(step).stream().allMatch(task -> task.phase == Task.Phase.DONE);
     }
@@ -44,7 +71,15 @@
   /** Ignored starts of all jobs of the leader. */
   final IgnoredStarts ignoredStarts;
 
-  final List<Occurrence> occurrences = new ArrayList<>();
+  /** The occurrences that were opened and are kept; of a large schedule those not ended. */
+  private final TreeMap<Integer, Occurrence> open = new TreeMap<>();
+
+  /** Number of occurrences that were opened; those of them that are not open are done. */
+  private int opened;
+
+  /** Number of occurrences that were due when this was last advanced. */
+  private int due;
+
   JobPhase phase = JobPhase.QUEUED;
 
   /**
@@ -77,18 +112,70 @@
     this.ignoredStarts = ignoredStarts;
   }
 
-  /** Creates the occurrences that have become due, and returns whether there were any. */
+  /** Returns whether the job has too many tasks to keep all its occurrences. */
+  private boolean large() {
+    return spec.allTasks() > MAX_TASKS_KEPT;
+  }
+
+  /** Opens occurrences that are due, and returns whether there were any to open. */
   boolean advance(long wallMillis) {
-    int before = occurrences.size();
-    while (occurrences.size() < spec.schedule().occurrences()
-        && spec.schedule().dueMillis(occurrences.size()) <= wallMillis) {
-      occurrences.add(new Occurrence(this, occurrences.size()));
+    due = Math.max(opened, spec.schedule().due(wallMillis));
+    if (large()) {
+      dropDone();
+    }
+    int before = opened;
+    openUpTo(before + (large() ? Math.min(due - before, room()) : due - before));
+    return opened > before;
+  }
+
+  private void dropDone() {
+    List<Integer> done =
+        open.values().stream().filter(Occurrence::done).map(ended -> ended.number).toList();
+    done.forEach(open::remove);
+    done.forEach(failedSearches::remove);
+  }
+
+  /** Returns how many occurrences of a large schedule may be opened now. */
+  private int room() {
+    long ready = ready().limit(MAX_READY).count();
+    long readyOfEach =
+        spec.steps().stream()
+            .filter(step -> step.after().isEmpty())
+            .mapToLong(StepSpec::count)
+            .sum();
+    long byReady = divideUp(MAX_READY - ready, readyOfEach);
+    long byTasks = Math.max(open.isEmpty() ? 1 : 0, MAX_OPEN_TASKS / spec.tasks() - open.size());
+    return (int) Math.max(0, Math.min(byReady, byTasks));
+  }
+
+  private void openUpTo(int count) {
+    for (; opened < count; opened++) {
+      open.put(opened, new Occurrence(this, opened));
     }
-    return occurrences.size() > before;
+  }
+
+  /** Returns the occurrences that are kept, in their order. */
+  Collection<Occurrence> open() {
+    return open.values();
+  }
+
+  /** Returns the number of tasks in the occurrences that were opened, those that ended included. */
+  long openedTasks() {
+    return opened * spec.tasks();
+  }
+
+  /** Returns the number of occurrences that were due when last looked at and are not opened. */
+  int waitingOccurrences() {
+    return Math.max(0, due - opened);
+  }
+
+  /** Returns whether some occurrences were dropped. */
+  boolean hasDropped() {
+    return open.size() < opened;
   }
 
   Stream<Task> tasks() {
-    return occurrences.stream().flatMap(o -> o.steps.stream()).flatMap(List::stream);
+    return open.values().stream().flatMap(Occurrence::tasks);
   }
 
   /** Returns the phase and the number of placed runs, for a log line. */
@@ -97,52 +184,69 @@
     return phase + " placed=" + placed;
   }
 
+  /**
+   * Returns a task of an occurrence that is open or, as in stored progress, to be opened.
+   *
+   * @throws IllegalArgumentException if the occurrence has ended
+   */
   Task task(TaskName name) {
-    while (occurrences.size() <= name.step().occurrence()) {
-      occurrences.add(new Occurrence(this, occurrences.size()));
+    int occurrence = name.step().occurrence();
+    openUpTo(occurrence + 1);
+    if (!open.containsKey(occurrence)) {
+      throw new IllegalArgumentException("the occurrence of " + name + " has ended");
     }
-    return occurrences
-        .get(name.step().occurrence())
-        .steps
-        .get(name.step().step())
-        .get(name.index());
-  }
-
-  /** Records which tasks are done, counted over all steps and occurrences. */
-  void done(BitSet tasks) {
-    long last = Math.min((tasks.length() - 1) / spec.tasks(), spec.schedule().occurrences() - 1);
-    while (!tasks.isEmpty() && occurrences.size() <= last) {
-      occurrences.add(new Occurrence(this, occurrences.size()));
+    return open.get(occurrence).steps.get(name.step().step()).get(name.index());
+  }
+
+  /**
+   * Restores tasks that are done. Ranges of them are restored in their order.
+   *
+   * @param first the first task, counted over all steps and occurrences
+   * @param last the last one
+   */
+  void restoreDone(long first, long last) {
+    long perOccurrence = spec.tasks();
+    long end = Math.min(last + 1, spec.allTasks());
+    int firstWhole = divideUp(first, perOccurrence);
+    int endWhole = (int) (end / perOccurrence);
+    if (large() && firstWhole < endWhole && opened < endWhole) {
+      openUpTo(firstWhole);
+      opened = endWhole;
     }
-    int[] number = {0};
-    tasks()
-        .forEach(
-            task -> {
-              if (tasks.get(number[0])) {
-                task.recordDone();
-              }
-              number[0]++;
-            });
+    openUpTo(divideUp(end, perOccurrence));
+    open.tailMap((int) (first / perOccurrence)).values().stream()
+        .takeWhile(occurrence -> occurrence.number * perOccurrence < end)
+        .forEach(occurrence -> restoreDone(occurrence, first, end));
+  }
+
+  private static int divideUp(long number, long divisor) {
+    return (int) ((number + divisor - 1) / divisor);
+  }
+
+  private void restoreDone(Occurrence occurrence, long first, long end) {
+    long number = occurrence.number * spec.tasks();
+    occurrence
+        .tasks()
+        .skip(Math.max(0, first - number))
+        .limit(end - Math.max(first, number))
+        .forEach(Task::recordDone);
   }
 
   /** Returns the other tasks of a task's step. */
   Stream<Task> siblings(Task task) {
     StepId step = task.name.step();
-    return occurrences.get(step.occurrence()).steps.get(step.step()).stream()
+    return open.get(step.occurrence()).steps.get(step.step()).stream()
         .filter(other -> other != task);
   }
 
+  /** Returns whether a task is in an open occurrence. */
   boolean has(TaskName name) {
-    int occurrence = name.step().occurrence();
-    int step = name.step().step();
-    return occurrence < spec.schedule().occurrences()
-        && step < spec.steps().size()
-        && name.index() < spec.steps().get(step).count();
+    return open.containsKey(name.step().occurrence()) && spec.has(name);
   }
 
   /** Returns the waiting tasks whose preceding steps are done. */
   Stream<Task> ready() {
-    return occurrences.stream()
+    return open.values().stream()
         .flatMap(
             o ->
                 IntStream.range(0, o.steps.size())
@@ -153,8 +257,8 @@
   }
 
   boolean finished() {
-    return occurrences.size() == spec.schedule().occurrences()
-        && tasks().allMatch(task -> task.phase == Task.Phase.DONE);
+    return opened == spec.schedule().occurrences()
+        && open.values().stream().allMatch(Occurrence::done);
   }
 
   boolean onWorkers() {
--- a/core/src/main/java/org/cottontack/core/job/JobSpec.java
+++ b/core/src/main/java/org/cottontack/core/job/JobSpec.java
@@ -1,5 +1,6 @@
 package org.cottontack.core.job;
 
+import java.math.BigInteger;
 import java.util.List;
 
 /**
@@ -36,6 +37,24 @@
       return Math.max(1, repeats);
     }
 
+    /** Returns how many occurrences are due at a time, in milliseconds since 1970. */
+    public int due(long millis) {
+      if (!hasStartTime()) {
+        return 1;
+      }
+      if (millis < firstMillis) {
+        return 0;
+      }
+      BigInteger sinceFirst = BigInteger.valueOf(millis).subtract(BigInteger.valueOf(firstMillis));
+      return intervalMillis <= 0
+          ? repeats
+          : sinceFirst
+              .divide(BigInteger.valueOf(intervalMillis))
+              .add(BigInteger.ONE)
+              .min(BigInteger.valueOf(repeats))
+              .intValue();
+    }
+
     /**
      * Returns when an occurrence is due, in milliseconds since 1970; 0 when it is due immediately.
      */
@@ -54,6 +73,17 @@
     return steps.stream().mapToLong(StepSpec::count).sum();
   }
 
+  /** Returns the number of tasks of all occurrences. */
+  public long allTasks() {
+    return tasks() * schedule.occurrences();
+  }
+
+  /** Returns whether the job has a task, in an occurrence of any number. */
+  boolean has(TaskName name) {
+    int step = name.step().step();
+    return step < steps.size() && name.index() < steps.get(step).count();
+  }
+
   /** Returns whether some step runs until the job is cancelled. */
   public boolean isLongRunning() {
     return steps.stream().anyMatch(step -> step.is(StepSpec.Trait.LASTS));
--- a/core/src/main/java/org/cottontack/core/job/ProgressRows.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressRows.java
@@ -82,8 +82,8 @@
   /** Returns the rows to write so that the store has the present progress. */
   Change change(Job from, StoreLimits limits) {
     // Further rows become one again only once the job has ended: a job that runs would go back and
-    // forth.
-    if (stored.isEmpty() || from.phase.terminal()) {
+    // forth. Tasks of dropped occurrences are ranges, which only further rows have.
+    if ((stored.isEmpty() && !from.hasDropped()) || from.phase.terminal()) {
       String text = ProgressText.write(from);
       if (ProgressText.bytes(text) <= Math.min(MAIN_BYTES, limits.contentBytes())) {
         return new Change(text, List.of(), Map.of(ProgressRowId.main(job), text));
@@ -155,13 +155,24 @@
       String line = isStored && !done ? ProgressText.line(added) : "";
       ProgressText.PartBuilder row = row(line.length());
       if (done) {
-        row.addDone(task);
+        row.addDone(task, task);
       } else if (isStored) {
         row.add(line);
       }
       task++;
     }
 
+    /** Adds all tasks before a number that were not added: those of dropped occurrences. */
+    void addDoneBefore(long number) {
+      if (task < number) {
+        row(0).addDone(task, number - 1);
+        task = number;
+        while (next.filter(part -> part.first() < number).isPresent()) {
+          next = nextStored();
+        }
+      }
+    }
+
     /** Returns the row for the next task, whose line has the given length. */
     private ProgressText.PartBuilder row(int length) {
       Optional<Part> begins = next.filter(part -> task >= part.first());
@@ -192,7 +203,13 @@
 
   private List<Part> divide(Job from, int partBytes) {
     Division division = new Division(partBytes);
-    from.tasks().forEach(division::add);
+    from.open()
+        .forEach(
+            occurrence -> {
+              division.addDoneBefore(occurrence.number * from.spec.tasks());
+              occurrence.tasks().forEach(division::add);
+            });
+    division.addDoneBefore(from.openedTasks());
     return division.parts();
   }
 
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -4,7 +4,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.BitSet;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -29,8 +29,8 @@
   /** Bytes that a character takes at most when it is escaped. */
   private static final int MAX_ESCAPED_BYTES = 9;
 
-  /** Tasks of all occurrences of a job whose ranges are read: far more than a leader can hold. */
-  private static final long MAX_TASKS = 100_000_000;
+  /** Tasks of all occurrences of a job whose ranges are read: far more than a fleet can run. */
+  private static final long MAX_TASKS = 1L << 33;
 
   private static final String PARTS = "parts ";
   private static final String FIRST = "from ";
@@ -193,13 +193,13 @@
       return first;
     }
 
-    /** Adds a task that is done. */
-    void addDone(long number) {
-      if (doneFrom < 0 || doneTo != number - 1) {
+    /** Adds tasks that are done. */
+    void addDone(long from, long to) {
+      if (doneFrom < 0 || doneTo != from - 1) {
         endRange();
-        doneFrom = number;
+        doneFrom = from;
       }
-      doneTo = number;
+      doneTo = to;
     }
 
     /** Adds the line of a task. */
@@ -359,9 +359,9 @@
   static void restore(Job job, StoredProgress progress) {
     job.phase = phase(progress.main());
     if (listedParts(progress.main()).findAny().isPresent()) {
-      BitSet done = new BitSet();
-      doneTasks(progress).forEach(range -> done.set((int) range.first(), (int) range.last() + 1));
-      job.done(done);
+      doneTasks(progress)
+          .sorted(Comparator.comparingLong(DoneTasks::first))
+          .forEach(range -> job.restoreDone(range.first(), range.last()));
     }
     lines(progress).forEach(line -> restore(job, line));
     job.rows.restore(progress);
--- a/core/src/main/java/org/cottontack/core/job/Urgency.java
+++ b/core/src/main/java/org/cottontack/core/job/Urgency.java
@@ -161,10 +161,13 @@
 
   /** Returns the work of a job that is not done, in thousandths of a core times milliseconds. */
   double remainingWork(Job job) {
-    return job.occurrences.stream()
-        .flatMap(occurrence -> occurrence.steps.stream())
-        .mapToDouble(step -> remainingWork(job.spec.queue(), step))
-        .sum();
+    double open =
+        job.open().stream()
+            .flatMap(occurrence -> occurrence.steps.stream())
+            .mapToDouble(step -> remainingWork(job.spec.queue(), step))
+            .sum();
+    int waiting = job.waitingOccurrences();
+    return waiting == 0 ? open : open + waiting * work(job.spec);
   }
 
   private double remainingWork(JobQueue queue, List<Task> step) {
@@ -193,7 +196,7 @@
    * milliseconds.
    */
   private long remainingMillis(Job job) {
-    return job.occurrences.stream()
+    return job.open().stream()
         .mapToLong(
             occurrence -> criticalPath(job.spec, step -> remainingMillis(job, occurrence, step)))
         .max()
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -229,8 +229,7 @@
     if (task == null || !task.runsAs(worker.incarnation(), running.run())) {
       // A run that is no longer needed still uses the worker, and could complete beside the current
       // run.
-      boolean first =
-          worker.addOrphan(key, task == null ? worker.info.capacity() : task.spec.reserved());
+      boolean first = worker.addOrphan(key, reserved(worker, running.task()));
       if (first && task != null && task.job.phase == JobPhase.CANCELLED) {
         term.logEvent("run.cancelled", key, worker.info.id() + " not tracked");
       }
@@ -264,6 +263,15 @@
     return key;
   }
 
+  /** Returns what a run that is not in force may use; all of its worker if its job is unknown. */
+  private Resources reserved(Worker worker, TaskName name) {
+    return Optional.ofNullable(term.jobs.get(name.job()))
+        .map(job -> job.spec)
+        .filter(spec -> spec.has(name))
+        .map(spec -> spec.steps().get(name.step().step()).reserved())
+        .orElse(worker.info.capacity());
+  }
+
   /**
    * Returns whether a checkpoint fits into a row of the store. The task keeps its last one if not.
    */
--- a/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
@@ -102,6 +102,30 @@
       }
     }
 
+    /** Guards against occurrences that run again, or never, once earlier ones were dropped. */
+    @Test
+    public void haveOpenOccurrencesOfLargeSchedules() {
+      Random random = new Random(11);
+      Rows rows = new Rows(3_000, 2, 1);
+      for (int i = 0; i < 300; i++) {
+        for (Task task : rows.tasks()) {
+          if (task.phase == Task.Phase.WAITING && random.nextInt(10) == 0) {
+            rows.place(task);
+          } else if (task.phase == Task.Phase.PLACED && random.nextInt(4) == 0) {
+            rows.end(task);
+          }
+        }
+        rows.job.advance(0);
+        rows.save();
+        Job restored = rows.restored();
+        restored.advance(0);
+        assertEquals(phases(restored), phases(rows.job));
+        assertEquals(restored.openedTasks(), rows.job.openedTasks());
+        assertTrue(rows.stored.largest() <= ProgressRows.MAIN_BYTES);
+      }
+      assertTrue(rows.job.openedTasks() > 3_000);
+    }
+
     /** Guards against the first task, or the last, that is missing in a range of done tasks. */
     @Test
     public void haveTheEndsOfEachRange() {
