--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -37,18 +37,18 @@
       this.number = number;
       this.steps =
           IntStream.range(0, job.spec.steps().size())
-              .mapToObj(step -> tasks(job, new StepId(job.spec.id(), number, step)))
+              .mapToObj(step -> create(job, new StepId(job.spec.id(), number, step)))
               .toList();
     }
 
-    private static List<Task> tasks(Job job, StepId id) {
+    private static List<Task> create(Job job, StepId id) {
       StepSpec step = job.spec.steps().get(id.step());
       return IntStream.range(0, step.count())
           .mapToObj(index -> new Task(job, new TaskName(id, index), step))
           .toList();
     }
 
-    boolean done() {
+    boolean ended() {
       return tasks().allMatch(task -> task.phase == Task.Phase.DONE);
     }
 
@@ -130,7 +130,7 @@
 
   private void dropDone() {
     List<Integer> done =
-        open.values().stream().filter(Occurrence::done).map(ended -> ended.number).toList();
+        open.values().stream().filter(Occurrence::ended).map(ended -> ended.number).toList();
     done.forEach(open::remove);
     done.forEach(failedSearches::remove);
   }
@@ -216,14 +216,14 @@
     openUpTo(divideUp(end, perOccurrence));
     open.tailMap((int) (first / perOccurrence)).values().stream()
         .takeWhile(occurrence -> occurrence.number * perOccurrence < end)
-        .forEach(occurrence -> restoreDone(occurrence, first, end));
+        .forEach(occurrence -> recordDone(occurrence, first, end));
   }
 
   private static int divideUp(long number, long divisor) {
     return (int) ((number + divisor - 1) / divisor);
   }
 
-  private void restoreDone(Occurrence occurrence, long first, long end) {
+  private void recordDone(Occurrence occurrence, long first, long end) {
     long number = occurrence.number * spec.tasks();
     occurrence
         .tasks()
@@ -258,7 +258,7 @@
 
   boolean finished() {
     return opened == spec.schedule().occurrences()
-        && open.values().stream().allMatch(Occurrence::done);
+        && open.values().stream().allMatch(Occurrence::ended);
   }
 
   boolean onWorkers() {
