--- a/daemon/src/test/java/org/cottontack/daemon/job/OffloadedPollsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/OffloadedPollsTest.java
@@ -98,7 +98,7 @@
   public void sendsStartsWhileReportsAreRead() {
     final long began = time.now();
     pollAll(result -> {});
-    JobEffect.StartRun start = new JobEffect.StartRun(target(0), run(0), "payload", 0, "");
+    JobEffect.StartRun start = new JobEffect.StartRun(target(0), run(0), "payload", 0, "", 0);
     // The answers have arrived by the time when the start is due.
     Runnable order = () -> workers.start(start, 1, () -> true, result -> {});
     leaderLoop.after(ANSWER_MILLIS, () -> leaderLoop.after(1, order));
