Late acknowledgements are shown to arrive, and stops are lost, in the tests of short tasks

With stops that arrive, a run of 100 ms under a lease of 200 ms was stopped before it was done, so the cases did not show that its lease alone ends it.

--- a/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
@@ -142,8 +142,13 @@
       simulation.delay = effect -> 0;
       simulation.run(delay - 20 - BACK_BEFORE_MILLIS - RESTART_MILLIS);
       simulation.crash(simulation.workers.values().iterator().next());
+      simulation.run(RESTART_MILLIS + 2 * BACK_BEFORE_MILLIS);
+      assertTrue(
+          simulation.workers.values().iterator().next().lastAcknowledgedCompletion() >= dropped);
+      // Only their leases end the runs in time.
+      simulation.lost = JobEffect.StopRun.class::isInstance;
       changeLeaders(simulation, changes);
-      simulation.run(RESTART_MILLIS + 1_500);
+      simulation.run(1_500);
       final List<JobSpec> after = submit(simulation, "after", 3, 2, millis);
       simulation.run(Fleet.MAX_LEASE_MILLIS + 500L * dropped + JOB_MILLIS);
       assertComplete(simulation, Stream.concat(before.stream(), after.stream()).toList());
