The mark of stray leases differs from that of duplicate starts

Both were stored with the same mark.

Change: a stray lease is stored as +0 before the start time, a possible duplicate as + as before. Earlier versions read the first as the second.

--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -40,11 +40,17 @@
   private static final int MAX_FIELDS = FIELDS + CRASH_FIELDS + 1;
 
   /**
-   * Precedes the start time of the worker's incarnation where duplicate starts are possible, or
-   * leases of orders that were meant for an earlier incarnation. Earlier versions skip it.
+   * Precedes the start time of the worker's incarnation where duplicate starts are possible.
+   * Earlier versions skip it.
    */
   private static final String DUPLICATE_POSSIBLE = "+";
 
+  /**
+   * Precedes it where a stray lease is possible. Earlier versions read it as {@link
+   * #DUPLICATE_POSSIBLE} and a leading zero.
+   */
+  private static final String STRAY_LEASE_POSSIBLE = DUPLICATE_POSSIBLE + "0";
+
   private ProgressText() {}
 
   /**
@@ -62,7 +68,8 @@
       int blamed,
       Optional<WorkerIncarnation> worker,
       String checkpoint,
-      boolean duplicatePossible) {
+      boolean duplicatePossible,
+      boolean strayLeasePossible) {
 
     static Line of(Task task) {
       StepId step = task.name.step();
@@ -77,7 +84,8 @@
           CrashBlame.stored(task),
           worker(task),
           task.phase == Task.Phase.DONE ? "" : task.checkpoint,
-          task.duplicateStartPossible || task.strayLeasePossible);
+          task.duplicateStartPossible,
+          task.strayLeasePossible);
     }
 
     /**
@@ -118,7 +126,8 @@
               .filter(name -> !name.equals(NO_WORKER))
               .map(name -> new WorkerIncarnation(new WorkerId(name), startTimeMillis)),
           URLDecoder.decode(fields[7], StandardCharsets.UTF_8),
-          hasStartTime && fields[fields.length - 1].startsWith(DUPLICATE_POSSIBLE));
+          hasStartTime && fields[fields.length - 1].startsWith(DUPLICATE_POSSIBLE),
+          hasStartTime && fields[fields.length - 1].startsWith(STRAY_LEASE_POSSIBLE));
     }
 
     @Override
@@ -142,7 +151,14 @@
               .orElse(WorkerIncarnation.UNKNOWN_START_TIME);
       return startTimeMillis == WorkerIncarnation.UNKNOWN_START_TIME
           ? withCrashes
-          : withCrashes + " " + (duplicatePossible ? DUPLICATE_POSSIBLE : "") + startTimeMillis;
+          : withCrashes + " " + startTimePrefix() + startTimeMillis;
+    }
+
+    private String startTimePrefix() {
+      if (strayLeasePossible) {
+        return STRAY_LEASE_POSSIBLE;
+      }
+      return duplicatePossible ? DUPLICATE_POSSIBLE : "";
     }
   }
 
@@ -379,7 +395,7 @@
     task.worker = line.worker().orElse(null);
     task.checkpoint = line.checkpoint();
     task.duplicateStartPossible = line.duplicatePossible();
-    task.strayLeasePossible = line.duplicatePossible();
+    task.strayLeasePossible = line.strayLeasePossible();
     task.order = Task.Order.CONFIRMED;
     task.pace = task.spec.is(StepSpec.Trait.FILLS) ? Task.INHERITED_PACE : Task.FULL_PACE;
   }
