A test of starts that are answered by an incarnation nobody sees

The safeguard answers-of-other-lives-are-told could be taken out unnoticed: in the other cases polls are answered as well.

--- a/core/src/test/java/org/cottontack/core/job/OrdersToFormerIncarnationsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/OrdersToFormerIncarnationsTest.java
@@ -118,6 +118,44 @@
     }
   }
 
+  /** Workers whose next incarnation is known by nothing but its answers to starts. */
+  public static class UnseenIncarnation {
+
+    /** How long polls stay unanswered, in milliseconds: longer than the simulation. */
+    private static final long NEVER_MILLIS = 600_000;
+
+    /** When a worker crashes, and how long after its restart it is cut off, in milliseconds. */
+    @DataProvider
+    public Object[][] crashes() {
+      return LongStream.iterate(0, crash -> crash <= 400, crash -> crash + 50)
+          .boxed()
+          .flatMap(
+              crash -> LongStream.of(20, 60, 120, 200).mapToObj(cut -> new Object[] {crash, cut}))
+          .toArray(Object[][]::new);
+    }
+
+    /** Guards against a start that counts as answered by the incarnation it was meant for. */
+    @Test(dataProvider = "crashes")
+    public void startsNoTaskTwice(long crash, long cut) {
+      kinds()
+          .forEach(
+              traits -> {
+                JobSimulation simulation = fleet(0);
+                simulation.listsCrashedWorkers = true;
+                List<JobSpec> jobs = new ArrayList<>();
+                runSubmitting(simulation, jobs, crash, traits);
+                simulation.delay =
+                    order -> order instanceof JobEffect.LookAtWorker ? NEVER_MILLIS : 0;
+                simulation.crash(simulation.workers.get(FIRST));
+                runSubmitting(simulation, jobs, simulation.restartMillis + cut, traits);
+                simulation.delay = order -> 0;
+                simulation.restartedUnlisted = true;
+                cutOff(simulation);
+                runCut(simulation);
+              });
+    }
+  }
+
   /** Workers that are cut off while the leader changes. */
   public static class NextLeader {
 
