--- a/review/standins-3/Kit.java
+++ b/review/standins-3/Kit.java
@@ -383,28 +383,32 @@
     }
   }
 
-  /** Writes a config with one service and queues; each queue has its name as the prefix. */
+  /**
+   * Writes a config. Each queue has its name as the prefix, and the service that follows a colon in
+   * place of the given one.
+   */
   void config(long version, String service, String... queues) {
     ObjectNode config = JSON.createObjectNode().put("version", version);
     ArrayNode routes = config.putArray("routes");
     int priority = 0;
+    ArrayNode services = config.putArray("services");
+    services.addObject().put("name", service).put("enforces_capacity", false);
     for (String queue : queues) {
+      String[] names = queue.split(":");
+      if (names.length > 1) {
+        services.addObject().put("name", names[1]).put("enforces_capacity", false);
+      }
       routes
           .addObject()
-          .put("name", queue)
+          .put("name", names[0])
           .put("host", "jobs.example")
-          .put("prefix", "/" + queue + "/")
-          .put("service", service)
+          .put("prefix", "/" + names[0] + "/")
+          .put("service", names.length > 1 ? names[1] : service)
           .put("timeout_ms", 3000)
           .put("priority", priority++)
           .put("max_attempts", 3)
           .put("stretch", 2);
     }
-    config
-        .putArray("services")
-        .addObject()
-        .put("name", service)
-        .put("enforces_capacity", false);
     config.putObject("limits");
     store.put("op", "config", config);
   }
