--- a/review/standins-3/Kit.java
+++ b/review/standins-3/Kit.java
@@ -568,7 +568,7 @@
     private final HttpServer server;
     private final ObjectNode entry;
     private final long born = System.currentTimeMillis();
-    private final long startMillis = millis() - 5_000;
+    private final long startMillis = millis();
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Integer> closedRuns = new HashMap<>();
     private final List<End> ends = new ArrayList<>();
@@ -577,6 +577,7 @@
     private long token;
     private long lease;
     private int seq;
+    private volatile boolean dead;
     volatile WorkerTrouble trouble = (path, body) -> Treat.NORMAL;
     volatile WorkerListener listener = (event, task, run) -> {};
 
@@ -604,7 +605,7 @@
 
     private void work() {
       long beat = 0;
-      while (!closed) {
+      while (!closed && !dead) {
         if (millis() >= beat) {
           beat = millis() + 1_100;
           store.put("servers", id, entry.put("seq", seq++));
@@ -614,6 +615,19 @@
       }
     }
 
+    /** Ends this life with all its runs; nobody is told. */
+    void crash() {
+      dead = true;
+      log(id + " crashes with " + running.size() + " runs");
+      server.stop(0);
+    }
+
+    /** Carries an order out that was sent to an earlier life and got no answer. */
+    void carryOutLate(String path, JsonNode body) {
+      int status = order(path, body, JSON.createObjectNode());
+      log(id + " carries out late " + path + " " + body + ": " + status);
+    }
+
     private synchronized void tick() {
       long now = clock();
       List.copyOf(running.keySet()).stream()
@@ -630,7 +644,8 @@
       endCount++;
       ends.add(new End(endCount, task, run.number(), how));
       listener.event(how, task, run.number());
-      log(id + " run " + task + "#" + run.number() + " ended " + how);
+      log(id + " run " + task + "#" + run.number() + " ended " + how + " as " + endCount);
+      forgetNoted();
       notifyAll();
     }
 
@@ -639,7 +654,7 @@
       switch (trouble.treat(path, body)) {
         case SILENT -> {
           log(id + " leaves " + path + " unanswered " + brief(body));
-          await(30_000, () -> closed);
+          await(30_000, () -> closed || dead);
           call.close();
         }
         case UNHEALTHY -> {
@@ -722,23 +737,26 @@
       return 200;
     }
 
+    private void forgetNoted() {
+      ends.stream()
+          .filter(end -> end.number() <= acked)
+          .forEach(
+              end -> {
+                log(
+                    "%s end %s#%d %s is taken note of, token %d"
+                        .formatted(id, end.task(), end.run(), end.how(), token));
+                listener.event("noted " + end.how(), end.task(), end.run());
+              });
+      ends.removeIf(end -> end.number() <= acked);
+    }
+
     private int hold(JsonNode body, ObjectNode response) {
       if (body.has("deadline_ms")) {
         extend(body);
       }
       long cursor = body.path("ack_cursor").asLong();
-      if (cursor > acked) {
-        acked = cursor;
-        ends.stream()
-            .filter(end -> end.number() <= cursor)
-            .forEach(
-                end -> {
-                  log(id + " end " + end.task() + "#" + end.run() + " " + end.how()
-                      + " is taken note of, token " + token);
-                  listener.event("noted " + end.how(), end.task(), end.run());
-                });
-        ends.removeIf(end -> end.number() <= cursor);
-      }
+      acked = Math.max(acked, cursor);
+      forgetNoted();
       long until = millis() + body.path("wait_ms").asLong();
       while (ends.isEmpty() && millis() < until && !closed) {
         try {
