--- a/review/standins-3/StaleTasks.java
+++ b/review/standins-3/StaleTasks.java
@@ -9,6 +9,7 @@
 
 /** Tasks whose end was taken note of start again after a change of leader. */
 final class StaleTasks {
+  private static final int ROUNDS = 4;
   private static final int TIMES = 8;
   private static final int WIDTH = 36;
   private static final long TASK_MILLIS = 8_000;
@@ -95,27 +96,37 @@
     if (!kit.startNodes(3)) {
       return kit.notRun("the processes did not become ready");
     }
-    ObjectNode job = kit.JSON.createObjectNode().put("spec", Long.toString(TASK_MILLIS));
+    for (int round = 0; round < ROUNDS && twice.isEmpty(); round++) {
+      begun.set(0);
+      if (!playRound(kit, "/q/5c0e7a21d94b36f" + round, begun)) {
+        return kit.notRun("not all tasks have begun: " + begun.get());
+      }
+    }
+    kit.log("begun " + begun + ", lapsed " + lapsed + ", started again " + twice);
+    return kit.verdict(
+        !twice.isEmpty(), twice.size() + " tasks started after their end had been taken note of");
+  }
+
+  private static boolean playRound(Kit kit, String path, AtomicInteger begun) {
+    ObjectNode job = Kit.JSON.createObjectNode().put("spec", Long.toString(TASK_MILLIS));
     ArrayNode steps = job.putArray("steps");
     steps.addObject().put("count", WIDTH).put("cpu", 2_500).put("mem_mb", 1_000)
         .put("estimate_ms", TASK_MILLIS);
     job.put("first_run_ms", System.currentTimeMillis()).put("interval_ms", 50);
     job.put("repeat_count", TIMES);
-    String path = "/q/5c0e7a21d94b36f8";
     if (kit.call(kit.nodes.get(0), "POST", path, job.toString()).status() != 200
-        || !Kit.await(4_000, () -> begun.get() == TIMES * WIDTH)) {
-      return kit.notRun("not all tasks have begun: " + begun.get());
+        || !Kit.await(4_000, () -> begun.get() >= TIMES * WIDTH)) {
+      return false;
     }
     Kit.sleep(TASK_MILLIS - 1_000);
-    Kit.Node leader = kit.leaderNode();
     if (kit.trouble) {
+      Kit.Node leader = kit.leaderNode();
       kit.log("store: slow, and turns away " + leader.name);
       kit.store.trouble = new Trouble(kit, leader, 4_500);
     }
     Kit.sleep(14_000);
+    kit.store.trouble = (node, call, exchange, body) -> true;
     kit.call(kit.nodes.get(1), "GET", path, "");
-    kit.log("begun " + begun + ", lapsed " + lapsed + ", started again " + twice);
-    return kit.verdict(
-        !twice.isEmpty(), twice.size() + " tasks started after their end had been taken note of");
+    return true;
   }
 }
