Takeover: claim the progress rows before they are read

Cause: ProgressStore read the tables progress and progressTasks in parallel and claimed the fence row at the version that came with the first. A save of the former leader between the two reads is in that version, so the claim succeeded with old rows of tasks. Pages of a long scan had the same fault.

Takeovers .knowEverySaveThatIsStored fails there in 2 of 4 cases: rows of tasks that are older than their main row, and rows that are missing because the job is new. Both fail at the first moment that is tried; main rows that are older than their rows of tasks did not occur, as the fence row came with the main rows.

Change: the takeover reads the rows that belong to no job, which fit one page, claims the fence row at that version, and reads everything else afterwards. Facts in force are written again with the claim, so they outlast leaders that end before they have read. A fence row that is no longer ours at the end of the read ends the term.

Why it holds: after the claim only newer leaders write these rows, so the moments of the reads do not matter. A former leader that goes on acknowledging does so after a stored save, which precedes the claim and so the reads.

Ruled out: claiming after the reads at a version read first is as safe, but begins again with each save for as long as all progress takes to read.

In virtual time, with a store 60 times slower and saves without a pause, the takeover ends within two attempts after the last save.

--- a/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/JobTables.java
@@ -34,17 +34,17 @@
   /** The single partition of the progress table. */
   static final String PROGRESS_PART = "progress";
 
-  /**
-   * The fence row: each write of progress requires it to be unchanged. Its key cannot be a job's
-   * identifier.
-   */
-  static final RowKey FENCE = new RowKey(PROGRESS, PROGRESS_PART, "!fence");
+  /** The start of the keys of progress rows that belong to no job; no job's identifier has it. */
+  static final String SHARED_PREFIX = "!";
+
+  /** The fence row: each write of progress requires it to be unchanged. */
+  static final RowKey FENCE = new RowKey(PROGRESS, PROGRESS_PART, SHARED_PREFIX + "fence");
 
   /** Data learned by leaders about images and queues, written together with progress. */
-  static final RowKey LEARNED = new RowKey(PROGRESS, PROGRESS_PART, "!learned");
+  static final RowKey LEARNED = new RowKey(PROGRESS, PROGRESS_PART, SHARED_PREFIX + "learned");
 
   /** The ends of leases of unreachable workers, written by the leader. */
-  static final RowKey LEASE_ENDS = new RowKey(PROGRESS, PROGRESS_PART, "!leaseEnds");
+  static final RowKey LEASE_ENDS = new RowKey(PROGRESS, PROGRESS_PART, SHARED_PREFIX + "leaseEnds");
 
   /**
    * Number of partitions of accepted jobs: enough for a burst of submissions while the store is
--- a/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/ProgressStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -38,6 +39,10 @@
   /** Pause after a call that failed, in milliseconds. */
   private static final long PAUSE_MILLIS = 100;
 
+  /** The rows of {@link JobTables#PROGRESS} that belong to no job. */
+  private static final Set<RowKey> SHARED =
+      Set.of(JobTables.FENCE, JobTables.LEARNED, JobTables.LEASE_ENDS);
+
   /**
    * The progress that a new leader reads.
    *
@@ -79,92 +84,124 @@
     stopped = true;
   }
 
-  /** Reads all progress and prevents earlier leaders from writing more. */
+  /**
+   * Prevents earlier leaders from writing more, and then reads all progress. Each page of each
+   * table is read at a moment of its own, so only rows that no other leader changes any more fit
+   * together.
+   */
   void takeOver(Consumer<Found> done) {
     if (stopped) {
       return;
     }
-    new Reading(done).start();
+    store.scan(
+        JobTables.PROGRESS,
+        JobTables.PROGRESS_PART,
+        JobTables.SHARED_PREFIX,
+        scan -> {
+          if (scan.answered()) {
+            claim(scan.rows(), done);
+          } else {
+            timers.after(PAUSE_MILLIS, () -> takeOver(done));
+          }
+        });
   }
 
-  /** The reading of both tables. If one is not answered, the takeover begins anew. */
+  /**
+   * Writes the fence row, and the facts that are in force as those of this leader: they outlast any
+   * number of leaders that end before they have read them. From then on writes of earlier leaders
+   * conflict.
+   *
+   * @param shared the rows that belong to no job, as of one moment
+   */
+  private void claim(List<Row> shared, Consumer<Found> done) {
+    Optional<Row> fenceRow = row(shared, JobTables.FENCE);
+    long lastEpoch = fenceRow.map(ProgressStore::epochOf).orElse(0L);
+    if (lastEpoch > epoch) {
+      onDeposed.accept("a newer leader has taken over");
+      return;
+    }
+    RecoveryFacts facts =
+        row(shared, JobTables.LEASE_ENDS)
+            .map(row -> facts(LeaseEndsText.parse(row.text()), lastEpoch))
+            .orElse(RecoveryFacts.NONE);
+    Map<RowKey, Payload> writes = new HashMap<>();
+    writes.put(JobTables.FENCE, Payload.of(fence()));
+    if (!facts.isEmpty()) {
+      writes.put(JobTables.LEASE_ENDS, content(facts));
+    }
+    Map<RowKey, Long> expected = Map.of(JobTables.FENCE, fenceRow.map(Row::version).orElse(0L));
+    store.commit(
+        new Transaction(expected, writes, List.of()),
+        MAX_TIMEOUT_MILLIS,
+        result -> {
+          switch (result.outcome()) {
+            case DONE -> {
+              fenceVersion = result.version();
+              new Reading(facts, done).start();
+            }
+            // An earlier leader goes on saving, or an attempt without an answer was carried out.
+            case CONFLICT -> takeOver(done);
+            default -> timers.after(PAUSE_MILLIS, () -> takeOver(done));
+          }
+        });
+  }
+
+  private static Optional<Row> row(List<Row> rows, RowKey at) {
+    return rows.stream().filter(row -> row.at().equals(at)).findFirst();
+  }
+
+  /** The reading of both tables after the claim. If one is not answered, it begins anew. */
   private final class Reading {
 
+    private final RecoveryFacts facts;
     private final Consumer<Found> done;
     private final Map<String, List<Row>> tables = new HashMap<>();
     private boolean failed;
 
-    Reading(Consumer<Found> done) {
+    Reading(RecoveryFacts facts, Consumer<Found> done) {
+      this.facts = facts;
       this.done = done;
     }
 
     void start() {
-      Stream.of(JobTables.PROGRESS, JobTables.PROGRESS_TASKS)
-          .forEach(
-              table ->
-                  store.scan(table, JobTables.PROGRESS_PART, "", scan -> answered(table, scan)));
+      if (!stopped) {
+        Stream.of(JobTables.PROGRESS, JobTables.PROGRESS_TASKS)
+            .forEach(
+                table ->
+                    store.scan(table, JobTables.PROGRESS_PART, "", scan -> answered(table, scan)));
+      }
     }
 
     private void answered(String table, TableStore.Scan scan) {
-      if (failed) {
+      if (failed || stopped) {
         return;
       }
       if (!scan.answered()) {
         failed = true;
-        timers.after(PAUSE_MILLIS, () -> takeOver(done));
+        timers.after(PAUSE_MILLIS, () -> new Reading(facts, done).start());
         return;
       }
       tables.put(table, scan.rows());
       List<Row> rows = tables.get(JobTables.PROGRESS);
       List<Row> tasks = tables.get(JobTables.PROGRESS_TASKS);
-      if (rows != null && tasks != null) {
-        claim(rows, tasks, done);
+      if (rows == null || tasks == null) {
+        return;
+      }
+      if (row(rows, JobTables.FENCE).filter(row -> row.version() == fenceVersion).isPresent()) {
+        done.accept(found(rows, tasks, facts));
+      } else {
+        onDeposed.accept("a newer leader has taken over");
       }
     }
   }
 
-  /**
-   * Writes the fence row. Each write of an earlier leader changes that row. So if the row is
-   * unchanged the progress read before is complete, and from now on writes of earlier leaders
-   * conflict.
-   */
-  private void claim(List<Row> rows, List<Row> tasks, Consumer<Found> done) {
-    Optional<Row> fenceRow =
-        rows.stream().filter(row -> row.at().equals(JobTables.FENCE)).findFirst();
-    if (fenceRow.map(ProgressStore::epochOf).orElse(0L) > epoch) {
-      onDeposed.accept("a newer leader has taken over");
-      return;
-    }
-    Found found = found(rows, tasks, fenceRow.map(ProgressStore::epochOf).orElse(0L));
-    Map<RowKey, Payload> writes = new HashMap<>();
-    writes.put(JobTables.FENCE, Payload.of(fence()));
-    if (!found.facts().isEmpty()) {
-      writes.put(JobTables.LEASE_ENDS, row(found.facts()));
-    }
-    Map<RowKey, Long> expected = Map.of(JobTables.FENCE, fenceRow.map(Row::version).orElse(0L));
-    store.commit(
-        new Transaction(expected, writes, List.of()),
-        MAX_TIMEOUT_MILLIS,
-        result -> {
-          if (result.outcome() == CommitResult.Outcome.DONE) {
-            fenceVersion = result.version();
-            done.accept(found);
-          } else {
-            timers.after(PAUSE_MILLIS, () -> takeOver(done));
-          }
-        });
-  }
-
-  private static Found found(List<Row> rows, List<Row> tasks, long lastEpoch) {
+  private static Found found(List<Row> rows, List<Row> tasks, RecoveryFacts facts) {
     Map<JobId, String> jobs = new HashMap<>();
     String learned = "";
-    RecoveryFacts facts = RecoveryFacts.NONE;
     for (Row row : rows) {
       if (row.at().equals(JobTables.LEARNED)) {
         learned = row.text();
-      } else if (row.at().equals(JobTables.LEASE_ENDS)) {
-        facts = facts(LeaseEndsText.parse(row.text()), lastEpoch);
-      } else if (!row.at().equals(JobTables.FENCE)) {
+      } else if (!SHARED.contains(row.at())) {
         read(row, JobId::new).ifPresent(id -> jobs.put(id, row.text()));
       }
     }
@@ -215,7 +252,7 @@
     }
   }
 
-  private Payload row(RecoveryFacts facts) {
+  private Payload content(RecoveryFacts facts) {
     return Payload.of(new LeaseEndsText(epoch, facts).text(store.limits().sharedRowBytes()));
   }
 
@@ -253,7 +290,7 @@
     if (!save.learned().isEmpty()) {
       writes.put(JobTables.LEARNED, Payload.of(save.learned()));
     }
-    facts.ifPresent(all -> writes.put(JobTables.LEASE_ENDS, row(all)));
+    facts.ifPresent(all -> writes.put(JobTables.LEASE_ENDS, content(all)));
     List<RowKey> removals = save.removals().stream().map(JobTables::progress).toList();
     new Save(writes, removals, listener).start();
   }
--- a/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/FakeTableStore.java
@@ -80,6 +80,9 @@
    */
   long readMillis = RESPONSE_MILLIS;
 
+  /** Extra time after which a read takes its rows, in milliseconds. */
+  ToLongFunction<String> extraReadMillis = call -> 0;
+
   /** Extra latency of the response to a call, in milliseconds. */
   ToLongFunction<String> extraLatencyMillis = call -> 0;
 
@@ -169,7 +172,7 @@
       }
       long deadlineMillis = self.now().mono() + SCAN_TIMEOUT_MILLIS;
       self.after(
-          readMillis,
+          readMillis + extraReadMillis.applyAsLong("scan " + table),
           () ->
               deliver(
                   "scan " + table, deadlineMillis, read(table, part, prefix), Scan.FAILED, done));
--- a/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/ProgressStoreTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.cottontack.core.id.WorkerId;
 import org.cottontack.core.job.JobEffect;
@@ -20,9 +23,11 @@
 import org.cottontack.core.job.RecoveryFacts;
 import org.cottontack.core.job.RunKey;
 import org.cottontack.core.job.StartExpiry;
+import org.cottontack.core.job.StoredProgress;
 import org.cottontack.core.job.TaskName;
 import org.cottontack.core.job.WorkerIncarnation;
 import org.cottontack.core.peer.Payload;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -50,17 +55,27 @@
     final VirtualTimers time = new VirtualTimers();
     final FakeTableStore store = new FakeTableStore(time);
     final List<String> deposed = new ArrayList<>();
+
+    /** The calls that leaders which take over may use. */
+    Predicate<String> readable = call -> true;
+
     private long epoch;
     private ProgressStore progress;
     private ProgressStore.Found found;
 
     ProgressStore.Found next() {
+      return next(200);
+    }
+
+    /** Lets the next leader take over, and runs for some time. */
+    ProgressStore.Found next(long millis) {
       epoch++;
       VirtualTimers.View process = time.process();
-      WatchedStore watched = new WatchedStore(store.seenBy(process, call -> true), process);
+      WatchedStore watched =
+          new WatchedStore(store.seenBy(process, call -> readable.test(call)), process);
       progress = new ProgressStore(watched, process, epoch, deposed::add);
       progress.takeOver(read -> found = read);
-      time.run(200);
+      time.run(millis);
       return found;
     }
 
@@ -271,6 +286,170 @@
     }
   }
 
+  /** Takeovers while the former leader goes on saving. */
+  public static class Takeovers {
+
+    private static final JobId JOB = new JobId("0123456789abcdef");
+    private static final ProgressRowId MAIN = ProgressRowId.main(JOB);
+    private static final ProgressRowId PART = new ProgressRowId(JOB, 1);
+
+    /** Latency of a read and of a transaction in a store that is 60 times slower than usual. */
+    private static final long SLOW_READ_MILLIS = 240;
+
+    private static final long SLOW_TRANSACTION_MILLIS = 480;
+
+    private Leaders leaders;
+    private List<String> acknowledged;
+
+    /** Starts with an empty store. */
+    @BeforeMethod
+    public void begin() {
+      leaders = new Leaders();
+      acknowledged = new ArrayList<>();
+    }
+
+    /** The table that is read late, and whether the former leader has stored the job before. */
+    @DataProvider
+    public Object[][] reads() {
+      return new Object[][] {
+        {JobTables.PROGRESS, true},
+        {JobTables.PROGRESS, false},
+        {JobTables.PROGRESS_TASKS, true},
+        {JobTables.PROGRESS_TASKS, false},
+      };
+    }
+
+    /**
+     * Guards against a takeover that reads one table before a save of the former leader and the
+     * other one after it.
+     */
+    @Test(dataProvider = "reads")
+    public void knowEverySaveThatIsStored(String lateTable, boolean storedBefore) {
+      for (long delayMillis = 0; delayMillis <= 400; delayMillis += 5) {
+        begin();
+        takeOverWhileSaving(lateTable, storedBefore, delayMillis);
+      }
+    }
+
+    private void takeOverWhileSaving(String lateTable, boolean storedBefore, long delayMillis) {
+      leaders.next();
+      final ProgressStore former = leaders.progress;
+      if (storedBefore) {
+        save(former, "old");
+        leaders.time.run(100);
+      }
+      leaders.found = null;
+      leaders.store.extraReadMillis = call -> call.equals("scan " + lateTable) ? 160 : 0;
+      leaders.store.extraLatencyMillis = call -> call.equals("scan " + lateTable) ? 0 : 160;
+      leaders.time.process().after(delayMillis, () -> save(former, "new"));
+      final ProgressStore.Found found = leaders.next(2_000);
+      assertNotNull(found, "the takeover does not end");
+      StoredProgress read = found.jobs().get(JOB);
+      if (acknowledged.contains("new")) {
+        assertNotNull(read, "the job is unknown, delay " + delayMillis);
+        assertEquals(read.main(), "main new", "delay " + delayMillis);
+        assertEquals(read.parts(), Map.of(1, "part new"), "delay " + delayMillis);
+      } else if (storedBefore) {
+        assertEquals(read.main(), "main old", "delay " + delayMillis);
+        assertEquals(read.parts(), Map.of(1, "part old"), "delay " + delayMillis);
+      } else {
+        assertEquals(found.jobs(), Map.of(), "delay " + delayMillis);
+      }
+    }
+
+    private void save(ProgressStore store, String content) {
+      store.save(
+          new JobEffect.SaveProgress(
+              Map.of(MAIN, "main " + content, PART, "part " + content),
+              Set.of(),
+              "",
+              Optional.empty()),
+          Optional.empty(),
+          new ProgressStore.Listener() {
+            @Override
+            public void saved() {
+              acknowledged.add(content);
+            }
+
+            @Override
+            public void refused() {}
+          });
+    }
+
+    /**
+     * Guards against facts that are lost with a leader that ends between its claim and its read.
+     */
+    @Test
+    public void keepFactsThroughClaimsThatLeadToNothing() {
+      leaders.next();
+      leaders.save(StoredStarts.FACTS);
+      leaders.found = null;
+      leaders.readable = call -> !call.equals("scan " + JobTables.PROGRESS_TASKS);
+      assertNull(leaders.next());
+      assertNull(leaders.next());
+      leaders.readable = call -> true;
+      assertEquals(leaders.next().facts(), StoredStarts.FACTS);
+    }
+
+    /** Guards against a leader that begins with rows which its successor has already changed. */
+    @Test
+    public void endWhereNewerLeaderClaimsBeforeTheRead() {
+      leaders.next();
+      leaders.found = null;
+      // The claim is sent after 10 ms and stored after 20 ms.
+      leaders.next(15);
+      leaders.store.extraReadMillis = call -> 300;
+      leaders.time.run(50);
+      leaders.nextOfOlderVersion(Map.of());
+      leaders.time.run(1_000);
+      assertNull(leaders.found);
+      assertEquals(leaders.deposed, List.of("a newer leader has taken over"));
+    }
+
+    /**
+     * Guards against a takeover that begins again without end while a former leader saves: in the
+     * slowest store it lasts no longer than a claim and a read after the last save.
+     */
+    @Test
+    public void endSoonAfterTheLastSaveInSlowStore() {
+      leaders.next();
+      leaders.store.readMillis = SLOW_READ_MILLIS;
+      leaders.store.transactionMillis = SLOW_TRANSACTION_MILLIS;
+      long[] lastSaveMillis = {0};
+      saveUntil(leaders.progress, leaders.time.process(), 1_500, lastSaveMillis);
+      leaders.found = null;
+      final int before = leaders.store.transactions;
+      leaders.next(0);
+      while (leaders.found == null && leaders.time.process().now().mono() < 20_000) {
+        leaders.time.run(10);
+      }
+      assertNotNull(leaders.found);
+      long tookMillis = leaders.time.process().now().mono() - lastSaveMillis[0];
+      long attemptMillis = SLOW_READ_MILLIS + SLOW_TRANSACTION_MILLIS;
+      assertTrue(tookMillis <= 2 * attemptMillis + SLOW_READ_MILLIS, tookMillis + " ms");
+      assertTrue(leaders.store.transactions - before <= 10, "transactions without end");
+    }
+
+    private void saveUntil(
+        ProgressStore former, VirtualTimers.View process, long untilMillis, long[] lastSaveMillis) {
+      former.save(
+          NOTHING,
+          Optional.empty(),
+          new ProgressStore.Listener() {
+            @Override
+            public void saved() {
+              lastSaveMillis[0] = process.now().mono();
+              if (lastSaveMillis[0] < untilMillis) {
+                saveUntil(former, process, untilMillis, lastSaveMillis);
+              }
+            }
+
+            @Override
+            public void refused() {}
+          });
+    }
+  }
+
   /** Rows that another program wrote. */
   public static class ForeignRows {
 
