Leases of runs that may end unseen follow the delay of starts

Cause: a run on such an incarnation gets a lease that is to end it before it is done, and that lease was half of the estimate, up to 200 ms. The estimate is rough, so a run could be done within it. Its completion is never listed, and the leader takes the missing run for one that lapsed.

Change: the lease starts with 5 ms. A start that arrives after its lease did not begin and is sent again with twice the lease, up to the former one; a start that arrives halves the next. The start waits for an answer of its worker that is at most 20 ms old, and the lease counts from that answer.

Why it works: the lease is bounded by the delay of orders and no longer by the duration of work. A task that takes longer than a round trip is not done by then.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -42,7 +42,10 @@
   /** For how long after the placement of a suspect its worker is polled that often. */
   private static final long PROBATION_POLL_MILLIS = 3_000;
 
-  /** Age of a worker's last answer up to which a suspect may be started, in milliseconds. */
+  /**
+   * Age of a worker's last answer up to which a suspect or a short-lease run may be started, in
+   * milliseconds.
+   */
   private static final long PROOF_OF_LIFE_MILLIS = 20;
 
   private final Term term;
@@ -76,7 +79,7 @@
       term.release(task);
       return;
     }
-    if (awaitsProbation(worker, task)) {
+    if (awaitsAnswer(worker, task)) {
       task.order = Task.Order.RESEND;
       poll(worker, 0);
       return;
@@ -88,7 +91,7 @@
   }
 
   private void sendStart(Worker worker, Task task) {
-    task.shortLease |= worker.suppressedCompletions.appliesTo(task.spec) && !worker.renewsLeases();
+    task.shortLease |= startsWithShortLease(worker, task);
     task.sent(term.now.mono());
     task.probation = CrashBlame.suspect(task);
     if (task.probation) {
@@ -100,7 +103,7 @@
             worker.target(),
             task.key(),
             task.job.spec.payload(),
-            worker.clock.leaseEnd(startDeadline(worker, task), term.renewedMillis()),
+            startDeadlineClock(worker, task),
             task.checkpoint,
             earliestClock(worker)));
   }
@@ -111,6 +114,18 @@
         : 0;
   }
 
+  /** Returns until when, on a worker's clock, it may carry out a start. */
+  private long startDeadlineClock(Worker worker, Task task) {
+    long until = startDeadline(worker, task);
+    return task.shortLease
+        ? worker.clock.shortLeaseEnd(until)
+        : worker.clock.leaseEnd(until, term.renewedMillis());
+  }
+
+  private static boolean startsWithShortLease(Worker worker, Task task) {
+    return worker.suppressedCompletions.appliesTo(task.spec) && !worker.renewsLeases();
+  }
+
   /**
    * Returns until when, on our clock, a worker may carry out a start.
    *
@@ -120,11 +135,11 @@
    * lease is confirmed to be in force, a deadline that short would end the run.
    *
    * <p>A short-lease run always gets a deadline that short, because its completion may never be
-   * listed: whatever happens to other orders, the run ends before it can be done.
+   * listed: whatever happens to other orders, the run ends by it.
    */
   private long startDeadline(Worker worker, Task task) {
     if (task.shortLease) {
-      long lease = SuppressedCompletions.shortLeaseMillis(task.spec);
+      long lease = worker.suppressedCompletions.shortLeaseMillis(task.spec);
       return Math.min(term.now.mono() + lease, term.startDeadlineMillis);
     }
     long lease = startLeaseEnd(worker);
@@ -201,6 +216,9 @@
       logCancelledRun(worker, task, "started");
       task.startAnswered();
     }
+    if (event.result() == StartResult.STARTED && task.shortLease) {
+      worker.suppressedCompletions.startArrived();
+    }
     term.recordIgnoredStart(task);
     task.began |= event.result() == StartResult.STARTED;
     if (task.began && worker.suppressedCompletions.appliesTo(task.spec)) {
@@ -260,7 +278,7 @@
       return;
     } else if (neverSent(task) && CrashBlame.suspect(task) && !worker.accepts(term.now.mono())) {
       term.release(task);
-    } else if (!worker.silent && awaitsProbation(worker, task)) {
+    } else if (!worker.silent && awaitsAnswer(worker, task)) {
       poll(worker, 0);
     } else if (!worker.silent && !task.duplicateStartPossible && task.pinned(term.now.mono())) {
       task.prepareResend();
@@ -287,18 +305,31 @@
    */
   private boolean awaitsProbation(Worker worker, Task task) {
     return CrashBlame.suspect(task)
-        && (term.now.mono() - worker.lastAnswerMillis > PROOF_OF_LIFE_MILLIS
-            || !probationStarts.mayStart(task, term.now.mono()));
+        && (isAnswerOld(worker) || !probationStarts.mayStart(task, term.now.mono()));
+  }
+
+  private boolean isAnswerOld(Worker worker) {
+    return term.now.mono() - worker.lastAnswerMillis > PROOF_OF_LIFE_MILLIS;
+  }
+
+  /**
+   * Returns whether a start waits for an answer of its worker. The estimate of a worker's clock
+   * lags behind by 2 % of the time since its last answer, and a short lease would be over by that.
+   */
+  private boolean awaitsAnswer(Worker worker, Task task) {
+    return awaitsProbation(worker, task)
+        || (startsWithShortLease(worker, task) && isAnswerOld(worker));
   }
 
   private static boolean neverSent(Task task) {
     return !task.sentByUs() && !task.startInDoubt && !task.inherited();
   }
 
-  /** Sends the starts of suspects that waited for an answer of their worker, which has come. */
-  void retrySuspects(Worker worker) {
+  /** Sends the starts that waited for an answer of their worker, which has come. */
+  void retryAwaitingAnswer(Worker worker) {
     worker.placed.values().stream()
-        .filter(task -> task.order == Task.Order.RESEND && CrashBlame.suspect(task))
+        .filter(task -> task.order == Task.Order.RESEND)
+        .filter(task -> CrashBlame.suspect(task) || startsWithShortLease(worker, task))
         .toList()
         .forEach(task -> retry(worker, task));
   }
@@ -321,11 +352,14 @@
   }
 
   /**
-   * Releases a short-lease run so that it is placed on another worker: where orders take longer
-   * than its lease it would never begin.
+   * Starts a short-lease run again with a longer lease. Where orders take longer than the longest
+   * one, it would never begin, so it is released to be placed on another worker.
    */
   private void handleLateStart(Worker worker, Task task) {
-    if (task.shortLease) {
+    if (task.shortLease && worker.suppressedCompletions.lengthenLease(task.spec)) {
+      task.order = Task.Order.RESEND;
+      retry(worker, task);
+    } else if (task.shortLease) {
       worker.avoidUntilMillis = term.now.mono() + term.timing.avoidMillis();
       term.release(task);
     } else {
@@ -453,7 +487,7 @@
     }
     if (worker.hasShortLeaseRun()) {
       // A suppressed completion ends no poll that waits for one.
-      return SuppressedCompletions.SHORT_LEASE_MILLIS;
+      return worker.shortLeaseMillis();
     }
     if (worker.rating.suspect()) {
       return SUSPECT_POLL_WAIT_MILLIS;
--- a/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
+++ b/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
@@ -14,31 +14,39 @@
  * Until then, the incarnation gets only runs whose completion does not matter, which are those of
  * long-running tasks and of tasks that permit speculative copies, and one short-lease run at a
  * time. The lease that the start of a short-lease run brings is its only one, so the run ends by
- * itself before it can be done. This needs no later order, so it also works when stops are lost or
- * the leader is.
+ * itself. This needs no later order, so it also works when stops are lost or the leader is.
+ *
+ * <p>How long a task takes is not known in advance; its caller states a rough estimate. A done run
+ * that is not listed looks like one that lapsed, so the lease is as short as starts arrive in time:
+ * each start that comes too late for its lease doubles the next one, up to a part of the estimate,
+ * and each that arrives halves it. A run that is done within its lease would run again; that takes
+ * a task which needs no longer than its start takes to arrive.
  *
  * <p>The end of any short-lease run can be that first completion, so tasks of any duration may have
- * one: its lease is a part of the expected duration. Tasks for which such a lease would be too
- * short to begin at all wait for longer ones, but not for long, because there may be none.
+ * one. Tasks for which the longest such lease may be too short to begin at all wait for longer
+ * ones, but not for long, because there may be none.
  */
 final class SuppressedCompletions {
 
   /** Stands for an unknown number of completions. */
   static final long ANY = Long.MAX_VALUE;
 
-  /**
-   * Longest lease of a short-lease run, in milliseconds. A run is assumed not to be done within its
-   * lease.
-   */
+  /** Longest lease of a short-lease run, in milliseconds. */
   static final long SHORT_LEASE_MILLIS = 200;
 
-  /** Shortest lease of a short-lease run, in milliseconds: a start takes some of it to arrive. */
+  /** Lease with which short-lease runs begin, in milliseconds: a few one-way delays of a start. */
+  private static final long FIRST_LEASE_MILLIS = 5;
+
+  /** Ratio of a lease to the one before it that was too short. */
+  private static final int LEASE_GROWTH = 2;
+
+  /** Lease up to which that of any task may grow, in milliseconds: starts on a busy instance. */
   private static final long MIN_LEASE_MILLIS = 25;
 
-  /** Ratio of the expected duration of a task to the lease of a short-lease run. */
+  /** Minimum ratio of the expected duration of a task to the lease of a short-lease run. */
   private static final int DURATION_PER_LEASE = 2;
 
-  /** How a short-lease run of a task ends before it can be done. */
+  /** How a short-lease run of a task ends before it is expected to be done. */
   private enum ShortRun {
     /** By its lease, or by a stop that its leader sends at once. */
     BY_LEASE_OR_STOP(DURATION_PER_LEASE * SHORT_LEASE_MILLIS) {
@@ -86,6 +94,7 @@
   private long suppressed;
   private long leasedUntilMillis;
   private long awaitsLongTasksUntilMillis;
+  private long leaseMillis = FIRST_LEASE_MILLIS;
 
   /**
    * Returns the suppressed completions of an incarnation that is known from the previous leader.
@@ -156,12 +165,33 @@
         && (nowMillis >= awaitsLongTasksUntilMillis || ShortRun.of(spec).mayBegin(!besideService));
   }
 
-  /** Returns the lease of a short-lease run of a task, in milliseconds. */
-  static long shortLeaseMillis(StepSpec spec) {
+  /** Returns the lease of the next short-lease run of a task, in milliseconds. */
+  long shortLeaseMillis(StepSpec spec) {
+    return Math.min(leaseMillis, longestLeaseMillis(spec));
+  }
+
+  /** Returns the longest lease of a short-lease run of a task, in milliseconds. */
+  private static long longestLeaseMillis(StepSpec spec) {
     long part = spec.estimateMillis() / DURATION_PER_LEASE;
     return Math.max(MIN_LEASE_MILLIS, Math.min(SHORT_LEASE_MILLIS, part));
   }
 
+  /** Records that the start of a short-lease run arrived within its lease. */
+  void startArrived() {
+    leaseMillis = Math.max(FIRST_LEASE_MILLIS, leaseMillis / LEASE_GROWTH);
+  }
+
+  /**
+   * Records that the start of a short-lease run of a task arrived after its lease.
+   *
+   * @return whether the next one gets a longer lease
+   */
+  boolean lengthenLease(StepSpec spec) {
+    long last = shortLeaseMillis(spec);
+    leaseMillis = Math.min(SHORT_LEASE_MILLIS, LEASE_GROWTH * last);
+    return shortLeaseMillis(spec) > last;
+  }
+
   /**
    * Returns whether the completion of a run there may be suppressed and would be needed. Such a run
    * gets a short lease, so that it ends before it can be done.
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -268,6 +268,15 @@
         && placed.values().stream().anyMatch(task -> task.shortLease);
   }
 
+  /** Returns the lease of the short-lease run here, in milliseconds. */
+  long shortLeaseMillis() {
+    return placed.values().stream()
+        .filter(task -> task.shortLease)
+        .mapToLong(task -> suppressedCompletions.shortLeaseMillis(task.spec))
+        .max()
+        .orElse(0);
+  }
+
   /** Returns whether the runs on this worker are to continue when their leases end. */
   boolean renewsLeases() {
     return suppressedCompletions.none()
--- a/core/src/main/java/org/cottontack/core/job/WorkerClock.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerClock.java
@@ -93,6 +93,17 @@
         .orElseThrow();
   }
 
+  /**
+   * Returns the end, on the worker's clock, of a lease that is far shorter than the leader's own.
+   * It is based on the last answer alone: if this instance was suspended since, the end has passed.
+   *
+   * @param untilMillis when it ends on our clock
+   */
+  long shortLeaseEnd(long untilMillis) {
+    latestEndMillis = Math.max(latestEndMillis, untilMillis);
+    return earliestClock(untilMillis);
+  }
+
   /** Returns when, on our clock, every lease granted so far has ended. */
   long lastLeaseEndMillis() {
     return latestEndMillis;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -100,7 +100,7 @@
     if (busy && !toAcknowledge) {
       orders.poll(worker, orders.pollWaitMillis(worker));
     }
-    orders.retrySuspects(worker);
+    orders.retryAwaitingAnswer(worker);
   }
 
   /** Logs what a worker that did not answer lists when it answers again. */
--- a/core/src/test/java/org/cottontack/core/job/OrdersInDoubtTest.java
+++ b/core/src/test/java/org/cottontack/core/job/OrdersInDoubtTest.java
@@ -120,12 +120,22 @@
     /** Guards against a run that is done before its short lease ends. */
     @Test
     public void runsNothingAgainThatIsDoneAtOnce() {
+      assertDoneOnce(10);
+    }
+
+    /** Guards against a run that takes no longer than its start takes to arrive. */
+    @Test
+    public void runsNothingAgainThatTakesNoTime() {
+      assertDoneOnce(1);
+    }
+
+    private static void assertDoneOnce(long workMillis) {
       JobSimulation simulation = fleet();
       final List<JobSpec> before = submit(simulation, "before", 2);
       final long arrives = acknowledgeLate(simulation, 3_000);
       crashAndRestartAt(simulation, arrives - BACK_BEFORE_MILLIS);
       simulation.run(RESTART_MILLIS + 1_500);
-      simulation.workMillis = 10;
+      simulation.workMillis = workMillis;
       final List<JobSpec> after = submit(simulation, "after", 4);
       simulation.run(40_000);
       assertComplete(simulation, before);
--- a/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
@@ -121,22 +121,51 @@
   /** Workers that were told to drop their first completions. */
   public static class LateAcknowledgements {
 
+    /** Shortest duration of the tasks whose completions are acknowledged late, in milliseconds. */
+    private static final long MIN_FIRST_MILLIS = 60;
+
     /** Numbers of dropped completions, durations in milliseconds, and changes of leader. */
     @DataProvider
     public Object[][] acknowledgements() {
       return combine(List.of(6, 20), List.of(60L, 100L, 200L, 300L, 390L), List.of(0, 1, 2));
     }
 
+    /** Durations and estimates in milliseconds, and changes of leader. */
+    @DataProvider
+    public Object[][] estimates() {
+      return combine(List.of(10L, 20L, 60L, 140L), List.of(120L, 380L, 900L), List.of(0, 1, 2));
+    }
+
     /** Guards against a short task that is done, is not listed as done and runs again. */
     @Test(dataProvider = "acknowledgements")
     public void runNoShortTaskAgain(int dropped, long millis, int changes) {
-      JobSimulation simulation = restartingFleet(1);
+      runNothingAgain(restartingFleet(1), dropped, millis, millis, changes);
+    }
+
+    /** Guards against a run that is done within its lease because the estimate is far too high. */
+    @Test(dataProvider = "estimates")
+    public void runNoTaskAgainThatEndsBeforeItsEstimate(long millis, long estimate, int changes) {
+      runNothingAgain(restartingFleet(1), 20, millis, estimate, changes);
+    }
+
+    /** Guards against leases that never suffice where orders take long, or last far longer. */
+    @Test
+    public void runNothingAgainWhereOrdersTakeLong() {
+      for (long delayMillis = 5; delayMillis <= 25; delayMillis += 5) {
+        JobSimulation simulation = restartingFleet(1);
+        simulation.oneWayDelayMillis = delayMillis;
+        runNothingAgain(simulation, 6, 3 * delayMillis, 380, 0);
+      }
+    }
+
+    private static void runNothingAgain(
+        JobSimulation simulation, int dropped, long millis, long estimate, int changes) {
       simulation.listsCrashedWorkers = true;
-      simulation.workMillis = millis;
+      simulation.workMillis = Math.max(MIN_FIRST_MILLIS, millis);
       simulation.run(1_000);
       final long delay = 3_000;
       simulation.delay = effect -> acknowledges(effect, dropped) ? delay : 0;
-      final List<JobSpec> before = submit(simulation, "before", dropped, 1, millis);
+      final List<JobSpec> before = submit(simulation, "before", dropped, 1, estimate);
       awaitAcknowledgement(simulation, dropped);
       simulation.run(10);
       simulation.delay = effect -> 0;
@@ -145,11 +174,12 @@
       simulation.run(RESTART_MILLIS + 2 * BACK_BEFORE_MILLIS);
       assertTrue(
           simulation.workers.values().iterator().next().lastAcknowledgedCompletion() >= dropped);
+      simulation.workMillis = millis;
       // Only their leases end the runs in time.
       simulation.lost = JobEffect.StopRun.class::isInstance;
       changeLeaders(simulation, changes);
       simulation.run(1_500);
-      final List<JobSpec> after = submit(simulation, "after", 3, 2, millis);
+      final List<JobSpec> after = submit(simulation, "after", 3, 2, estimate);
       simulation.run(Fleet.MAX_LEASE_MILLIS + 500L * dropped + JOB_MILLIS);
       assertComplete(simulation, Stream.concat(before.stream(), after.stream()).toList());
     }
--- a/core/src/test/java/org/cottontack/core/job/SuppressedCompletionsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/SuppressedCompletionsTest.java
@@ -1,5 +1,6 @@
 package org.cottontack.core.job;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -88,16 +89,32 @@
       assertFalse(completions.admits(SPECULATIVE, true, false, false, NOW));
     }
 
-    /** Guards against a run that is done before its short lease ends. */
+    /** Guards against a run that is done before its short lease ends, however late starts are. */
     @Test
     public void leavesNoTimeToBeDone() {
       for (long millis = 50; millis <= 1_000; millis += 10) {
         StepSpec spec = TestStep.tasks(1).estimate(millis).of();
-        assertTrue(suppressedUpTo(3).admits(spec, false, true, false, NOW));
-        assertTrue(2 * SuppressedCompletions.shortLeaseMillis(spec) <= millis, "of " + millis);
+        SuppressedCompletions completions = suppressedUpTo(3);
+        assertTrue(completions.admits(spec, false, true, false, NOW));
+        do {
+          assertTrue(2 * completions.shortLeaseMillis(spec) <= millis, "of " + millis);
+        } while (completions.lengthenLease(spec));
+        assertTrue(2 * completions.shortLeaseMillis(spec) <= millis, "of " + millis);
       }
     }
 
+    /** Guards against leases that are longer than it takes starts to arrive. */
+    @Test
+    public void lengthensLeasesOnlyAsStartsComeLate() {
+      SuppressedCompletions completions = suppressedUpTo(3);
+      final long first = completions.shortLeaseMillis(TASK);
+      assertTrue(completions.lengthenLease(TASK));
+      assertEquals(completions.shortLeaseMillis(TASK), 2 * first);
+      completions.startArrived();
+      completions.startArrived();
+      assertEquals(completions.shortLeaseMillis(TASK), first);
+    }
+
     /** Guards against a very short task that begins although longer ones may show a completion. */
     @Test
     public void admitsVeryShortTaskAfterLongerOnes() {
