A job has begun by a start that was carried out, not by an answered stop

Cause: Orders.confirm settled the order of a run and declared its job begun. Answers to stops and starts refused as old reached it as well, and the row that counts the job as waiting was removed for good.

Change: confirm settles the order only. recordBegun is called where a start was carried out, and where a run or an end of the job is listed, also one that is no longer in force.

Why it works: these events come from a worker that had the run. A stop is also answered, and a start also refused as old, where no run has been.

--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -142,10 +142,7 @@
   }
 
   private void end(Job job, JobPhase phase) {
-    if (!job.begun) {
-      job.begun = true;
-      term.effects.add(new JobEffect.Begun(job.spec.id()));
-    }
+    orders.recordBegun(job);
     job.phase = phase;
     term.dirty.add(job);
     term.jobsToPlace.remove(job);
--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -200,6 +200,9 @@
     if (!event.result().certain()) {
       recordStrayLease(event);
     }
+    if (task != null && event.result() == StartResult.STARTED) {
+      recordBegun(task.job);
+    }
     if (worker == null || task == null || !task.runsAs(event.worker(), event.run().run())) {
       return false;
     }
@@ -334,11 +337,20 @@
         .forEach(task -> retry(worker, task));
   }
 
-  void confirm(Task task) {
-    if (!task.job.begun) {
-      task.job.begun = true;
-      term.effects.add(new JobEffect.Begun(task.job.spec.id()));
+  /**
+   * Records that a task of a job has started. Only a start that was carried out, and a run or an
+   * end that is listed, show this: a worker also answers a stop, and refuses a start as old, where
+   * no run has been.
+   */
+  void recordBegun(Job job) {
+    if (!job.begun) {
+      job.begun = true;
+      term.effects.add(new JobEffect.Begun(job.spec.id()));
     }
+  }
+
+  /** Records that the order for a task's present run is answered; the run may be there or not. */
+  void confirm(Task task) {
     task.order = Task.Order.CONFIRMED;
     task.confirmedMillis = term.now.mono();
     task.beganMillis = task.beganMillis == 0 ? term.now.mono() : task.beganMillis;
--- a/core/src/main/java/org/cottontack/core/job/WorkerReports.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerReports.java
@@ -231,6 +231,9 @@
       }
       return key;
     }
+    if (task != null) {
+      orders.recordBegun(task.job);
+    }
     if (task == null || !task.runsAs(worker.incarnation(), running.run())) {
       // A run that is no longer needed still uses the worker, and could complete beside the current
       // run.
@@ -322,6 +325,7 @@
       logIgnored(worker, completion, "job unknown");
       return;
     }
+    orders.recordBegun(task.job);
     boolean inForce = task.runsAs(worker.incarnation(), completion.run());
     boolean lateButDone =
         completion.status() == WorkerReport.CompletionStatus.DONE
--- a/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/LeaderSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.cottontack.core.Moment;
 import org.cottontack.core.id.DataCentreId;
@@ -31,6 +32,7 @@
  */
 final class LeaderSimulation implements WorkerRegistry, WorkerClient {
   private static final long POLL_TIMEOUT_MILLIS = 800;
+  private static final long START_TIMEOUT_MILLIS = 900;
 
   /** Returns a job of one task. */
   static JobSpec job(String id) {
@@ -88,6 +90,9 @@
   /** Called after a poll has been answered. */
   Runnable onAnswered = () -> {};
 
+  /** How the worker answers a start, by the number of starts before it. */
+  IntFunction<StartResult> startResults = number -> StartResult.STARTED;
+
   /** Called when a start is ordered. */
   Runnable onStart = () -> {};
 
@@ -208,13 +213,17 @@
 
   private void connected(
       JobEffect.StartRun start, BooleanSupplier allowed, Consumer<StartResult> done) {
-    boolean sent = allowed.getAsBoolean();
-    if (sent) {
-      starts.add(start.run());
-      startMillis.add(process.now().mono());
+    if (!allowed.getAsBoolean()) {
+      process.after(2, () -> done.accept(StartResult.NOT_SENT));
+      return;
+    }
+    StartResult result = startResults.apply(starts.size());
+    starts.add(start.run());
+    startMillis.add(process.now().mono());
+    if (result == StartResult.STARTED) {
       running.put(start.run(), true);
     }
-    process.after(2, () -> done.accept(sent ? StartResult.STARTED : StartResult.NOT_SENT));
+    process.after(result.certain() ? 2 : START_TIMEOUT_MILLIS, () -> done.accept(result));
   }
 
   @Override
