What is stored of a job says whether a task of it has started

Cause: a new leader removed the waiting row of every job with a row of progress, and took each job that was not queued for begun. A placement alone writes such a row and changes the phase, before its start is sent, and both stay where the start is refused.

Change: the main row has a mark behind the phase once a task is known to have started. A new leader takes a job for begun by the mark, or by its end, or by a task that is done, has failed or has a checkpoint, and removes the waiting rows of these jobs only.

Why it works: the mark is set by the events that show a start. A mark that was not saved before its leader ended is made up for by what the workers list; a removal that was refused until the leader ended is repeated by the next one (WaitingJobsTest$Begun.areRemovedByNextLeader).

--- a/core/src/main/java/org/cottontack/core/job/ProgressRows.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressRows.java
@@ -116,7 +116,7 @@
   }
 
   private Change changeTo(Job from, List<Part> parts, Map<ProgressRowId, String> writes) {
-    String main = ProgressText.main(from.phase, parts.stream().map(Part::number).sorted().toList());
+    String main = ProgressText.main(from, parts.stream().map(Part::number).sorted().toList());
     // A save of a job always writes a row of it: the fence shows that this leader still leads.
     if (!main.equals(storedMain) || writes.isEmpty()) {
       writes.put(ProgressRowId.main(job), main);
--- a/core/src/main/java/org/cottontack/core/job/ProgressText.java
+++ b/core/src/main/java/org/cottontack/core/job/ProgressText.java
@@ -13,11 +13,12 @@
 import org.cottontack.core.id.WorkerId;
 
 /**
- * The stored form of a job's progress. The main row has a letter for the job's phase, then one line
- * for each task that has been placed at least once. The tasks of a large job are in further rows,
- * which the main row lists in place of the lines. Such a row has the first task of its range, then
- * the lines of its tasks; tasks that are done are ranges there. Tasks are counted over all steps
- * and occurrences. Once a job has ended, only the tasks that are still on workers are stored.
+ * The stored form of a job's progress. The main row has a letter for the job's phase, a mark once a
+ * task of it has started, then one line for each task that has been placed at least once. The tasks
+ * of a large job are in further rows, which the main row lists in place of the lines. Such a row
+ * has the first task of its range, then the lines of its tasks; tasks that are done are ranges
+ * there. Tasks are counted over all steps and occurrences. Once a job has ended, only the tasks
+ * that are still on workers are stored.
  */
 public final class ProgressText {
 
@@ -32,6 +33,12 @@
   /** Tasks of all occurrences of a job whose ranges are read: far more than a fleet can run. */
   private static final long MAX_TASKS = 1L << 33;
 
+  /**
+   * Follows the phase once a task of the job is known to have started. Earlier versions skip it,
+   * and write none.
+   */
+  private static final String BEGUN = "b";
+
   private static final String PARTS = "parts ";
   private static final String FIRST = "from ";
   private static final String DONE = "d ";
@@ -130,6 +137,11 @@
           hasStartTime && fields[fields.length - 1].startsWith(STRAY_LEASE_POSSIBLE));
     }
 
+    /** Returns whether a run of the task has ended, or worked until its checkpoint. */
+    boolean begun() {
+      return phase == Task.Phase.DONE || failures > 0 || !checkpoint.isEmpty();
+    }
+
     @Override
     public String toString() {
       String line =
@@ -282,7 +294,7 @@
   }
 
   /** Returns the main row of a job whose tasks are in other rows, with their numbers ascending. */
-  static String main(JobPhase phase, List<Integer> numbers) {
+  static String main(Job job, List<Integer> numbers) {
     List<String> ranges = new ArrayList<>();
     int from = 0;
     for (int i = 1; i <= numbers.size(); i++) {
@@ -294,7 +306,7 @@
         from = i;
       }
     }
-    return phase.code() + "\n" + PARTS + String.join(",", ranges);
+    return head(job) + "\n" + PARTS + String.join(",", ranges);
   }
 
   /**
@@ -365,15 +377,30 @@
     return Line.of(task).toString();
   }
 
+  private static String head(Job job) {
+    return job.phase.code() + (job.begun && !job.phase.terminal() ? BEGUN : "");
+  }
+
+  /**
+   * Returns whether a task of a job is known to have started, or the job has ended. A task may be
+   * placed and its start refused, so its line alone does not show this.
+   */
+  static boolean begun(StoredProgress progress) {
+    return phase(progress.main()).terminal()
+        || progress.main().startsWith(BEGUN, 1)
+        || doneTasks(progress).findAny().isPresent()
+        || lines(progress).anyMatch(Line::begun);
+  }
+
   /** Returns the main row with the lines of all tasks. */
   static String write(Job job) {
     Stream<String> tasks = job.tasks().filter(ProgressText::isStored).map(ProgressText::line);
-    return Stream.concat(Stream.of(String.valueOf(job.phase.code())), tasks)
-        .collect(Collectors.joining("\n"));
+    return Stream.concat(Stream.of(head(job)), tasks).collect(Collectors.joining("\n"));
   }
 
   static void restore(Job job, StoredProgress progress) {
     job.phase = phase(progress.main());
+    job.begun = begun(progress);
     if (listedParts(progress.main()).findAny().isPresent()) {
       doneTasks(progress)
           .sorted(Comparator.comparingLong(DoneTasks::first))
--- a/core/src/main/java/org/cottontack/core/job/StoredProgress.java
+++ b/core/src/main/java/org/cottontack/core/job/StoredProgress.java
@@ -59,6 +59,11 @@
     return ProgressText.ended(main);
   }
 
+  /** Returns whether the job no longer waits for the first start of a task. */
+  public boolean begun() {
+    return ProgressText.begun(this);
+  }
+
   /** Returns the rows of tasks of the job, whether the main row lists them or not. */
   public Stream<ProgressRowId> rows(JobId job) {
     return parts.keySet().stream().map(number -> new ProgressRowId(job, number));
--- a/core/src/test/java/org/cottontack/core/job/BegunJobsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/BegunJobsTest.java
@@ -1,9 +1,11 @@
 package org.cottontack.core.job;
 
 import static org.cottontack.core.job.JobFixtures.job;
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -89,4 +91,52 @@
       assertTrue(begun(simulation));
     }
   }
+
+  /** What the next leader reads. */
+  public static class Stored {
+
+    /** Rows of progress, and whether they show that a task has started. */
+    @DataProvider
+    public Object[][] rows() {
+      return new Object[][] {
+        {"q", false},
+        {"r\n0 0 0 p 1 0 w ", false},
+        {"r\n0 0 0 w 3 0 - ", false},
+        {"rb\n0 0 0 p 1 0 w ", true},
+        {"r\n0 0 0 w 1 1 - ", true},
+        {"r\n0 0 0 p 2 0 w checkpoint", true},
+        {"r\n0 0 0 d 1 0 - ", true},
+        {"c", true},
+        {"f", true},
+        {"x", true},
+      };
+    }
+
+    /** Guards against a placement that counts as a start once the leader changes. */
+    @Test(dataProvider = "rows")
+    public void showsWhetherTasksHaveStarted(String main, boolean begun) {
+      assertEquals(StoredProgress.of(main).begun(), begun);
+    }
+
+    /** Guards against done tasks of a large job that count as waiting. */
+    @Test
+    public void showsDoneTasksInFurtherRows() {
+      String main = "r\nparts 1";
+      assertTrue(new StoredProgress(main, Map.of(1, "from 0\nd 0 3")).begun());
+      assertFalse(new StoredProgress(main, Map.of(1, "from 0\n0 0 0 p 1 0 w ")).begun());
+    }
+
+    /** Guards against a start that only the leader of the time knows of. */
+    @Test
+    public void keepsTheMark() {
+      Job job = new Job(JOB, 0);
+      job.advance(0);
+      job.phase = JobPhase.RUNNING;
+      job.begun = true;
+      Job next = new Job(JOB, 0);
+      next.advance(0);
+      ProgressText.restore(next, StoredProgress.of(ProgressText.write(job)));
+      assertTrue(next.begun);
+    }
+  }
 }
--- a/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ProgressRowsTest.java
@@ -187,7 +187,8 @@
     public void areMarkedForEarlierVersions() {
       for (int parts = 1; parts < 12; parts++) {
         List<Integer> numbers = IntStream.range(0, parts).map(i -> 2 * i + 1).boxed().toList();
-        String line = ProgressText.main(JobPhase.RUNNING, numbers).lines().toList().get(1);
+        Job job = new Job(JobFixtures.job("job", TestStep.tasks(1).of()), 0);
+        String line = ProgressText.main(job, numbers).lines().toList().get(1);
         assertEquals(line.split(" ", -1).length, 2);
       }
     }
--- a/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
+++ b/daemon/src/main/java/org/cottontack/daemon/job/Leader.java
@@ -373,7 +373,10 @@
             .with("event", "leader.ready")
             .with("epoch", epoch)
             .with("jobs", accepted.size()));
-    progress.keySet().forEach(waitingRows::jobStarted);
+    // An earlier leader may have ended before it removed these rows.
+    progress.keySet().stream()
+        .filter(id -> progress.get(id).begun())
+        .forEach(waitingRows::jobStarted);
     // Ended progress without a job is left over from a removal that an earlier leader did not
     // finish. Open progress without a job stays, because this version may be unable to read its
     // job.
--- a/daemon/src/test/java/org/cottontack/daemon/job/WaitingJobsTest.java
+++ b/daemon/src/test/java/org/cottontack/daemon/job/WaitingJobsTest.java
@@ -18,6 +18,8 @@
   /** Time in which the row of a job that has begun is removed, in milliseconds. */
   private static final long REMOVAL_MILLIS = 2_000;
 
+  private static final long TAKEOVER_MILLIS = 6_000;
+
   private static Set<String> waiting(LeaderSimulation simulation) {
     return simulation.store.table(JobTables.WAITING).keySet();
   }
@@ -48,6 +50,20 @@
       assertEquals(waiting(refusing(unanswered)), Set.of(JOB));
     }
 
+    /** Guards against a job that is not counted because an earlier leader has placed it. */
+    @Test(dataProvider = "unanswered")
+    public void countAfterChangesOfLeader(int unanswered) {
+      LeaderSimulation simulation = refusing(unanswered);
+      for (int change = 0; change < 3; change++) {
+        simulation.restart();
+        simulation.time.run(TAKEOVER_MILLIS);
+        assertEquals(waiting(simulation), Set.of(JOB), "after " + change + " changes");
+      }
+      simulation.startResults = number -> StartResult.STARTED;
+      simulation.time.run(TAKEOVER_MILLIS);
+      assertEquals(waiting(simulation), Set.of());
+    }
+
     /** Guards against a cancelled job that is counted for ever. */
     @Test(dataProvider = "unanswered")
     public void countNoLongerOnceCancelled(int unanswered) {
@@ -57,4 +73,34 @@
       assertEquals(waiting(simulation), Set.of());
     }
   }
+
+  /** Jobs of which a task has started. */
+  public static class Begun {
+
+    /** Whether the run is done before the leader ends. */
+    @DataProvider
+    public Object[][] runs() {
+      return new Object[][] {{false}, {true}};
+    }
+
+    /** Guards against a row that stays because its removal is lost with the leader. */
+    @Test(dataProvider = "runs")
+    public void areRemovedByNextLeader(boolean done) {
+      LeaderSimulation simulation = new LeaderSimulation();
+      simulation.store.commitBehaviour =
+          transaction ->
+              transaction.removals().stream().anyMatch(row -> row.table().equals(JobTables.WAITING))
+                  ? FakeTableStore.CommitBehaviour.REFUSED
+                  : FakeTableStore.CommitBehaviour.GOOD;
+      simulation.submit(JOB);
+      simulation.time.run(1_000);
+      simulation.completesRuns = done;
+      simulation.time.run(3_000);
+      assertEquals(waiting(simulation), Set.of(JOB));
+      simulation.restart();
+      simulation.store.commitBehaviour = transaction -> FakeTableStore.CommitBehaviour.GOOD;
+      simulation.time.run(TAKEOVER_MILLIS);
+      assertEquals(waiting(simulation), Set.of());
+    }
+  }
 }
