Polls of a worker whose start is unanswered wait longer the longer it lasts

Cause: while a short-lease run is on a worker, polls wait for its lease, which is now as short as 5 ms, so a start without an answer was accompanied by a poll each 9 ms for 0.9 s.

Change: the wait is the time since the start was sent, at least the lease and at most 200 ms as before.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -499,7 +499,7 @@
     }
     if (worker.hasShortLeaseRun()) {
       // A suppressed completion ends no poll that waits for one.
-      return worker.shortLeaseMillis();
+      return worker.shortLeasePollWaitMillis(term.now.mono());
     }
     if (worker.rating.suspect()) {
       return SUSPECT_POLL_WAIT_MILLIS;
--- a/core/src/main/java/org/cottontack/core/job/Worker.java
+++ b/core/src/main/java/org/cottontack/core/job/Worker.java
@@ -268,11 +268,19 @@
         && placed.values().stream().anyMatch(task -> task.shortLease);
   }
 
-  /** Returns the lease of the short-lease run here, in milliseconds. */
-  long shortLeaseMillis() {
+  /**
+   * Returns how long a poll may wait while a short-lease run is here, in milliseconds: for its
+   * lease, and longer the longer its start goes without an answer.
+   */
+  long shortLeasePollWaitMillis(long nowMillis) {
     return placed.values().stream()
         .filter(task -> task.shortLease)
-        .mapToLong(task -> suppressedCompletions.shortLeaseMillis(task.spec))
+        .mapToLong(
+            task ->
+                Math.max(
+                    suppressedCompletions.shortLeaseMillis(task.spec),
+                    nowMillis - task.sentMillis()))
+        .map(wait -> Math.min(wait, SuppressedCompletions.SHORT_LEASE_MILLIS))
         .max()
         .orElse(0);
   }
