Services of earlier leaders keep their place in the order after a takeover

Cause: since what is stored says whether a job has begun, a service whose mark was not saved counts as new at the next leader. It would wait behind short jobs after it was lost together with its leader, and its wait was not logged.

Change: a job that an earlier leader has placed keeps what it had before, its rank and the log of its wait, through a flag of its own.

--- a/core/src/main/java/org/cottontack/core/job/Job.java
+++ b/core/src/main/java/org/cottontack/core/job/Job.java
@@ -100,6 +100,9 @@
   /** Whether the job no longer waits for its first start. */
   boolean begun;
 
+  /** Whether an earlier leader has placed a task of the job, so that one may have started. */
+  boolean placedEarlier;
+
   Job(JobSpec spec, long arrivedMillis) {
     this(spec, arrivedMillis, new IgnoredStarts());
   }
@@ -112,6 +115,11 @@
     this.ignoredStarts = ignoredStarts;
   }
 
+  /** Returns whether a task of the job has started, or may have under an earlier leader. */
+  boolean mayHaveBegun() {
+    return begun || placedEarlier;
+  }
+
   /** Returns whether the job has too many tasks to keep all its occurrences. */
   private boolean large() {
     return spec.allTasks() > MAX_TASKS_KEPT;
--- a/core/src/main/java/org/cottontack/core/job/Lifecycle.java
+++ b/core/src/main/java/org/cottontack/core/job/Lifecycle.java
@@ -60,6 +60,7 @@
   void recovered(JobEvent.JobRecovered event) {
     Job job = new Job(event.job(), term.now.mono(), term.ignoredStarts);
     ProgressText.restore(job, event.progress());
+    job.placedEarlier = job.phase != JobPhase.QUEUED;
     open(job);
     job.tasks().filter(task -> task.worker != null).forEach(this::inherit);
   }
--- a/core/src/main/java/org/cottontack/core/job/Urgency.java
+++ b/core/src/main/java/org/cottontack/core/job/Urgency.java
@@ -99,7 +99,7 @@
     int priority = job.spec.queue().priority();
     if (job.spec.isLongRunning()) {
       long waited = nowMillis - job.arrivedMillis;
-      Rank rank = job.begun || waited > MAX_DEFERRAL_MILLIS ? Rank.FIRST : Rank.DEFERRED;
+      Rank rank = job.mayHaveBegun() || waited > MAX_DEFERRAL_MILLIS ? Rank.FIRST : Rank.DEFERRED;
       return new RankedJob(job, priority, rank, Double.MAX_VALUE);
     }
     if (job.spec.schedule().hasStartTime()) {
--- a/core/src/main/java/org/cottontack/core/job/WaitLog.java
+++ b/core/src/main/java/org/cottontack/core/job/WaitLog.java
@@ -98,7 +98,7 @@
     }
     Map<TaskName, Task> waiting =
         term.jobs.values().stream()
-            .filter(job -> job.begun && job.spec.isLongRunning() && !job.phase.terminal())
+            .filter(job -> job.mayHaveBegun() && job.spec.isLongRunning() && !job.phase.terminal())
             .flatMap(Job::tasks)
             .filter(this::waits)
             .collect(Collectors.toMap(task -> task.name, task -> task));
--- a/core/src/test/java/org/cottontack/core/job/UrgencyTest.java
+++ b/core/src/test/java/org/cottontack/core/job/UrgencyTest.java
@@ -80,6 +80,15 @@
       assertEquals(order(jobs, 20_000), List.of("running", "waited", "short", "new", "hopeless"));
     }
 
+    /** Guards against a service that lost its task with its leader and waits like a new one. */
+    @Test
+    public void placesServicesOfEarlierLeadersBeforeShortJobs() {
+      Job placedEarlier = longRunning("placedEarlier", 19_000);
+      placedEarlier.placedEarlier = true;
+      List<Job> jobs = List.of(waiting("short", 4, 1_000, 19_500), placedEarlier);
+      assertEquals(order(jobs, 20_000), List.of("placedEarlier", "short"));
+    }
+
     /** A large job that is nearly done is placed before a new one of half its size. */
     @Test
     public void placesNearlyDoneBeforeNew() {
