Short leases end with the leader's own, by the worker's clock at the renewal

Cause: a short lease was based on the worker's last answer alone. An instance that was suspended past its own lease, and whose time of day was set back, could grant one after it had ended. Every other lease is also bounded by what the worker's clock showed at the renewal; that bound had been left out.

Change: a short lease ends no later than the leader's lease permits by that clock. Its length is unchanged otherwise.

Measured: WorkerClockTest$LeaseEnds .shortLeasesEndWithTheLeadersOwnAcrossSuspension; the tests of short tasks, orders in doubt and suppressed completions pass as before.

--- a/core/src/main/java/org/cottontack/core/job/Orders.java
+++ b/core/src/main/java/org/cottontack/core/job/Orders.java
@@ -118,7 +118,7 @@
   private long startDeadlineClock(Worker worker, Task task) {
     long until = startDeadline(worker, task);
     return task.shortLease
-        ? worker.clock.shortLeaseEnd(until)
+        ? worker.clock.shortLeaseEnd(until, term.grantEndMillis(worker), term.renewedMillis())
         : worker.clock.leaseEnd(until, term.renewedMillis());
   }
 
--- a/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
+++ b/core/src/main/java/org/cottontack/core/job/SuppressedCompletions.java
@@ -19,8 +19,9 @@
  * <p>How long a task takes is not known in advance; its caller states a rough estimate. A done run
  * that is not listed looks like one that lapsed, so the lease is as short as starts arrive in time:
  * each start that comes too late for its lease doubles the next one, up to a part of the estimate,
- * and each that arrives halves it. A run that is done within its lease would run again; that takes
- * a task which needs no longer than its start takes to arrive.
+ * and each that arrives halves it. This bounds a run by the delay of starts, not by its duration:
+ * one that is done within its lease, which may be twice the delay of the starts before it, runs
+ * again.
  *
  * <p>The end of any short-lease run can be that first completion, so tasks of any duration may have
  * one. Tasks for which the longest such lease may be too short to begin at all wait for longer
--- a/core/src/main/java/org/cottontack/core/job/WorkerClock.java
+++ b/core/src/main/java/org/cottontack/core/job/WorkerClock.java
@@ -87,21 +87,29 @@
   long leaseEnd(long untilMillis, long renewedMillis) {
     latestEndMillis = Math.max(latestEndMillis, untilMillis);
     dropBefore(renewedMillis);
+    return earliestClockSinceRenewal(untilMillis);
+  }
+
+  private long earliestClockSinceRenewal(long millis) {
     return observations.stream()
-        .mapToLong(observation -> observation.earliestClock(untilMillis))
+        .mapToLong(observation -> observation.earliestClock(millis))
         .min()
         .orElseThrow();
   }
 
   /**
    * Returns the end, on the worker's clock, of a lease that is far shorter than the leader's own.
-   * It is based on the last answer alone: if this instance was suspended since, the end has passed.
+   * It is based on the last answer, and is no later than the leader's lease permits by what the
+   * clock showed at its renewal.
    *
    * @param untilMillis when it ends on our clock
+   * @param grantEndMillis the latest end of leases that are granted now, on our clock
+   * @param renewedMillis when the renewal was sent on which that is based, on our clock
    */
-  long shortLeaseEnd(long untilMillis) {
+  long shortLeaseEnd(long untilMillis, long grantEndMillis, long renewedMillis) {
     latestEndMillis = Math.max(latestEndMillis, untilMillis);
-    return earliestClock(untilMillis);
+    dropBefore(renewedMillis);
+    return Math.min(earliestClock(untilMillis), earliestClockSinceRenewal(grantEndMillis));
   }
 
   /** Returns when, on our clock, every lease granted so far has ended. */
--- a/core/src/test/java/org/cottontack/core/job/JobSimulation.java
+++ b/core/src/test/java/org/cottontack/core/job/JobSimulation.java
@@ -358,7 +358,7 @@
     }
   }
 
-  private void after(long millis, Runnable action) {
+  void after(long millis, Runnable action) {
     scheduledCount++;
     due.add(new ScheduledAction(now + millis, scheduledCount, action));
   }
--- a/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
+++ b/core/src/test/java/org/cottontack/core/job/ShortTasksAfterRestartTest.java
@@ -158,8 +158,37 @@
       }
     }
 
+    /** Guards against a lease that has grown while orders were slow and outlasts a quick start. */
+    @Test
+    public void runNothingAgainOnceOrdersArriveQuickly() {
+      for (long slowMillis = 0; slowMillis <= 2_000; slowMillis += 20) {
+        JobSimulation simulation = restartingFleet(1);
+        final long until = slowMillis;
+        runNothingAgain(
+            simulation,
+            20,
+            60,
+            380,
+            0,
+            () -> {
+              simulation.oneWayDelayMillis = 40;
+              simulation.after(until, () -> simulation.oneWayDelayMillis = 2);
+            });
+      }
+    }
+
     private static void runNothingAgain(
         JobSimulation simulation, int dropped, long millis, long estimate, int changes) {
+      runNothingAgain(simulation, dropped, millis, estimate, changes, () -> {});
+    }
+
+    private static void runNothingAgain(
+        JobSimulation simulation,
+        int dropped,
+        long millis,
+        long estimate,
+        int changes,
+        Runnable onSubmit) {
       simulation.listsCrashedWorkers = true;
       simulation.workMillis = Math.max(MIN_FIRST_MILLIS, millis);
       simulation.run(1_000);
@@ -179,6 +208,7 @@
       simulation.lost = JobEffect.StopRun.class::isInstance;
       changeLeaders(simulation, changes);
       simulation.run(1_500);
+      onSubmit.run();
       final List<JobSpec> after = submit(simulation, "after", 3, 2, estimate);
       simulation.run(Fleet.MAX_LEASE_MILLIS + 500L * dropped + JOB_MILLIS);
       assertComplete(simulation, Stream.concat(before.stream(), after.stream()).toList());
--- a/core/src/test/java/org/cottontack/core/job/WorkerClockTest.java
+++ b/core/src/test/java/org/cottontack/core/job/WorkerClockTest.java
@@ -48,6 +48,22 @@
       assertEquals(workerClock.leaseEnd(UNTIL_MILLIS, READ_MILLIS + 100), 4_600 + 9_702);
     }
 
+    /**
+     * Guards against a short lease after a suspension that outlasts the leader's own lease: it has
+     * ended by the clock that the worker showed at the renewal, although its last answer is new.
+     */
+    @Test
+    public void shortLeasesEndWithTheLeadersOwnAcrossSuspension() {
+      WorkerClock workerClock = new WorkerClock();
+      workerClock.observe(500, READ_MILLIS);
+      long grantEnd = READ_MILLIS + LeaderLease.GRANT_MILLIS;
+      assertEquals(workerClock.shortLeaseEnd(READ_MILLIS + 5, grantEnd, READ_MILLIS), 500 + 4);
+      workerClock.observe(14_600, READ_MILLIS + 100);
+      long suspended = workerClock.shortLeaseEnd(READ_MILLIS + 105, grantEnd, READ_MILLIS);
+      assertEquals(suspended, 500 + (long) (0.98 * LeaderLease.GRANT_MILLIS));
+      assertEquals(workerClock.lastLeaseEndMillis(), READ_MILLIS + 105);
+    }
+
     /** A shorter lease does not end an earlier, longer one. */
     @Test
     public void theLatestEndCounts() {
